--- /dev/null
+++ b/src/base/event_loop.cc
@@ -0,0 +1,107 @@
+#include "base/event_loop.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+
+#include <event2/event.h>
+
+namespace jasminedyke {
+
+namespace {
+
+// Timers run in one pass before sockets get their turn again.
+constexpr int kMaxTimersInOnePass = 256;
+
+}  // namespace
+
+void event_loop::event_base_deleter::operator()(event_base* base) const {
+  event_base_free(base);
+}
+
+void event_loop::event_deleter::operator()(event* e) const {
+  event_free(e);
+}
+
+event_loop::event_loop() {
+  // A peer that closes while we write must be an error of that write, not
+  // the end of the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  base_.reset(event_base_new());
+  if (!base_)
+    throw std::runtime_error("libevent can't create an event base");
+  timer_event_.reset(event_new(
+      base_.get(), -1, 0,
+      [](evutil_socket_t, short, void* self) {
+        static_cast<event_loop*>(self)->RunDueTimers();
+      },
+      this));
+  if (!timer_event_)
+    throw std::runtime_error("libevent can't create a timer");
+}
+
+event_loop::~event_loop() = default;
+
+time_point event_loop::now() const {
+  return time_point(std::chrono::duration_cast<duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+timer_id event_loop::CallAt(time_point when, timer_callback callback) {
+  timer_id id = timers_.Add(when, std::move(callback));
+  ArmTimer();
+  return id;
+}
+
+void event_loop::Cancel(timer_id id) {
+  // The libevent timer may now fire early; it then finds nothing due.
+  timers_.Cancel(id);
+}
+
+void event_loop::OnStopSignal(std::function<void()> handler) {
+  on_stop_signal_ = std::move(handler);
+  auto on_signal = [](evutil_socket_t, short, void* self) {
+    static_cast<event_loop*>(self)->on_stop_signal_();
+  };
+  terminate_event_.reset(evsignal_new(base_.get(), SIGTERM, on_signal, this));
+  interrupt_event_.reset(evsignal_new(base_.get(), SIGINT, on_signal, this));
+  event_add(terminate_event_.get(), nullptr);
+  event_add(interrupt_event_.get(), nullptr);
+}
+
+void event_loop::Run() {
+  event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::Stop() {
+  event_base_loopbreak(base_.get());
+}
+
+void event_loop::RunOnce() {
+  event_base_loop(base_.get(), EVLOOP_ONCE);
+}
+
+void event_loop::ArmTimer() {
+  auto due = timers_.next_due();
+  if (!due || *due >= armed_for_)
+    return;
+  armed_for_ = *due;
+  auto wait = std::max(duration::zero(), *due - now());
+  timeval tv;
+  tv.tv_sec = wait.count() / 1000000;
+  tv.tv_usec = wait.count() % 1000000;
+  event_add(timer_event_.get(), &tv);
+}
+
+void event_loop::RunDueTimers() {
+  armed_for_ = time_point::max();
+  for (int i = 0; i < kMaxTimersInOnePass; ++i) {
+    timer_callback callback = timers_.TakeDue(now());
+    if (!callback)
+      break;
+    callback();
+  }
+  ArmTimer();
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/base/runtime_clock.h
@@ -0,0 +1,44 @@
+// The time type of the whole product. Values come from a `scheduler`, never
+// from the system directly, so that tests can stop and advance time.
+
+#ifndef SRC_BASE_RUNTIME_CLOCK_H_
+#define SRC_BASE_RUNTIME_CLOCK_H_
+
+#include <chrono>
+
+namespace jasminedyke {
+
+// Monotonic microseconds since an origin that differs between processes: a
+// time point must never be sent to another instance.
+struct runtime_clock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<runtime_clock>;
+  // The name that std::chrono asks for.
+  static constexpr bool is_steady = true;  // NOLINT
+};
+
+using time_point = runtime_clock::time_point;
+using duration = runtime_clock::duration;
+
+inline double ToSeconds(duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+
+inline double ToMilliseconds(duration d) {
+  return std::chrono::duration<double, std::milli>(d).count();
+}
+
+inline duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+inline duration FromMilliseconds(double ms) {
+  return FromSeconds(ms / 1000.0);
+}
+
+}  // namespace jasminedyke
+
+#endif  // SRC_BASE_RUNTIME_CLOCK_H_
--- /dev/null
+++ b/src/cluster/cluster.h
@@ -0,0 +1,12 @@
+// Public header of the cluster library: entry instances as one system.
+
+#ifndef SRC_CLUSTER_CLUSTER_H_
+#define SRC_CLUSTER_CLUSTER_H_
+
+#include "cluster/document_sync.h"
+#include "cluster/home_selector.h"
+#include "cluster/peer_choice.h"
+#include "cluster/peer_router.h"
+#include "cluster/remote_jobs.h"
+
+#endif  // SRC_CLUSTER_CLUSTER_H_
--- /dev/null
+++ b/src/cluster/home_selector.h
@@ -0,0 +1,58 @@
+// Chooses the home of the failure domain's slots and tells those concerned.
+
+#ifndef SRC_CLUSTER_HOME_SELECTOR_H_
+#define SRC_CLUSTER_HOME_SELECTOR_H_
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "base/base.h"
+#include "policy/policy.h"
+#include "protocol/protocol.h"
+
+namespace jasminedyke {
+
+// Each instance chooses by rendezvous hashing among the entry instances that
+// it sees alive. No vote: instances that see differently choose differently
+// for a while, which costs refused starts and nothing else.
+class home_selector {
+ public:
+  home_selector(scheduler& clock,
+                const peer_identity& self,
+                const peer_port& peers,
+                granted_slots& holder_side,
+                slot_home& home_side);
+
+  void OnMembershipChanged(const membership_view& view);
+  void OnPeerUp(const instance_id& peer);
+  void OnPeerDown(const instance_id& peer);
+  void OnPeerLeaving(const instance_id& peer);
+  // This instance is stopping: it is no home from now on.
+  void Leave();
+
+  const instance_id& home() const { return home_; }
+
+ private:
+  std::vector<instance_id> Candidates() const;
+  bool IsCandidate(const instance_info& info) const;
+  void Choose();
+
+  scheduler& clock_;
+  peer_identity self_;
+  const peer_port& peers_;
+  granted_slots& holder_side_;
+  slot_home& home_side_;
+  membership_view view_;
+  instance_id home_;
+  bool leaving_ = false;
+  // Peers that said that they are stopping.
+  std::vector<instance_id> peers_leaving_;
+  // Until when a peer whose link broke still counts.
+  std::map<instance_id, time_point> grace_until_;
+  scoped_timer grace_timer_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_CLUSTER_HOME_SELECTOR_H_
--- /dev/null
+++ b/src/cluster/remote_jobs.h
@@ -0,0 +1,66 @@
+// Callers' requests about jobs of other entry instances, and theirs about
+// ours.
+
+#ifndef SRC_CLUSTER_REMOTE_JOBS_H_
+#define SRC_CLUSTER_REMOTE_JOBS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "base/base.h"
+#include "entry/entry.h"
+#include "policy/policy.h"
+#include "protocol/protocol.h"
+
+namespace jasminedyke {
+
+// Sends each request to the owner that the job id names, over a link opened
+// for it if there is none. Only that incarnation may answer; if it is gone,
+// nobody can tell whether the job ran, and it is lost.
+class remote_jobs : public job_forwarder {
+ public:
+  using local_handler =
+      std::function<void(const forwarded_job&,
+                         std::function<void(const http_reply&)>)>;
+
+  remote_jobs(scheduler& clock,
+              peer_port& peers,
+              const membership_view& membership,
+              local_handler handle);
+
+  void Forward(const forwarded_job& request, callback done) override;
+
+  void OnPeerUp(const instance_id& peer);
+  void OnPeerDown(const instance_id& peer);
+  void OnRequest(const instance_id& peer, const remote_job_request& request);
+  void OnReply(const instance_id& peer, const remote_job_reply& reply);
+
+  size_t pending() const { return pending_.size(); }
+
+ private:
+  struct pending_request {
+    forwarded_job request;
+    callback done;
+    bool sent = false;
+    // Until the link is there.
+    std::unique_ptr<scoped_timer> timer;
+  };
+
+  void Send(uint64_t number, const peer_identity& peer);
+  void FinishLater(uint64_t number, forward_error error);
+  void Finish(uint64_t number, const outcome<http_reply, forward_error>& reply);
+
+  scheduler& clock_;
+  peer_port& peers_;
+  const membership_view& membership_;
+  local_handler handle_;
+  std::map<uint64_t, pending_request> pending_;
+  uint64_t last_number_ = 0;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_CLUSTER_REMOTE_JOBS_H_
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,9 @@
+// Public header of the daemon library: settings and the running instance.
+
+#ifndef SRC_DAEMON_DAEMON_H_
+#define SRC_DAEMON_DAEMON_H_
+
+#include "daemon/instance.h"
+#include "daemon/settings.h"
+
+#endif  // SRC_DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,11 @@
+// Public header of the http library: client connections and a server, both
+// by evhttp.
+
+#ifndef SRC_HTTP_HTTP_H_
+#define SRC_HTTP_HTTP_H_
+
+#include "http/http_connection.h"
+#include "http/http_server.h"
+#include "http/http_types.h"
+
+#endif  // SRC_HTTP_HTTP_H_
--- /dev/null
+++ b/src/http/http_connection.h
@@ -0,0 +1,88 @@
+// One client connection by evhttp, carrying one request at a time.
+
+#ifndef SRC_HTTP_HTTP_CONNECTION_H_
+#define SRC_HTTP_HTTP_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/base.h"
+#include "http/http_types.h"
+
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace jasminedyke {
+
+struct http_client_limits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 16 * 1024 * 1024;
+};
+
+// Connects on the first request, keeps the connection alive between requests
+// and connects again after it was closed. A request is put on the wire at
+// most once: evhttp's own retries stay at zero.
+class http_connection {
+ public:
+  using callback = std::function<void(http_result)>;
+
+  http_connection(event_loop& loop,
+                  const socket_address& address,
+                  const http_client_limits& limits);
+  // A request in progress is dropped without its callback. Not to be
+  // destroyed from within a callback.
+  ~http_connection();
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
+
+  // `done` is called once, never from within this call. Only while not busy.
+  void Send(const http_request& request, duration timeout, callback done);
+
+  // Ends a request in progress without calling back and closes.
+  void Abort();
+
+  // Closes an idle connection; the next request connects again.
+  void Close();
+
+  bool busy() const { return request_ != nullptr || failing_at_once_; }
+  const socket_address& address() const { return address_; }
+  // When the last request ended.
+  time_point idle_since() const { return idle_since_; }
+
+ private:
+  struct evhttp_connection_deleter {
+    void operator()(evhttp_connection* connection) const;
+  };
+
+  static void OnOutputChanged(evbuffer* buffer,
+                              const evbuffer_cb_info* info,
+                              void* self);
+  static void OnReply(evhttp_request* request, void* self);
+
+  bool Open();
+  bool HasUnreadInput() const;
+  void OnTimeout();
+  void Finish(http_result result);
+  http_result TakeReply(evhttp_request* request);
+
+  event_loop& loop_;
+  socket_address address_;
+  http_client_limits limits_;
+  std::unique_ptr<evhttp_connection, evhttp_connection_deleter> connection_;
+  // Owned by `connection_`.
+  evhttp_request* request_ = nullptr;
+  // True from the first byte of the current request that the kernel took.
+  bool byte_sent_ = false;
+  // The next request must not reuse this connection.
+  bool must_reopen_ = false;
+  bool failing_at_once_ = false;
+  callback done_;
+  scoped_timer timer_;
+  time_point idle_since_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_HTTP_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,130 @@
+// The HTTP server side by evhttp, with replies that may come later and
+// callers that may hang up meanwhile.
+
+#ifndef SRC_HTTP_HTTP_SERVER_H_
+#define SRC_HTTP_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/base.h"
+#include "http/http_types.h"
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace jasminedyke {
+
+class http_server;
+
+// One request and its one reply. Whoever holds it may reply at any time later;
+// if it is destroyed before, the caller gets status 500.
+class http_exchange {
+ public:
+  // Made by `http_server` only.
+  http_exchange(http_server& server, evhttp_request* request);
+  ~http_exchange();
+  http_exchange(const http_exchange&) = delete;
+  http_exchange& operator=(const http_exchange&) = delete;
+
+  const http_request& request() const { return request_; }
+  // Nothing if the request has no such header.
+  const std::string* header(const char* name) const {
+    return FindHeader(request_.headers, name);
+  }
+
+  // Only the first reply counts; after a hang-up it goes nowhere.
+  void Reply(const http_reply& reply);
+
+  // Ends the connection without (`sent_bytes` = 0) or amid a reply. For
+  // stand-ins that act out faults.
+  void Cut(const std::string& raw_bytes);
+
+  // Calls `handler` once if the caller closes before the reply. A caller that
+  // closes only its sending side counts as having hung up.
+  void OnHangUp(std::function<void()> handler);
+
+  bool hung_up() const { return hung_up_; }
+  bool replied() const { return replied_; }
+
+ private:
+  friend class http_server;
+
+  void WatchForHangUp();
+  // Detaches from the connection. Null if the caller is gone already.
+  evhttp_request* Finish();
+  void OnClosed();
+
+  http_server& server_;
+  // Null after the reply.
+  evhttp_request* evhttp_request_;
+  http_request request_;
+  std::function<void()> on_hang_up_;
+  bool hung_up_ = false;
+  bool replied_ = false;
+};
+
+using http_exchange_ptr = std::shared_ptr<http_exchange>;
+
+struct http_server_limits {
+  size_t max_header_bytes = 16 * 1024;
+  // What is larger is cut off by evhttp with a plain 413.
+  size_t max_body_bytes = 64 * 1024 * 1024;
+  // A caller that sends nothing for so long is cut off.
+  std::chrono::seconds idle_timeout{60};
+};
+
+class http_server {
+ public:
+  using handler = std::function<void(http_exchange_ptr)>;
+
+  http_server(event_loop& loop,
+              const http_server_limits& limits,
+              handler handle);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  // Port 0 takes any free port. Throws `std::runtime_error` if the address
+  // can't be had. Returns the address with the real port.
+  socket_address Listen(const socket_address& address);
+
+  // Accepts no further connections; those that exist go on.
+  void StopListening();
+
+  // From now on each reply closes its connection, so that callers with
+  // kept-alive connections move to another instance.
+  void CloseAfterReplies() { close_after_replies_ = true; }
+
+  // Requests that wait for their reply.
+  size_t open_exchanges() const { return open_exchanges_; }
+
+  // Connections that have sent a request and are open.
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class http_exchange;
+  struct evhttp_deleter {
+    void operator()(evhttp* server) const;
+  };
+
+  static void OnRequest(evhttp_request* request, void* self);
+  static void OnClose(evhttp_connection* connection, void* self);
+
+  handler handle_;
+  evhttp_bound_socket* socket_ = nullptr;
+  bool close_after_replies_ = false;
+  size_t open_exchanges_ = 0;
+  // With the exchange that waits on each; null between requests.
+  std::unordered_map<evhttp_connection*, http_exchange*> connections_;
+  // Last, so that it goes first: closing its connections calls back.
+  std::unique_ptr<evhttp, evhttp_deleter> evhttp_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_HTTP_HTTP_SERVER_H_
--- /dev/null
+++ b/src/platform/http_platform.h
@@ -0,0 +1,48 @@
+// The platform over HTTP/1.1 and JSON.
+
+#ifndef SRC_PLATFORM_HTTP_PLATFORM_H_
+#define SRC_PLATFORM_HTTP_PLATFORM_H_
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "http/http.h"
+#include "platform/table_service.h"
+
+namespace jasminedyke {
+
+// Sends requests over a few kept connections, in the order of the calls.
+class http_platform : public table_service, public instance_directory {
+ public:
+  http_platform(event_loop& loop, const socket_address& address);
+  ~http_platform() override;
+
+  void Read(const std::string& table,
+            const std::string& key,
+            read_callback done) override;
+  void Write(const std::vector<table_write>& writes,
+             write_callback done) override;
+  void List(membership_version known, list_callback done) override;
+
+ private:
+  struct pending_request {
+    http_request request;
+    http_connection::callback done;
+  };
+
+  void WriteOne(const table_write& write, write_callback done);
+  void WriteAll(const std::vector<table_write>& writes, write_callback done);
+  void Send(http_request request, http_connection::callback done);
+  void SendNext();
+
+  event_loop& loop_;
+  std::vector<std::unique_ptr<http_connection>> connections_;
+  std::deque<pending_request> pending_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_PLATFORM_HTTP_PLATFORM_H_
--- /dev/null
+++ b/src/policy/granted_slots.cc
@@ -0,0 +1,257 @@
+#include "policy/granted_slots.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminedyke {
+
+namespace {
+
+// A grant starts tasks only for so long after the demand that it answers. The
+// time is counted on our own clock from before the home's, so a holder that
+// was paused judges its grants lapsed before the home does.
+constexpr duration kGrantLease = std::chrono::seconds(1);
+constexpr duration kHeartbeat = std::chrono::milliseconds(500);
+constexpr duration kFullReportEvery = std::chrono::seconds(2);
+// With demand outstanding the home answers each heartbeat; twice that without
+// a word and it is taken for dead.
+constexpr duration kHomeSilence = std::chrono::milliseconds(1000);
+constexpr duration kReportDelay = std::chrono::milliseconds(1);
+constexpr duration kReleaseDelay = std::chrono::milliseconds(1);
+// Jobs of each team that a report names.
+constexpr size_t kReportedJobs = 6;
+// The home always knows of at least so many waiting tasks, if there are any.
+constexpr int kLowWater = 8;
+// A job that ranks better by less than this waits for the next report.
+constexpr double kRankStep = 0.02;
+
+int CountTasks(const std::vector<demand_entry>& entries) {
+  int tasks = 0;
+  for (const demand_entry& entry : entries)
+    tasks += entry.tasks;
+  return tasks;
+}
+
+}  // namespace
+
+granted_slots::granted_slots(scheduler& clock,
+                             const upstream_table& upstreams,
+                             slot_host& host,
+                             const order_rule& rule,
+                             uint64_t seed,
+                             const grant_settings& settings)
+    : clock_(clock),
+      upstreams_(upstreams),
+      host_(host),
+      rule_(rule),
+      settings_(settings),
+      fallback_(clock, upstreams, host, seed),
+      report_timer_(clock),
+      release_timer_(clock),
+      heartbeat_timer_(clock) {}
+
+void granted_slots::SetHome(const instance_id& home) {
+  home_ = home;
+  last_heard_ = clock_.now();
+  last_grant_sequence_ = 0;
+  full_report_due_ = true;
+  reported_.clear();
+  releases_.clear();
+  reuse_until_.clear();
+  in_fallback_ = home_.empty();
+  fallback_.Pause();
+  OnWorkChanged();
+}
+
+void granted_slots::OnWorkChanged() {
+  if (in_fallback_)
+    fallback_.OnWorkChanged();
+  if (!home_.empty())
+    ReportSoon();
+}
+
+void granted_slots::OnAttemptEnded(const upstream_id& upstream,
+                                   slot_result result) {
+  if (in_fallback_)
+    fallback_.OnAttemptEnded(upstream, result);
+  if (ReuseSlot(upstream, result))
+    return;
+  Release(upstream, result);
+}
+
+void granted_slots::OnMembershipChanged() {
+  OnWorkChanged();
+}
+
+void granted_slots::OnPeerMessage(const instance_id& peer,
+                                  const slot_message& message) {
+  const auto* grant = std::get_if<slot_grant>(&message);
+  if (grant && peer == home_)
+    OnGrant(*grant);
+}
+
+void granted_slots::OnGrant(const slot_grant& grant) {
+  last_heard_ = clock_.now();
+  last_grant_sequence_ = std::max(last_grant_sequence_, grant.sequence);
+  domain_waiting_ = grant.domain_waiting;
+  if (in_fallback_) {
+    in_fallback_ = false;
+    fallback_.Pause();
+    full_report_due_ = true;
+  }
+  time_point demanded_at{duration(grant.demand_sent_at_us)};
+  bool in_time = clock_.now() - demanded_at <= kGrantLease;
+  for (const granted_slot& slot : grant.slots)
+    UseSlot(slot, in_time);
+  ReportSoon();
+}
+
+void granted_slots::UseSlot(const granted_slot& slot, bool in_time) {
+  for (demand_entry& entry : reported_) {
+    if (entry.team == slot.team && entry.tasks > 0) {
+      --entry.tasks;
+      break;
+    }
+  }
+  start_order order{slot.upstream, slot.team, true, slot.trial};
+  if (!in_time || !host_.StartOn(order)) {
+    Release(slot.upstream, slot_result::kUnused);
+    return;
+  }
+  if (settings_.reuse > duration::zero())
+    reuse_until_.emplace(slot.upstream, clock_.now() + settings_.reuse);
+}
+
+bool granted_slots::ReuseSlot(const upstream_id& upstream, slot_result result) {
+  auto found = reuse_until_.find(upstream);
+  if (found == reuse_until_.end())
+    return false;
+  bool usable =
+      result == slot_result::kAnswered && clock_.now() < found->second;
+  if (usable && host_.StartOn({.upstream = upstream, .granted = true}))
+    return true;
+  reuse_until_.erase(found);
+  return false;
+}
+
+void granted_slots::Release(const upstream_id& upstream, slot_result result) {
+  if (home_.empty())
+    return;
+  releases_.push_back({upstream, result});
+  if (!release_timer_.active())
+    release_timer_.StartAfter(kReleaseDelay, [this] { FlushReleases(); });
+}
+
+void granted_slots::FlushReleases() {
+  if (releases_.empty() || home_.empty())
+    return;
+  host_.SendToPeer(home_, slot_release{std::exchange(releases_, {})});
+}
+
+void granted_slots::ReportSoon() {
+  if (!report_timer_.active())
+    report_timer_.StartAfter(kReportDelay, [this] { ReportIfNeeded(); });
+  ScheduleHeartbeat();
+}
+
+void granted_slots::ReportIfNeeded() {
+  if (home_.empty())
+    return;
+  std::vector<demand_entry> waiting = host_.Demand(kReportedJobs);
+  if (ReportNeeded(waiting))
+    Report(std::move(waiting));
+}
+
+bool granted_slots::ReportNeeded(
+    const std::vector<demand_entry>& waiting) const {
+  if (full_report_due_)
+    return true;
+  int waiting_tasks = host_.waiting_tasks();
+  int known_tasks = CountTasks(reported_);
+  if (known_tasks > waiting_tasks)
+    return true;
+  if (known_tasks < std::min(kLowWater, waiting_tasks))
+    return true;
+  if (waiting.empty())
+    return false;
+  // The better rank of each team counts: the home grants by team.
+  double aged = rule_.age_weight * ToSeconds(clock_.now() - reported_at_);
+  for (const demand_entry& entry : waiting) {
+    auto known = std::ranges::find_if(reported_, [&](const demand_entry& r) {
+      return r.team == entry.team && r.tasks > 0;
+    });
+    if (known == reported_.end())
+      return true;
+    if (entry.rank < known->rank - aged - kRankStep)
+      return true;
+  }
+  return false;
+}
+
+void granted_slots::Report(std::vector<demand_entry> waiting) {
+  if (waiting.empty() && !HasBusiness() && reported_.empty() &&
+      !full_report_due_) {
+    return;
+  }
+  // Releases go first: a full report counts their slots as free.
+  FlushReleases();
+  time_point now = clock_.now();
+  slot_demand demand;
+  demand.sent_at_us = static_cast<uint64_t>(now.time_since_epoch().count());
+  demand.last_grant_sequence = last_grant_sequence_;
+  demand.running = host_.running_by_team();
+  demand.full_report =
+      full_report_due_ || now - last_full_report_ >= kFullReportEvery;
+  if (demand.full_report) {
+    demand.held = InFlight();
+    demand.quarantined = upstreams_.health().quarantined(now);
+    last_full_report_ = now;
+    full_report_due_ = false;
+  }
+  demand.waiting = waiting;
+  reported_ = std::move(waiting);
+  reported_at_ = now;
+  host_.SendToPeer(home_, demand);
+}
+
+void granted_slots::Heartbeat() {
+  CheckHome();
+  if (home_.empty())
+    return;
+  Report(host_.Demand(kReportedJobs));
+  if (HasBusiness())
+    ScheduleHeartbeat();
+}
+
+void granted_slots::ScheduleHeartbeat() {
+  if (heartbeat_timer_.active() || home_.empty())
+    return;
+  // Silence while nothing was asked is no sign of death.
+  last_heard_ = std::max(last_heard_, clock_.now() - kHeartbeat);
+  heartbeat_timer_.StartAfter(kHeartbeat, [this] { Heartbeat(); });
+}
+
+bool granted_slots::HasBusiness() const {
+  return host_.waiting_tasks() > 0 || !host_.running_by_team().empty();
+}
+
+void granted_slots::CheckHome() {
+  bool silent = clock_.now() - last_heard_ > kHomeSilence;
+  if (in_fallback_ || !silent || host_.waiting_tasks() == 0)
+    return;
+  in_fallback_ = true;
+  LogEvent(log_level::kWarning, "home_silent", {{"home", home_.str()}});
+  fallback_.OnWorkChanged();
+}
+
+std::vector<upstream_count> granted_slots::InFlight() const {
+  std::vector<upstream_count> held;
+  for (const upstream_id& id : upstreams_.local()) {
+    const upstream_state* state = upstreams_.Find(id);
+    if (state->in_flight > 0)
+      held.push_back({id, state->in_flight});
+  }
+  return held;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/policy/granted_slots.h
@@ -0,0 +1,99 @@
+// Strategy: ask the failure domain's home for slots and start tasks on those
+// that it grants.
+
+#ifndef SRC_POLICY_GRANTED_SLOTS_H_
+#define SRC_POLICY_GRANTED_SLOTS_H_
+
+#include <map>
+#include <vector>
+
+#include "base/base.h"
+#include "policy/local_slots.h"
+#include "policy/order_rule.h"
+#include "policy/slot_strategy.h"
+#include "policy/upstream_table.h"
+
+namespace jasminedyke {
+
+struct grant_settings {
+  // For so long after a grant its slot may be used for further tasks without
+  // asking again. Zero: each grant is for one task.
+  duration reuse = duration::zero();
+};
+
+// The holder's side of the protocol whose other side is `slot_home`. While the
+// home is silent, tasks start by two random choices instead, so a dead home
+// delays work by a bounded time and stops nothing.
+class granted_slots : public slot_strategy {
+ public:
+  granted_slots(scheduler& clock,
+                const upstream_table& upstreams,
+                slot_host& host,
+                const order_rule& rule,
+                uint64_t seed,
+                const grant_settings& settings);
+
+  // The instance to ask; empty if there is none. To be called again, with the
+  // same one, after the link to it broke.
+  void SetHome(const instance_id& home);
+  const instance_id& home() const { return home_; }
+
+  void OnWorkChanged() override;
+  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnMembershipChanged() override;
+  void OnPeerMessage(const instance_id& peer,
+                     const slot_message& message) override;
+
+  // True while tasks start without grants.
+  bool in_fallback() const { return in_fallback_; }
+  // What waits in the whole failure domain, as the home last said.
+  int domain_waiting() const { return domain_waiting_; }
+
+ private:
+  void OnGrant(const slot_grant& grant);
+  void UseSlot(const granted_slot& slot, bool in_time);
+  bool ReuseSlot(const upstream_id& upstream, slot_result result);
+  void Release(const upstream_id& upstream, slot_result result);
+  void FlushReleases();
+  void ReportSoon();
+  void ReportIfNeeded();
+  bool ReportNeeded(const std::vector<demand_entry>& waiting) const;
+  void Report(std::vector<demand_entry> waiting);
+  void Heartbeat();
+  void ScheduleHeartbeat();
+  bool HasBusiness() const;
+  void CheckHome();
+  std::vector<upstream_count> InFlight() const;
+
+  scheduler& clock_;
+  const upstream_table& upstreams_;
+  slot_host& host_;
+  const order_rule& rule_;
+  grant_settings settings_;
+  two_choices_slots fallback_;
+
+  instance_id home_;
+  bool in_fallback_ = false;
+  time_point last_heard_;
+  uint64_t last_grant_sequence_ = 0;
+  int domain_waiting_ = 0;
+
+  // What the home knows of our waiting work: the last report less what was
+  // granted since.
+  std::vector<demand_entry> reported_;
+  time_point reported_at_;
+  time_point last_full_report_;
+  // The next report must say what is held.
+  bool full_report_due_ = true;
+  std::vector<released_slot> releases_;
+  // When the right to reuse ends, for each slot in use; by upstream.
+  std::multimap<upstream_id, time_point> reuse_until_;
+
+  scoped_timer report_timer_;
+  scoped_timer release_timer_;
+  scoped_timer heartbeat_timer_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_POLICY_GRANTED_SLOTS_H_
--- /dev/null
+++ b/src/policy/local_slots.h
@@ -0,0 +1,73 @@
+// Strategies that need no messages: each entry instance goes by what it knows
+// itself, and the upstreams' refusals correct it.
+
+#ifndef SRC_POLICY_LOCAL_SLOTS_H_
+#define SRC_POLICY_LOCAL_SLOTS_H_
+
+#include <random>
+
+#include "base/base.h"
+#include "policy/slot_strategy.h"
+#include "policy/upstream_table.h"
+
+namespace jasminedyke {
+
+// Sends each task to the less loaded of two random upstreams. The fallback
+// when no home can be reached, and the baseline of the measurements.
+class two_choices_slots : public slot_strategy {
+ public:
+  two_choices_slots(scheduler& clock,
+                    const upstream_table& upstreams,
+                    slot_host& host,
+                    uint64_t seed);
+
+  void OnWorkChanged() override;
+  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnMembershipChanged() override;
+  void OnPeerMessage(const instance_id&, const slot_message&) override {}
+
+  // Starts nothing more until the next call from outside.
+  void Pause() { retry_.Stop(); }
+
+ private:
+  upstream_id Choose();
+
+  scheduler& clock_;
+  const upstream_table& upstreams_;
+  slot_host& host_;
+  std::mt19937_64 random_;
+  // Tries again when every upstream was full or held off.
+  scoped_timer retry_;
+};
+
+// Gives each entry instance a fixed part of each upstream's slots; no
+// upstream is ever asked for more than it has. A baseline only: what one
+// instance does not use, no other can.
+class static_split_slots : public slot_strategy {
+ public:
+  // `rank` of `instances`: which part is this instance's.
+  static_split_slots(scheduler& clock,
+                     const upstream_table& upstreams,
+                     slot_host& host,
+                     int rank,
+                     int instances);
+
+  void OnWorkChanged() override;
+  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnMembershipChanged() override;
+  void OnPeerMessage(const instance_id&, const slot_message&) override {}
+
+ private:
+  int Share(size_t upstream_number, int slots) const;
+
+  scheduler& clock_;
+  const upstream_table& upstreams_;
+  slot_host& host_;
+  int rank_;
+  int instances_;
+  scoped_timer retry_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_POLICY_LOCAL_SLOTS_H_
--- /dev/null
+++ b/src/policy/policy.h
@@ -0,0 +1,24 @@
+// Public header of the policy library: every decision of the dispatcher, as
+// functions and state machines of time and messages, without I/O.
+
+#ifndef SRC_POLICY_POLICY_H_
+#define SRC_POLICY_POLICY_H_
+
+#include "policy/admission.h"
+#include "policy/configuration.h"
+#include "policy/granted_slots.h"
+#include "policy/job_queue.h"
+#include "policy/local_slots.h"
+#include "policy/membership.h"
+#include "policy/order_rule.h"
+#include "policy/rendezvous.h"
+#include "policy/retry_budget.h"
+#include "policy/run_time_estimator.h"
+#include "policy/slot_home.h"
+#include "policy/slot_messages.h"
+#include "policy/slot_strategy.h"
+#include "policy/team_quotas.h"
+#include "policy/upstream_health.h"
+#include "policy/upstream_table.h"
+
+#endif  // SRC_POLICY_POLICY_H_
--- /dev/null
+++ b/src/policy/slot_home.cc
@@ -0,0 +1,353 @@
+#include "policy/slot_home.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace jasminedyke {
+
+namespace {
+
+// How long a new home waits for full reports.
+constexpr duration kReportWait = std::chrono::milliseconds(300);
+// A holder that is silent for so long is taken for dead; its slots are granted
+// again. If it lives after all, the upstreams refuse what is too much.
+constexpr duration kHolderSilence = std::chrono::seconds(3);
+// Even without grants a holder with demand hears from the home this often.
+constexpr duration kSignOfLife = std::chrono::milliseconds(400);
+constexpr duration kFullBelieved = std::chrono::milliseconds(50);
+constexpr duration kLeavingBelieved = std::chrono::seconds(15);
+// Differences in speed below this are noise.
+constexpr double kSlownessStep = 0.5;
+
+}  // namespace
+
+slot_home::slot_home(scheduler& clock,
+                     failure_domain_id domain,
+                     const order_rule& rule,
+                     sender send)
+    : clock_(clock),
+      domain_(std::move(domain)),
+      rule_(rule),
+      send_(std::move(send)),
+      issue_timer_(clock),
+      silence_timer_(clock) {}
+
+void slot_home::SetMembership(const membership_view& view,
+                              const std::vector<instance_id>& holders) {
+  std::map<upstream_id, upstream_slots> upstreams;
+  std::vector<upstream_id> ids;
+  for (const instance_info& info : view.list().instances) {
+    if (info.role != instance_role::kUpstream || info.failure_domain != domain_)
+      continue;
+    upstream_id id(info.id.str());
+    auto old = upstreams_.find(id);
+    upstream_slots slots =
+        old != upstreams_.end() ? old->second : upstream_slots();
+    slots.info = info;
+    upstreams.emplace(id, slots);
+    ids.push_back(id);
+  }
+  upstreams_ = std::move(upstreams);
+  health_.SetUpstreams(ids);
+  live_holders_ = holders;
+  std::vector<instance_id> gone;
+  for (const auto& [id, h] : holders_) {
+    if (std::ranges::find(holders, id) == holders.end())
+      gone.push_back(id);
+  }
+  for (const instance_id& id : gone)
+    DropHolder(id);
+  ScheduleIssue();
+}
+
+void slot_home::Start() {
+  if (active_)
+    return;
+  active_ = true;
+  started_ = clock_.now();
+  issue_timer_.StartAfter(kReportWait, [this] { Issue(); });
+  DropSilentHolders();
+}
+
+void slot_home::Stop() {
+  active_ = false;
+  issue_timer_.Stop();
+  silence_timer_.Stop();
+  holders_.clear();
+  for (auto& [id, slots] : upstreams_)
+    slots.held = 0;
+}
+
+void slot_home::OnDemand(const instance_id& from, const slot_demand& demand) {
+  if (!active_)
+    return;
+  holder& h = holders_[from];
+  h.last_heard = clock_.now();
+  while (!h.unacknowledged.empty() &&
+         h.unacknowledged.front().first <= demand.last_grant_sequence) {
+    h.unacknowledged.pop_front();
+  }
+  // A holder that never saw this home has a sequence of zero, also when this
+  // home knew it before a break of their link.
+  if (demand.full_report)
+    ApplyFullReport(h, demand);
+  h.demand = demand;
+  h.running.clear();
+  for (const team_count& running : demand.running)
+    h.running[running.team] = running.count;
+  h.waiting.clear();
+  double now_s = ToSeconds(clock_.now().time_since_epoch());
+  for (const demand_entry& entry : demand.waiting)
+    h.waiting.push_back({entry, entry.rank + rule_.age_weight * now_s});
+  // Tasks that grants under way will start still counted as waiting when the
+  // holder sent this.
+  for (const auto& [sequence, slot] : h.unacknowledged) {
+    ++h.running[slot.team];
+    for (waiting_entry& entry : h.waiting) {
+      if (entry.demand.team == slot.team && entry.demand.tasks > 0) {
+        --entry.demand.tasks;
+        break;
+      }
+    }
+  }
+  ScheduleIssue();
+}
+
+void slot_home::OnRelease(const instance_id& from,
+                          const slot_release& release) {
+  if (!active_)
+    return;
+  holder& h = holders_[from];
+  h.last_heard = clock_.now();
+  for (const released_slot& slot : release.slots) {
+    if (h.held[slot.upstream] > 0)
+      ChangeHeld(h, slot.upstream, -1);
+    health_.Record(slot.upstream, slot.result, 0, clock_.now());
+    auto found = upstreams_.find(slot.upstream);
+    if (found == upstreams_.end())
+      continue;
+    if (slot.result == slot_result::kFull)
+      found->second.full_until = clock_.now() + kFullBelieved;
+    if (slot.result == slot_result::kLeaving)
+      found->second.leaving_until = clock_.now() + kLeavingBelieved;
+  }
+  ScheduleIssue();
+}
+
+int slot_home::held(const upstream_id& upstream) const {
+  auto found = upstreams_.find(upstream);
+  return found == upstreams_.end() ? 0 : found->second.held;
+}
+
+int slot_home::held() const {
+  int total = 0;
+  for (const auto& [id, slots] : upstreams_)
+    total += slots.held;
+  return total;
+}
+
+int slot_home::free_slots() const {
+  int total = 0;
+  for (const auto& [id, slots] : upstreams_) {
+    if (slots.info.state == instance_state::kLive)
+      total += std::max(0, slots.info.slots - slots.held);
+  }
+  return total;
+}
+
+// All messages that are ready in one pass of the loop are answered together:
+// the busier the home, the larger its batches.
+void slot_home::ScheduleIssue() {
+  if (!active_ || !ReadyToGrant())
+    return;
+  issue_timer_.StartAfter(duration::zero(), [this] { Issue(); });
+}
+
+void slot_home::Issue() {
+  while (GrantOne()) {
+  }
+  bool work_is_left = false;
+  for (auto& [id, h] : holders_) {
+    bool wants = std::ranges::any_of(
+        h.waiting, [](const waiting_entry& e) { return e.demand.tasks > 0; });
+    work_is_left = work_is_left || wants;
+    bool sign_of_life_due = clock_.now() - h.last_sent >= kSignOfLife;
+    if (!h.outgoing.empty() || sign_of_life_due)
+      Send(id, h);
+  }
+  // Upstreams may become usable by the mere passing of time.
+  if (work_is_left && free_slots() > 0)
+    issue_timer_.StartAfter(kFullBelieved, [this] { Issue(); });
+}
+
+bool slot_home::GrantOne() {
+  std::set<const waiting_entry*> skip;
+  while (auto best = BestWaiting(skip)) {
+    holder& h = holders_.at(best->holder);
+    demand_entry& demand = best->entry->demand;
+    upstream_id upstream = BestUpstream(h, demand.memory_mb);
+    if (upstream.empty()) {
+      // Others may have room in their share of connections or need less.
+      skip.insert(best->entry);
+      continue;
+    }
+    --demand.tasks;
+    ++h.running[demand.team];
+    ChangeHeld(h, upstream, 1);
+    bool trial = health_.TrialNeedsIdempotent(upstream, clock_.now());
+    health_.RecordStart(upstream, clock_.now());
+    h.outgoing.push_back({upstream, demand.team, trial});
+    return true;
+  }
+  return false;
+}
+
+std::optional<slot_home::choice> slot_home::BestWaiting(
+    const std::set<const waiting_entry*>& skip) {
+  std::optional<choice> best;
+  std::pair<bool, double> best_rank;
+  std::map<team_id, bool> at_quota;
+  for (auto& [id, h] : holders_) {
+    for (waiting_entry& entry : h.waiting) {
+      if (entry.demand.tasks <= 0 || skip.contains(&entry))
+        continue;
+      const team_id& team = entry.demand.team;
+      auto [known, is_new] = at_quota.try_emplace(team, false);
+      if (is_new)
+        known->second = quotas_.AtQuota(team, RunningOfTeam(team));
+      std::pair<bool, double> rank(known->second, entry.fixed_rank);
+      if (best && rank >= best_rank)
+        continue;
+      best = choice{id, &entry};
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+// The fastest ones first, then the least loaded: a straggling upstream gets
+// work only when the others are full.
+upstream_id slot_home::BestUpstream(const holder& h, int memory_mb) const {
+  const upstream_slots* best = nullptr;
+  upstream_id best_id;
+  std::pair<double, double> best_cost;
+  for (const auto& [id, slots] : upstreams_) {
+    if (slots.info.memory_mb < memory_mb || !HasRoom(h, slots))
+      continue;
+    double step = std::floor(health_.slowness(id) / kSlownessStep);
+    double load = static_cast<double>(slots.held) / slots.info.slots;
+    std::pair<double, double> cost(step, load);
+    if (best && cost >= best_cost)
+      continue;
+    best = &slots;
+    best_id = id;
+    best_cost = cost;
+  }
+  return best_id;
+}
+
+bool slot_home::HasRoom(const holder& h, const upstream_slots& slots) const {
+  time_point now = clock_.now();
+  if (slots.info.state != instance_state::kLive || now < slots.full_until ||
+      now < slots.leaving_until || slots.held >= slots.info.slots) {
+    return false;
+  }
+  upstream_id id(slots.info.id.str());
+  auto held = h.held.find(id);
+  int sharers = std::max<int>(1, static_cast<int>(live_holders_.size()));
+  int share = std::max(1, slots.info.connections / sharers);
+  if (held != h.held.end() && held->second >= share)
+    return false;
+  return health_.MayReceive(id, now);
+}
+
+void slot_home::Send(const instance_id& to, holder& h) {
+  slot_grant grant;
+  grant.sequence = ++h.last_sequence;
+  grant.demand_sent_at_us = h.demand.sent_at_us;
+  grant.slots = std::exchange(h.outgoing, {});
+  grant.domain_waiting = DomainWaiting();
+  for (const granted_slot& slot : grant.slots)
+    h.unacknowledged.emplace_back(grant.sequence, slot);
+  h.last_sent = clock_.now();
+  send_(to, grant);
+}
+
+void slot_home::ApplyFullReport(holder& h, const slot_demand& demand) {
+  std::map<upstream_id, int> held;
+  for (const upstream_count& reported : demand.held)
+    held[reported.upstream] += reported.count;
+  for (const auto& [sequence, slot] : h.unacknowledged)
+    ++held[slot.upstream];
+  for (const auto& [upstream, count] : h.held)
+    held.try_emplace(upstream, 0);
+  for (const auto& [upstream, count] : held) {
+    int known = h.held[upstream];
+    ChangeHeld(h, upstream, count - known);
+  }
+  h.reported = true;
+  for (const upstream_id& upstream : demand.quarantined)
+    health_.RecordPeerVerdict(upstream, clock_.now());
+}
+
+void slot_home::ChangeHeld(holder& h, const upstream_id& upstream, int change) {
+  h.held[upstream] += change;
+  auto found = upstreams_.find(upstream);
+  if (found != upstreams_.end())
+    found->second.held += change;
+}
+
+void slot_home::DropSilentHolders() {
+  std::vector<instance_id> silent;
+  for (const auto& [id, h] : holders_) {
+    if (clock_.now() - h.last_heard > kHolderSilence)
+      silent.push_back(id);
+  }
+  for (const instance_id& id : silent)
+    DropHolder(id);
+  if (!silent.empty())
+    ScheduleIssue();
+  silence_timer_.StartAfter(kHolderSilence / 3,
+                            [this] { DropSilentHolders(); });
+}
+
+void slot_home::DropHolder(const instance_id& id) {
+  holder& h = holders_.at(id);
+  for (const auto& [upstream, count] : h.held) {
+    auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end())
+      found->second.held -= count;
+  }
+  holders_.erase(id);
+}
+
+bool slot_home::ReadyToGrant() const {
+  if (clock_.now() - started_ >= kReportWait)
+    return true;
+  return std::ranges::all_of(live_holders_, [&](const instance_id& id) {
+    auto found = holders_.find(id);
+    return found != holders_.end() && found->second.reported;
+  });
+}
+
+int slot_home::RunningOfTeam(const team_id& team) const {
+  int running = 0;
+  for (const auto& [id, h] : holders_) {
+    auto found = h.running.find(team);
+    if (found != h.running.end())
+      running += found->second;
+  }
+  return running;
+}
+
+int slot_home::DomainWaiting() const {
+  int waiting = 0;
+  for (const auto& [id, h] : holders_) {
+    for (const waiting_entry& entry : h.waiting)
+      waiting += entry.demand.tasks;
+  }
+  return waiting;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/protocol/peer.thrift
@@ -0,0 +1,129 @@
+// The inner protocol between entry instances. Every frame holds one
+// `frame` in compact protocol, after its length as four bytes, big-endian.
+// New fields must be optional: a release skips what it does not know, so two
+// neighbouring releases run side by side.
+
+namespace cpp jasminedyke.wire
+
+// The first frame of each side.
+struct hello {
+  1: i32 version
+  2: string instance
+  3: string incarnation
+  4: string failure_domain
+  5: binary nonce
+}
+
+// The second frame: shows that the sender has the shared key.
+struct proof {
+  1: binary mac
+}
+
+// Upstreams and teams go by 32-bit hashes of their ids.
+struct demand_entry {
+  1: i32 team
+  2: i32 rank_ms
+  3: i32 tasks
+  4: optional i32 memory_mb
+}
+
+struct count {
+  1: i32 id
+  2: i32 number
+}
+
+struct slot_demand {
+  1: i64 sent_at_us
+  2: i64 last_grant_sequence
+  3: optional list<demand_entry> waiting
+  4: optional list<count> running
+  5: optional bool full_report
+  6: optional list<count> held
+  7: optional list<i32> quarantined
+}
+
+struct granted_slot {
+  1: i32 upstream
+  2: i32 team
+  3: optional bool trial
+}
+
+struct slot_grant {
+  1: i64 sequence
+  2: i64 demand_sent_at_us
+  3: optional list<granted_slot> slots
+  4: optional i32 domain_waiting
+}
+
+// The results' numbers are those of `slot_result`.
+struct released_slot {
+  1: i32 upstream
+  2: i8 result
+}
+
+struct slot_release {
+  1: list<released_slot> slots
+}
+
+struct instance_version {
+  1: string instance
+  2: i64 config_version
+}
+
+// A heartbeat, and news of what changed.
+struct status {
+  1: i64 config_version
+  2: i64 membership_version
+  3: optional bool leaving
+  4: optional list<instance_version> in_force
+}
+
+enum document_kind {
+  CONFIGURATION = 1
+  MEMBERSHIP = 2
+}
+
+struct document_request {
+  1: document_kind kind
+}
+
+struct document {
+  1: document_kind kind
+  2: i64 version
+  3: string json
+}
+
+// The numbers are those of `job_operation`.
+struct job_request {
+  1: i64 number
+  2: i8 operation
+  3: string job
+  4: string team
+  5: optional string body
+}
+
+struct header {
+  1: string name
+  2: string value
+}
+
+struct job_reply {
+  1: i64 number
+  2: i32 status
+  3: list<header> headers
+  4: string body
+}
+
+// Exactly one field is set.
+struct frame {
+  1: optional hello hello_message
+  2: optional proof proof_message
+  3: optional slot_demand demand
+  4: optional slot_grant grant
+  5: optional slot_release release
+  6: optional status status_message
+  7: optional document_request wanted
+  8: optional document document_message
+  9: optional job_request request
+  10: optional job_reply reply
+}
--- /dev/null
+++ b/src/protocol/peer_mesh.cc
@@ -0,0 +1,203 @@
+#include "protocol/peer_mesh.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr duration kMaintainEvery = std::chrono::milliseconds(250);
+constexpr duration kConnectAgainAfter = std::chrono::milliseconds(1000);
+// A link that is not wanted is closed when it was not used for so long.
+constexpr duration kIdleLimit = std::chrono::seconds(30);
+constexpr size_t kMaxUnproven = 64;
+
+sockaddr_in ToSockaddr(const socket_address& address) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+  return to;
+}
+
+}  // namespace
+
+void peer_mesh::listener_deleter::operator()(evconnlistener* listener) const {
+  evconnlistener_free(listener);
+}
+
+peer_mesh::peer_mesh(event_loop& loop,
+                     const peer_link::settings& own,
+                     const socket_address& listen,
+                     const wire_names& names)
+    : loop_(loop),
+      own_(own),
+      names_(names),
+      address_(listen),
+      maintain_timer_(loop) {
+  sockaddr_in to = ToSockaddr(listen);
+  socket_.reset(evconnlistener_new_bind(
+      loop.base(),
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<peer_mesh*>(self)->OnAccept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      -1, reinterpret_cast<sockaddr*>(&to), sizeof(to)));
+  if (!socket_)
+    throw std::runtime_error("can't listen on " + listen.ToString());
+  sockaddr_in bound{};
+  socklen_t length = sizeof(bound);
+  getsockname(evconnlistener_get_fd(socket_.get()),
+              reinterpret_cast<sockaddr*>(&bound), &length);
+  address_.port = ntohs(bound.sin_port);
+  Maintain();
+}
+
+peer_mesh::~peer_mesh() = default;
+
+void peer_mesh::SetWanted(const std::map<instance_id, socket_address>& peers) {
+  wanted_ = peers;
+  wanted_.erase(own_.self.instance);
+  Maintain();
+}
+
+void peer_mesh::Open(const instance_id& peer, const socket_address& address) {
+  if (!by_peer_.contains(peer))
+    Connect(address);
+}
+
+bool peer_mesh::Send(const instance_id& peer, const peer_message& message) {
+  auto found = by_peer_.find(peer);
+  if (found == by_peer_.end())
+    return false;
+  found->second->Send(message);
+  return true;
+}
+
+std::optional<peer_identity> peer_mesh::Identity(
+    const instance_id& peer) const {
+  auto found = by_peer_.find(peer);
+  if (found == by_peer_.end())
+    return std::nullopt;
+  return found->second->peer();
+}
+
+std::vector<instance_id> peer_mesh::peers_up() const {
+  std::vector<instance_id> up;
+  for (const auto& [peer, link] : by_peer_)
+    up.push_back(peer);
+  return up;
+}
+
+void peer_mesh::OnAccept(int socket) {
+  // Strangers must not take all our descriptors.
+  if (links_.size() - by_peer_.size() >= kMaxUnproven) {
+    evutil_closesocket(socket);
+    ++ends_[link_end::kUnauthorized];
+    return;
+  }
+  int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  bufferevent* connection =
+      bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+  auto link = std::make_unique<peer_link>(loop_, own_, names_, connection,
+                                          *this, traffic_);
+  peer_link* key = link.get();
+  links_.emplace(key, std::move(link));
+}
+
+void peer_mesh::Connect(const socket_address& address) {
+  auto [entry, is_new] = connecting_.try_emplace(address, loop_.now());
+  if (!is_new && loop_.now() - entry->second < kConnectAgainAfter)
+    return;
+  entry->second = loop_.now();
+  bufferevent* connection =
+      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  sockaddr_in to = ToSockaddr(address);
+  auto link = std::make_unique<peer_link>(loop_, own_, names_, connection,
+                                          *this, traffic_);
+  peer_link* key = link.get();
+  links_.emplace(key, std::move(link));
+  bufferevent_socket_connect(connection, reinterpret_cast<sockaddr*>(&to),
+                             sizeof(to));
+}
+
+void peer_mesh::Maintain() {
+  for (const auto& [peer, address] : wanted_) {
+    bool ours_to_connect = own_.self.instance < peer;
+    if (ours_to_connect && !by_peer_.contains(peer))
+      Connect(address);
+  }
+  CloseIdle();
+  maintain_timer_.StartAfter(kMaintainEvery, [this] { Maintain(); });
+}
+
+void peer_mesh::CloseIdle() {
+  std::vector<peer_link*> idle;
+  for (const auto& [peer, link] : by_peer_) {
+    bool unused = loop_.now() - link->last_use() > kIdleLimit;
+    // The other side may want it: then it is the one to have connected.
+    if (unused && !wanted_.contains(peer) && own_.self.instance < peer)
+      idle.push_back(link);
+  }
+  for (peer_link* link : idle)
+    OnEnded(*link, link_end::kClosed);
+}
+
+// From a timer, since the link may be in the middle of a call.
+void peer_mesh::Discard(peer_link& link) {
+  auto found = links_.find(&link);
+  if (found == links_.end())
+    return;
+  auto doomed = std::make_shared<link_ptr>(std::move(found->second));
+  links_.erase(found);
+  loop_.CallAfter(duration::zero(), [doomed] { doomed->reset(); });
+}
+
+void peer_mesh::OnEstablished(peer_link& link) {
+  const instance_id& peer = link.peer().instance;
+  auto old = by_peer_.find(peer);
+  // The peer has started again, or both sides connected at once.
+  if (old != by_peer_.end())
+    OnEnded(*old->second, link_end::kClosed);
+  by_peer_[peer] = &link;
+  LogEvent(log_level::kInfo, "peer_up", {{"peer", peer.str()}});
+  if (listener_)
+    listener_->OnPeerUp(link.peer());
+}
+
+void peer_mesh::OnMessage(peer_link& link, const peer_message& message) {
+  auto found = by_peer_.find(link.peer().instance);
+  bool current = found != by_peer_.end() && found->second == &link;
+  if (current && listener_)
+    listener_->OnPeerMessage(link.peer().instance, message);
+}
+
+void peer_mesh::OnEnded(peer_link& link, link_end end) {
+  ++ends_[end];
+  instance_id peer = link.peer().instance;
+  auto found = by_peer_.find(peer);
+  bool current = found != by_peer_.end() && found->second == &link;
+  Discard(link);
+  if (end != link_end::kClosed)
+    LogEvent(log_level::kWarning, "peer_link_ended",
+             {{"peer", peer.str()}, {"cause", ToString(end)}});
+  if (!current)
+    return;
+  by_peer_.erase(found);
+  LogEvent(log_level::kInfo, "peer_down", {{"peer", peer.str()}});
+  if (listener_)
+    listener_->OnPeerDown(peer);
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/protocol/peer_message.h
@@ -0,0 +1,93 @@
+// What entry instances say to each other, as values.
+
+#ifndef SRC_PROTOCOL_PEER_MESSAGE_H_
+#define SRC_PROTOCOL_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/base.h"
+#include "policy/policy.h"
+
+namespace jasminedyke {
+
+// Who a peer says it is; proven by the handshake before anything else counts.
+struct peer_identity {
+  instance_id instance;
+  incarnation_id incarnation;
+  failure_domain_id failure_domain;
+
+  bool operator==(const peer_identity&) const = default;
+};
+
+struct instance_version {
+  instance_id instance;
+  config_version version;
+
+  bool operator==(const instance_version&) const = default;
+};
+
+// A heartbeat with the sender's versions, and what it heard newly of others.
+struct peer_status {
+  config_version config;
+  membership_version membership;
+  // The sender is stopping: it takes no further jobs and is no home.
+  bool leaving = false;
+  std::vector<instance_version> in_force;
+
+  bool operator==(const peer_status&) const = default;
+};
+
+enum class document_kind { kConfiguration, kMembership };
+
+struct document_request {
+  document_kind kind = document_kind::kConfiguration;
+
+  bool operator==(const document_request&) const = default;
+};
+
+struct peer_document {
+  document_kind kind = document_kind::kConfiguration;
+  uint64_t version = 0;
+  std::string json;
+
+  bool operator==(const peer_document&) const = default;
+};
+
+// A caller's request about a job that the receiver owns. `number` belongs to
+// the sender and comes back with the reply.
+struct remote_job_request {
+  uint64_t number = 0;
+  // Of `job_operation`.
+  int operation = 0;
+  std::string job;
+  team_id team;
+  std::string body;
+
+  bool operator==(const remote_job_request&) const = default;
+};
+
+struct remote_job_reply {
+  uint64_t number = 0;
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+
+  bool operator==(const remote_job_reply&) const = default;
+};
+
+using peer_message = std::variant<slot_demand,
+                                  slot_grant,
+                                  slot_release,
+                                  peer_status,
+                                  document_request,
+                                  peer_document,
+                                  remote_job_request,
+                                  remote_job_reply>;
+
+}  // namespace jasminedyke
+
+#endif  // SRC_PROTOCOL_PEER_MESSAGE_H_
