--- a/src/cluster/home_selector.cc
+++ b/src/cluster/home_selector.cc
@@ -78,6 +78,16 @@
   return grace != grace_until_.end() && clock_.now() < grace->second;
 }
 
+// All that are listed share, also those that we can't reach: they may be
+// starting tasks as well.
+void home_selector::ShareWithoutHome() {
+  std::vector<instance_info> entries = view_.entries(self_.failure_domain);
+  auto own = std::ranges::find(entries, self_.instance, &instance_info::id);
+  bool listed = own != entries.end();
+  int instances = static_cast<int>(entries.size()) + (listed ? 0 : 1);
+  holder_side_.SetShare(static_cast<int>(own - entries.begin()), instances);
+}
+
 void home_selector::Choose() {
   std::vector<instance_id> candidates = Candidates();
   // A stopping instance still holds slots, and so does a peer that stops.
@@ -88,6 +98,7 @@
   });
   holders.push_back(self_.instance);
   home_side_.SetMembership(view_, holders);
+  ShareWithoutHome();
   instance_id chosen = ChooseHome(self_.failure_domain.str(), candidates);
   if (chosen == self_.instance)
     home_side_.Start();
--- a/src/cluster/home_selector.h
+++ b/src/cluster/home_selector.h
@@ -37,6 +37,7 @@
   std::vector<instance_id> Candidates() const;
   bool IsCandidate(const instance_info& info) const;
   void Choose();
+  void ShareWithoutHome();
 
   scheduler& clock_;
   peer_identity self_;
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -1,6 +1,5 @@
 #include "daemon/instance.h"
 
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,7 +47,6 @@
                                upstreams_,
                                jobs_,
                                DefaultOrderRule(),
-                               std::random_device()(),
                                grant_settings())),
       homes_(loop, self_, mesh_, *slots_, home_side_),
       documents_(loop, mesh_, config_, membership_, settings.instance),
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -103,6 +103,15 @@
   Fail(job, failure_reason::kCancelled);
 }
 
+std::vector<local_job> dispatcher::JobsOfTeam(const team_id& team) const {
+  std::vector<local_job> found;
+  for (const auto& [number, job] : jobs_) {
+    if (job->spec.team == team)
+      found.push_back(number);
+  }
+  return found;
+}
+
 std::vector<demand_entry> dispatcher::Demand(size_t limit_per_team) const {
   return queue_.Demand(limit_per_team, clock_.now());
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -60,6 +60,7 @@
   // From now on `Submit` refuses.
   void StopAdmitting() { admitting_ = false; }
 
+  std::vector<local_job> JobsOfTeam(const team_id& team) const;
   size_t jobs() const { return jobs_.size(); }
   size_t attempts_in_flight() const { return attempts_.size(); }
   int64_t queued_bytes() const { return queued_bytes_; }
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -22,15 +22,14 @@
 };
 
 // The holder's side of the protocol whose other side is `slot_home`. While the
-// home is silent, tasks start by two random choices instead, so a dead home
-// delays work by a bounded time and stops nothing.
+// home is silent, tasks start within a fixed share of the slots instead, so a
+// dead home delays work by a bounded time and stops nothing.
 class granted_slots : public slot_strategy {
  public:
   granted_slots(scheduler& clock,
                 const upstream_table& upstreams,
                 slot_host& host,
                 const order_rule& rule,
-                uint64_t seed,
                 const grant_settings& settings);
 
   // The instance to ask; empty if there is none. To be called again, with the
@@ -38,6 +37,11 @@
   void SetHome(const instance_id& home);
   const instance_id& home() const { return home_; }
 
+  // This instance's share of the slots while there is no home.
+  void SetShare(int rank, int instances) {
+    fallback_.SetShare(rank, instances);
+  }
+
   void OnWorkChanged() override;
   void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
   void OnMembershipChanged() override;
@@ -70,7 +74,7 @@
   slot_host& host_;
   const order_rule& rule_;
   grant_settings settings_;
-  two_choices_slots fallback_;
+  static_split_slots fallback_;
 
   instance_id home_;
   bool in_fallback_ = false;
--- a/src/policy/local_slots.cc
+++ b/src/policy/local_slots.cc
@@ -52,15 +52,13 @@
 
 static_split_slots::static_split_slots(scheduler& clock,
                                        const upstream_table& upstreams,
-                                       slot_host& host,
-                                       int rank,
-                                       int instances)
-    : clock_(clock),
-      upstreams_(upstreams),
-      host_(host),
-      rank_(rank),
-      instances_(instances),
-      retry_(clock) {}
+                                       slot_host& host)
+    : clock_(clock), upstreams_(upstreams), host_(host), retry_(clock) {}
+
+void static_split_slots::SetShare(int rank, int instances) {
+  rank_ = rank;
+  instances_ = instances;
+}
 
 void static_split_slots::OnWorkChanged() {
   for (size_t i = 0; i < upstreams_.local().size(); ++i) {
--- a/src/policy/local_slots.h
+++ b/src/policy/local_slots.h
@@ -12,8 +12,8 @@
 
 namespace jasminedyke {
 
-// Sends each task to the less loaded of two random upstreams. The fallback
-// when no home can be reached, and the baseline of the measurements.
+// Sends each task to the less loaded of two random upstreams. Only a baseline
+// of the measurements; see docs/design/slots.md.
 class two_choices_slots : public slot_strategy {
  public:
   two_choices_slots(scheduler& clock,
@@ -26,9 +26,6 @@
   void OnMembershipChanged() override;
   void OnPeerMessage(const instance_id&, const slot_message&) override {}
 
-  // Starts nothing more until the next call from outside.
-  void Pause() { retry_.Stop(); }
-
  private:
   upstream_id Choose();
 
@@ -40,31 +37,34 @@
   scoped_timer retry_;
 };
 
-// Gives each entry instance a fixed part of each upstream's slots; no
-// upstream is ever asked for more than it has. A baseline only: what one
-// instance does not use, no other can.
+// Gives each entry instance a fixed part of each upstream's slots. Without a
+// message no upstream is asked for more than it has; but what one instance
+// does not use, no other can. The fallback when no home can be reached.
 class static_split_slots : public slot_strategy {
  public:
-  // `rank` of `instances`: which part is this instance's.
   static_split_slots(scheduler& clock,
                      const upstream_table& upstreams,
-                     slot_host& host,
-                     int rank,
-                     int instances);
+                     slot_host& host);
+
+  // Which part is this instance's: the `rank`th of `instances`, from 0.
+  void SetShare(int rank, int instances);
 
   void OnWorkChanged() override;
   void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
   void OnMembershipChanged() override;
   void OnPeerMessage(const instance_id&, const slot_message&) override {}
 
+  // Starts nothing more until the next call from outside.
+  void Pause() { retry_.Stop(); }
+
  private:
   int Share(size_t upstream_number, int slots) const;
 
   scheduler& clock_;
   const upstream_table& upstreams_;
   slot_host& host_;
-  int rank_;
-  int instances_;
+  int rank_ = 0;
+  int instances_ = 1;
   scoped_timer retry_;
 };
 
