Let a home learn from refusals what others use of an upstream

Cause: two homes that can't reach each other each granted every slot; tasks went round in refused starts and back-off. Ruled out: the retry budget alone (steady traces spend none of it).

--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -15,7 +15,10 @@
 constexpr duration kHolderSilence = std::chrono::seconds(3);
 // Even without grants a holder with demand hears from the home this often.
 constexpr duration kSignOfLife = std::chrono::milliseconds(400);
-constexpr duration kFullBelieved = std::chrono::milliseconds(50);
+// One slot that others seemed to use is tried again after this.
+constexpr duration kOthersBelieved = std::chrono::seconds(1);
+// Upstreams become usable by the mere passing of time; the wait between looks.
+constexpr duration kLookAgain = std::chrono::milliseconds(50);
 constexpr duration kLeavingBelieved = std::chrono::seconds(15);
 // Differences in speed below this are noise.
 constexpr double kSlownessStep = 0.5;
@@ -128,7 +131,7 @@
     if (found == upstreams_.end())
       continue;
     if (slot.result == slot_result::kFull)
-      found->second.full_until = clock_.now() + kFullBelieved;
+      NoteRefusal(found->second);
     if (slot.result == slot_result::kLeaving)
       found->second.leaving_until = clock_.now() + kLeavingBelieved;
   }
@@ -165,6 +168,7 @@
 }
 
 void slot_home::Issue() {
+  ForgetOthers();
   while (GrantOne()) {
   }
   bool work_is_left = false;
@@ -176,9 +180,8 @@
     if (!h.outgoing.empty() || sign_of_life_due)
       Send(id, h);
   }
-  // Upstreams may become usable by the mere passing of time.
   if (work_is_left && free_slots() > 0)
-    issue_timer_.StartAfter(kFullBelieved, [this] { Issue(); });
+    issue_timer_.StartAfter(kLookAgain, [this] { Issue(); });
 }
 
 bool slot_home::GrantOne() {
@@ -249,8 +252,8 @@
 
 bool slot_home::HasRoom(const holder& h, const upstream_slots& slots) const {
   time_point now = clock_.now();
-  if (slots.info.state != instance_state::kLive || now < slots.full_until ||
-      now < slots.leaving_until || slots.held >= slots.info.slots) {
+  if (slots.info.state != instance_state::kLive || now < slots.leaving_until ||
+      slots.held + slots.used_by_others >= slots.info.slots) {
     return false;
   }
   upstream_id id(slots.info.id.str());
@@ -262,6 +265,25 @@
   return health_.MayReceive(id, now);
 }
 
+// Two homes that can't reach each other both grant every slot. Without this,
+// each would go on granting what the other has taken, and tasks would spend
+// their time in refused starts and back-off. What was refused tells how many
+// slots are the other's.
+void slot_home::NoteRefusal(upstream_slots& slots) const {
+  int others = slots.info.slots - slots.held;
+  slots.used_by_others = std::max(slots.used_by_others, others);
+  slots.others_believed_until = clock_.now() + kOthersBelieved;
+}
+
+void slot_home::ForgetOthers() {
+  for (auto& [id, slots] : upstreams_) {
+    if (slots.used_by_others == 0 || clock_.now() < slots.others_believed_until)
+      continue;
+    --slots.used_by_others;
+    slots.others_believed_until = clock_.now() + kOthersBelieved;
+  }
+}
+
 void slot_home::Send(const instance_id& to, holder& h) {
   slot_grant grant;
   grant.sequence = ++h.last_sequence;
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -78,8 +78,10 @@
   struct upstream_slots {
     instance_info info;
     int held = 0;
-    // Told full although slots seemed free: others use it, too.
-    time_point full_until;
+    // Slots that, by its refusals, somebody else uses: another home, or an
+    // instance without one. Falls again with time.
+    int used_by_others = 0;
+    time_point others_believed_until;
     time_point leaving_until;
   };
   struct choice {
@@ -93,6 +95,8 @@
   std::optional<choice> BestWaiting(const std::set<const waiting_entry*>& skip);
   upstream_id BestUpstream(const holder& h, int memory_mb) const;
   bool HasRoom(const holder& h, const upstream_slots& slots) const;
+  void NoteRefusal(upstream_slots& slots) const;
+  void ForgetOthers();
   void Send(const instance_id& to, holder& h);
   void ApplyFullReport(holder& h, const slot_demand& demand);
   void ChangeHeld(holder& h, const upstream_id& upstream, int change);
