Notice a silent home in 0.75 s, and leave unreachable instances their share

Cause: the time of the last word was moved forward by every heartbeat, so an instance never found its home silent; it waited for its link to break (4.5 s). A home that loses sight of listed instances then granted their slots, too.

--- a/replay/replay.cc
+++ b/replay/replay.cc
@@ -340,6 +340,11 @@
   int lost = static_cast<int>(entry.jobs().jobs());
   result_.jobs_lost += lost;
   pending_ -= lost;
+  // Their connections to it are reset.
+  for (auto& other : entries_) {
+    if (other->granted() && other->granted()->home() == EntryId(number))
+      other->granted()->OnHomeUnreachable();
+  }
   clock_.CallAfter(kLinkGrace, [this] { RefreshHomes(); });
 }
 
--- a/src/cluster/home_selector.cc
+++ b/src/cluster/home_selector.cc
@@ -42,6 +42,8 @@
 void home_selector::OnPeerDown(const instance_id& peer) {
   grace_until_[peer] = clock_.now() + kLinkGrace;
   grace_timer_.StartAfter(kLinkGrace, [this] { Choose(); });
+  if (peer == home_)
+    holder_side_.OnHomeUnreachable();
 }
 
 void home_selector::OnPeerLeaving(const instance_id& peer) {
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -245,7 +245,7 @@
   auto found = attempts_.find(number);
   attempt_state attempt = std::move(found->second);
   attempts_.erase(found);
-  AccountAttempt(attempt, outcome);
+  released_slot slot = AccountAttempt(attempt, outcome);
   auto job = jobs_.find(attempt.job);
   if (job == jobs_.end()) {
     CountWaste(waste_kind::kAnswerUnwanted);
@@ -259,29 +259,29 @@
     else
       OnUnknown(attempt.job, state, attempt);
   }
-  strategy_->OnAttemptEnded(attempt.upstream, ToSlotResult(outcome));
+  strategy_->OnAttemptEnded(slot);
 }
 
 // What an end tells apart from the job: slots, health, run times, charges.
-void dispatcher::AccountAttempt(const attempt_state& attempt,
-                                const attempt_outcome& outcome) {
+released_slot dispatcher::AccountAttempt(const attempt_state& attempt,
+                                         const attempt_outcome& outcome) {
   auto running = running_by_team_.find(attempt.team);
   if (--running->second == 0)
     running_by_team_.erase(running);
-  double slowness = 0;
+  released_slot slot{attempt.upstream, ToSlotResult(outcome)};
   const auto* answer = std::get_if<answered>(&outcome);
   if (answer && answer->run_time) {
     usage_.Book(attempt.team, *answer->run_time);
     if (answer->succeeded()) {
-      slowness = ToSeconds(*answer->run_time) / ToSeconds(attempt.expected);
+      slot.slowness = ToSeconds(*answer->run_time) / ToSeconds(attempt.expected);
       estimator_.Learn(attempt.work_class, attempt.declared, *answer->run_time,
                        clock_.now());
     }
   }
   if (const auto* unknown = std::get_if<outcome_unknown>(&outcome))
     ++metrics_.unknown_outcomes[unknown->reason];
-  upstreams_.RecordEnd(attempt.upstream, ToSlotResult(outcome), slowness,
-                       clock_.now());
+  upstreams_.RecordEnd(slot, clock_.now());
+  return slot;
 }
 
 void dispatcher::OnAnswered(local_job number,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -127,8 +127,8 @@
   void Requeue(local_job number, job_state& job);
   void StartTask(local_job number, job_state& job, const upstream_id& upstream);
   void OnAttemptEnded(attempt_number number, const attempt_outcome& outcome);
-  void AccountAttempt(const attempt_state& attempt,
-                      const attempt_outcome& outcome);
+  released_slot AccountAttempt(const attempt_state& attempt,
+                               const attempt_outcome& outcome);
   void OnAnswered(local_job number,
                   job_state& job,
                   const attempt_state& attempt,
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -13,9 +13,9 @@
 constexpr duration kGrantLease = std::chrono::seconds(1);
 constexpr duration kHeartbeat = std::chrono::milliseconds(500);
 constexpr duration kFullReportEvery = std::chrono::seconds(2);
-// With demand outstanding the home answers each heartbeat; twice that without
-// a word and it is taken for dead.
-constexpr duration kHomeSilence = std::chrono::milliseconds(1000);
+// The home answers every heartbeat; if it has been asked for longer than that
+// takes and says nothing, it is taken for dead.
+constexpr duration kHomeSilence = std::chrono::milliseconds(750);
 constexpr duration kReportDelay = std::chrono::milliseconds(1);
 constexpr duration kReleaseDelay = std::chrono::milliseconds(1);
 // Jobs of each team that a report names.
@@ -47,11 +47,13 @@
       fallback_(clock, upstreams, host),
       report_timer_(clock),
       release_timer_(clock),
-      heartbeat_timer_(clock) {}
+      heartbeat_timer_(clock),
+      silence_timer_(clock) {}
 
 void granted_slots::SetHome(const instance_id& home) {
   home_ = home;
-  last_heard_ = clock_.now();
+  asked_at_.reset();
+  silence_timer_.Stop();
   last_grant_sequence_ = 0;
   full_report_due_ = true;
   reported_.clear();
@@ -62,6 +64,10 @@
   OnWorkChanged();
 }
 
+void granted_slots::OnHomeUnreachable() {
+  StartWithoutHome();
+}
+
 void granted_slots::OnWorkChanged() {
   if (in_fallback_)
     fallback_.OnWorkChanged();
@@ -69,13 +75,11 @@
     ReportSoon();
 }
 
-void granted_slots::OnAttemptEnded(const upstream_id& upstream,
-                                   slot_result result) {
+void granted_slots::OnAttemptEnded(const released_slot& slot) {
   if (in_fallback_)
-    fallback_.OnAttemptEnded(upstream, result);
-  if (ReuseSlot(upstream, result))
-    return;
-  Release(upstream, result);
+    fallback_.OnAttemptEnded(slot);
+  if (!ReuseSlot(slot))
+    Release(slot);
 }
 
 void granted_slots::OnMembershipChanged() {
@@ -90,7 +94,8 @@
 }
 
 void granted_slots::OnGrant(const slot_grant& grant) {
-  last_heard_ = clock_.now();
+  asked_at_.reset();
+  silence_timer_.Stop();
   last_grant_sequence_ = std::max(last_grant_sequence_, grant.sequence);
   domain_waiting_ = grant.domain_waiting;
   if (in_fallback_) {
@@ -114,29 +119,29 @@
   }
   start_order order{slot.upstream, slot.team, true, slot.trial};
   if (!in_time || !host_.StartOn(order)) {
-    Release(slot.upstream, slot_result::kUnused);
+    Release({slot.upstream, slot_result::kUnused});
     return;
   }
   if (settings_.reuse > duration::zero())
     reuse_until_.emplace(slot.upstream, clock_.now() + settings_.reuse);
 }
 
-bool granted_slots::ReuseSlot(const upstream_id& upstream, slot_result result) {
-  auto found = reuse_until_.find(upstream);
+bool granted_slots::ReuseSlot(const released_slot& slot) {
+  auto found = reuse_until_.find(slot.upstream);
   if (found == reuse_until_.end())
     return false;
   bool usable =
-      result == slot_result::kAnswered && clock_.now() < found->second;
-  if (usable && host_.StartOn({.upstream = upstream, .granted = true}))
+      slot.result == slot_result::kAnswered && clock_.now() < found->second;
+  if (usable && host_.StartOn({.upstream = slot.upstream, .granted = true}))
     return true;
   reuse_until_.erase(found);
   return false;
 }
 
-void granted_slots::Release(const upstream_id& upstream, slot_result result) {
+void granted_slots::Release(const released_slot& slot) {
   if (home_.empty())
     return;
-  releases_.push_back({upstream, result});
+  releases_.push_back(slot);
   if (!release_timer_.active())
     release_timer_.StartAfter(kReleaseDelay, [this] { FlushReleases(); });
 }
@@ -211,10 +216,10 @@
   reported_ = std::move(waiting);
   reported_at_ = now;
   host_.SendToPeer(home_, demand);
+  ExpectAnswer();
 }
 
 void granted_slots::Heartbeat() {
-  CheckHome();
   if (home_.empty())
     return;
   Report(host_.Demand(kReportedJobs));
@@ -225,8 +230,6 @@
 void granted_slots::ScheduleHeartbeat() {
   if (heartbeat_timer_.active() || home_.empty())
     return;
-  // Silence while nothing was asked is no sign of death.
-  last_heard_ = std::max(last_heard_, clock_.now() - kHeartbeat);
   heartbeat_timer_.StartAfter(kHeartbeat, [this] { Heartbeat(); });
 }
 
@@ -234,12 +237,23 @@
   return host_.waiting_tasks() > 0 || !host_.running_by_team().empty();
 }
 
-void granted_slots::CheckHome() {
-  bool silent = clock_.now() - last_heard_ > kHomeSilence;
-  if (in_fallback_ || !silent || host_.waiting_tasks() == 0)
+void granted_slots::ExpectAnswer() {
+  if (asked_at_ || host_.waiting_tasks() == 0)
     return;
+  asked_at_ = clock_.now();
+  silence_timer_.StartAfter(kHomeSilence, [this] {
+    asked_at_.reset();
+    // What was asked for is no longer wanted, so there was nothing to say.
+    if (host_.waiting_tasks() == 0)
+      return;
+    if (!in_fallback_)
+      LogEvent(log_level::kWarning, "home_silent", {{"home", home_.str()}});
+    StartWithoutHome();
+  });
+}
+
+void granted_slots::StartWithoutHome() {
   in_fallback_ = true;
-  LogEvent(log_level::kWarning, "home_silent", {{"home", home_.str()}});
   fallback_.OnWorkChanged();
 }
 
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -5,6 +5,7 @@
 #define SRC_POLICY_GRANTED_SLOTS_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/base.h"
@@ -37,13 +38,17 @@
   void SetHome(const instance_id& home);
   const instance_id& home() const { return home_; }
 
+  // The link to the home broke: until it is back or another home is set, tasks
+  // start without grants.
+  void OnHomeUnreachable();
+
   // This instance's share of the slots while there is no home.
   void SetShare(int rank, int instances) {
     fallback_.SetShare(rank, instances);
   }
 
   void OnWorkChanged() override;
-  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnAttemptEnded(const released_slot& slot) override;
   void OnMembershipChanged() override;
   void OnPeerMessage(const instance_id& peer,
                      const slot_message& message) override;
@@ -56,8 +61,8 @@
  private:
   void OnGrant(const slot_grant& grant);
   void UseSlot(const granted_slot& slot, bool in_time);
-  bool ReuseSlot(const upstream_id& upstream, slot_result result);
-  void Release(const upstream_id& upstream, slot_result result);
+  bool ReuseSlot(const released_slot& slot);
+  void Release(const released_slot& slot);
   void FlushReleases();
   void ReportSoon();
   void ReportIfNeeded();
@@ -66,7 +71,8 @@
   void Heartbeat();
   void ScheduleHeartbeat();
   bool HasBusiness() const;
-  void CheckHome();
+  void ExpectAnswer();
+  void StartWithoutHome();
   std::vector<upstream_count> InFlight() const;
 
   scheduler& clock_;
@@ -78,7 +84,8 @@
 
   instance_id home_;
   bool in_fallback_ = false;
-  time_point last_heard_;
+  // When the home was first asked since it last said anything.
+  std::optional<time_point> asked_at_;
   uint64_t last_grant_sequence_ = 0;
   int domain_waiting_ = 0;
 
@@ -96,6 +103,7 @@
   scoped_timer report_timer_;
   scoped_timer release_timer_;
   scoped_timer heartbeat_timer_;
+  scoped_timer silence_timer_;
 };
 
 }  // namespace jasminedyke
--- a/src/policy/local_slots.cc
+++ b/src/policy/local_slots.cc
@@ -28,7 +28,7 @@
     retry_.StartAfter(kRetryDelay, [this] { OnWorkChanged(); });
 }
 
-void two_choices_slots::OnAttemptEnded(const upstream_id&, slot_result) {
+void two_choices_slots::OnAttemptEnded(const released_slot&) {
   OnWorkChanged();
 }
 
@@ -74,7 +74,7 @@
     retry_.StartAfter(kRetryDelay, [this] { OnWorkChanged(); });
 }
 
-void static_split_slots::OnAttemptEnded(const upstream_id&, slot_result) {
+void static_split_slots::OnAttemptEnded(const released_slot&) {
   OnWorkChanged();
 }
 
--- a/src/policy/local_slots.h
+++ b/src/policy/local_slots.h
@@ -22,7 +22,7 @@
                     uint64_t seed);
 
   void OnWorkChanged() override;
-  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnAttemptEnded(const released_slot& slot) override;
   void OnMembershipChanged() override;
   void OnPeerMessage(const instance_id&, const slot_message&) override {}
 
@@ -50,7 +50,7 @@
   void SetShare(int rank, int instances);
 
   void OnWorkChanged() override;
-  void OnAttemptEnded(const upstream_id& upstream, slot_result result) override;
+  void OnAttemptEnded(const released_slot& slot) override;
   void OnMembershipChanged() override;
   void OnPeerMessage(const instance_id&, const slot_message&) override {}
 
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -17,6 +17,7 @@
 constexpr duration kSignOfLife = std::chrono::milliseconds(400);
 // One slot that others seemed to use is tried again after this.
 constexpr duration kOthersBelieved = std::chrono::seconds(1);
+constexpr duration kShareReserved = std::chrono::seconds(3);
 // Upstreams become usable by the mere passing of time; the wait between looks.
 constexpr duration kLookAgain = std::chrono::milliseconds(50);
 constexpr duration kLeavingBelieved = std::chrono::seconds(15);
@@ -61,6 +62,7 @@
   }
   for (const instance_id& id : gone)
     DropHolder(id);
+  ReserveForUnreachable(view.entries(domain_).size());
   ScheduleIssue();
 }
 
@@ -126,7 +128,7 @@
   for (const released_slot& slot : release.slots) {
     if (h.held[slot.upstream] > 0)
       ChangeHeld(h, slot.upstream, -1);
-    health_.Record(slot.upstream, slot.result, 0, clock_.now());
+    health_.Record(slot, clock_.now());
     auto found = upstreams_.find(slot.upstream);
     if (found == upstreams_.end())
       continue;
@@ -275,6 +277,23 @@
   slots.others_believed_until = clock_.now() + kOthersBelieved;
 }
 
+// Entry instances that are listed and can't be reached are dead or cut off
+// with a home of their own. Until one or the other shows, by refusals or by
+// their absence, they are left their share.
+void slot_home::ReserveForUnreachable(size_t listed) {
+  size_t reached = live_holders_.size();
+  size_t unreachable = listed > reached ? listed - reached : 0;
+  bool more = unreachable > std::exchange(unreachable_, unreachable);
+  if (!more)
+    return;
+  for (auto& [id, slots] : upstreams_) {
+    int share = slots.info.slots * static_cast<int>(unreachable) /
+                static_cast<int>(listed);
+    slots.used_by_others = std::max(slots.used_by_others, share);
+    slots.others_believed_until = clock_.now() + kShareReserved;
+  }
+}
+
 void slot_home::ForgetOthers() {
   for (auto& [id, slots] : upstreams_) {
     if (slots.used_by_others == 0 || clock_.now() < slots.others_believed_until)
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -37,7 +37,7 @@
             sender send);
 
   // To be called before anything else and on each change. `holders` are the
-  // entry instances of the domain that are live.
+  // entry instances of the domain that can be reached.
   void SetMembership(const membership_view& view,
                      const std::vector<instance_id>& holders);
   void SetQuotas(const team_quotas& quotas) { quotas_ = quotas; }
@@ -97,6 +97,7 @@
   bool HasRoom(const holder& h, const upstream_slots& slots) const;
   void NoteRefusal(upstream_slots& slots) const;
   void ForgetOthers();
+  void ReserveForUnreachable(size_t listed);
   void Send(const instance_id& to, holder& h);
   void ApplyFullReport(holder& h, const slot_demand& demand);
   void ChangeHeld(holder& h, const upstream_id& upstream, int change);
@@ -115,6 +116,8 @@
   bool active_ = false;
   time_point started_;
   std::vector<instance_id> live_holders_;
+  // Entry instances that are listed as live and can't be reached.
+  size_t unreachable_ = 0;
   std::map<instance_id, holder> holders_;
   // `held` of each is the sum over the holders.
   std::map<upstream_id, upstream_slots> upstreams_;
--- a/src/policy/slot_messages.h
+++ b/src/policy/slot_messages.h
@@ -90,6 +90,8 @@
 struct released_slot {
   upstream_id upstream;
   slot_result result = slot_result::kUnused;
+  // Run time over what was expected; 0 if unknown.
+  double slowness = 0;
 
   bool operator==(const released_slot&) const = default;
 };
--- a/src/policy/slot_strategy.h
+++ b/src/policy/slot_strategy.h
@@ -48,8 +48,7 @@
   // Tasks began or ceased to wait.
   virtual void OnWorkChanged() = 0;
   // An attempt that `StartOn` began has ended.
-  virtual void OnAttemptEnded(const upstream_id& upstream,
-                              slot_result result) = 0;
+  virtual void OnAttemptEnded(const released_slot& slot) = 0;
   // Upstreams or entry instances came, went or changed.
   virtual void OnMembershipChanged() = 0;
   virtual void OnPeerMessage(const instance_id& peer,
--- a/src/policy/upstream_health.cc
+++ b/src/policy/upstream_health.cc
@@ -36,24 +36,21 @@
 
 }  // namespace
 
-bool upstream_health::Record(const upstream_id& upstream,
-                             slot_result result,
-                             double slowness,
-                             time_point now) {
-  health_record& record = records_[upstream];
-  const health_verdict before = verdict(upstream, now);
+void upstream_health::Record(const released_slot& slot, time_point now) {
+  health_record& record = records_[slot.upstream];
+  const health_verdict before = verdict(slot.upstream, now);
   record.trial_running = false;
   // Nobody had a task to try it with; asking again at once would only cost
   // messages.
-  if (before == health_verdict::kOnTrial && result == slot_result::kUnused) {
+  if (before == health_verdict::kOnTrial && slot.result == slot_result::kUnused) {
     record.quarantined_until = now + kTrialDelay;
     ++record.unused_trials;
   }
-  if (slowness > 0) {
-    double bounded = std::min(slowness, kLargestSlowness);
+  if (slot.slowness > 0) {
+    double bounded = std::min(slot.slowness, kLargestSlowness);
     record.slowness += kSlownessWeight * (bounded - record.slowness);
   }
-  int weight = Weight(result);
+  int weight = Weight(slot.result);
   if (weight > 0) {
     record.consecutive_failures = 0;
     record.verdict = health_verdict::kFit;
@@ -68,7 +65,6 @@
     if (trial_failed || too_many)
       Quarantine(record, now);
   }
-  return verdict(upstream, now) != before;
 }
 
 void upstream_health::RecordPeerVerdict(const upstream_id& upstream,
--- a/src/policy/upstream_health.h
+++ b/src/policy/upstream_health.h
@@ -36,12 +36,8 @@
 // fast, so without this it would draw all the work there is.
 class upstream_health {
  public:
-  // Feeds the end of an attempt. `slowness` is run time over expected run
-  // time, and 0 if unknown. True if the verdict changed.
-  bool Record(const upstream_id& upstream,
-              slot_result result,
-              double slowness,
-              time_point now);
+  // Feeds the end of an attempt.
+  void Record(const released_slot& slot, time_point now);
 
   // A peer quarantined the upstream. Its word alone only means that one
   // failure of our own is enough; so a lying peer costs nothing while the
--- a/src/policy/upstream_table.cc
+++ b/src/policy/upstream_table.cc
@@ -67,20 +67,17 @@
   health_.RecordStart(id, now);
 }
 
-bool upstream_table::RecordEnd(const upstream_id& id,
-                               slot_result result,
-                               double slowness,
-                               time_point now) {
-  auto found = states_.find(id);
+void upstream_table::RecordEnd(const released_slot& slot, time_point now) {
+  auto found = states_.find(slot.upstream);
   if (found == states_.end())
-    return false;
+    return;
   upstream_state& state = found->second;
   // An upstream that left the list and came back starts again from zero while
   // old attempts still end.
   state.in_flight = std::max(0, state.in_flight - 1);
-  if (result == slot_result::kLeaving) {
+  if (slot.result == slot_result::kLeaving) {
     state.leaving_until = now + kLeavingBelieved;
-  } else if (result == slot_result::kFull) {
+  } else if (slot.result == slot_result::kFull) {
     state.hold_off = state.hold_off == duration::zero()
                          ? kFirstHoldOff
                          : std::min(state.hold_off * 2, kLongestHoldOff);
@@ -88,7 +85,7 @@
   } else {
     state.hold_off = duration::zero();
   }
-  return health_.Record(id, result, slowness, now);
+  health_.Record(slot, now);
 }
 
 const upstream_state* upstream_table::Find(const upstream_id& id) const {
--- a/src/policy/upstream_table.h
+++ b/src/policy/upstream_table.h
@@ -42,13 +42,9 @@
   // `HasRoom`, and by this instance's own experience it is fit and not full.
   bool MayStart(const upstream_id& id, time_point now) const;
 
-  // Bookkeeping of attempts. `slowness` as in `upstream_health::Record`.
-  // True if the upstream's verdict changed.
+  // Bookkeeping of attempts.
   void RecordStart(const upstream_id& id, time_point now);
-  bool RecordEnd(const upstream_id& id,
-                 slot_result result,
-                 double slowness,
-                 time_point now);
+  void RecordEnd(const released_slot& slot, time_point now);
 
   // Null if it is not listed any more.
   const upstream_state* Find(const upstream_id& id) const;
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -37,6 +37,11 @@
   return static_cast<int32_t>(std::clamp(rank * 1000, -kLimit, kLimit));
 }
 
+int8_t SlownessToTenths(double slowness) {
+  constexpr double kLimit = std::numeric_limits<int8_t>::max();
+  return static_cast<int8_t>(std::clamp(slowness * 10, 1.0, kLimit));
+}
+
 // Messages to the wire.
 
 wire::slot_demand ToWire(const slot_demand& demand, const wire_names& names) {
@@ -103,6 +108,8 @@
     wire::released_slot slot;
     slot.upstream = names.ToWire(s.upstream.str());
     slot.result = static_cast<int8_t>(s.result);
+    if (s.slowness > 0)
+      slot.__set_slowness(SlownessToTenths(s.slowness));
     return slot;
   });
   return wire;
@@ -257,7 +264,8 @@
         slot.result <= static_cast<int8_t>(slot_result::kBroken);
     if (!upstream.empty() && known_result)
       release.slots.push_back(
-          {upstream, static_cast<slot_result>(slot.result)});
+          {upstream, static_cast<slot_result>(slot.result),
+           slot.slowness / 10.0});
   }
   return release;
 }
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1196,6 +1196,11 @@
 void released_slot::__set_result(const int8_t val) {
   this->result = val;
 }
+
+void released_slot::__set_slowness(const int8_t val) {
+  this->slowness = val;
+__isset.slowness = true;
+}
 std::ostream& operator<<(std::ostream& out, const released_slot& obj)
 {
   obj.printTo(out);
@@ -1240,6 +1245,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->slowness);
+          this->__isset.slowness = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1265,6 +1278,11 @@
   xfer += oprot->writeByte(this->result);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.slowness) {
+    xfer += oprot->writeFieldBegin("slowness", ::apache::thrift::protocol::T_BYTE, 3);
+    xfer += oprot->writeByte(this->slowness);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1274,17 +1292,20 @@
   using ::std::swap;
   swap(a.upstream, b.upstream);
   swap(a.result, b.result);
+  swap(a.slowness, b.slowness);
   swap(a.__isset, b.__isset);
 }
 
 released_slot::released_slot(const released_slot& other44) noexcept {
   upstream = other44.upstream;
   result = other44.result;
+  slowness = other44.slowness;
   __isset = other44.__isset;
 }
 released_slot& released_slot::operator=(const released_slot& other45) noexcept {
   upstream = other45.upstream;
   result = other45.result;
+  slowness = other45.slowness;
   __isset = other45.__isset;
   return *this;
 }
@@ -1293,6 +1314,7 @@
   out << "released_slot(";
   out << "upstream=" << to_string(upstream);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "slowness="; (__isset.slowness ? (out << to_string(slowness)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -516,9 +516,10 @@
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
 typedef struct _released_slot__isset {
-  _released_slot__isset() : upstream(false), result(false) {}
+  _released_slot__isset() : upstream(false), result(false), slowness(false) {}
   bool upstream :1;
   bool result :1;
+  bool slowness :1;
 } _released_slot__isset;
 
 class released_slot : public virtual ::apache::thrift::TBase {
@@ -528,12 +529,14 @@
   released_slot& operator=(const released_slot&) noexcept;
   released_slot() noexcept
                 : upstream(0),
-                  result(0) {
+                  result(0),
+                  slowness(0) {
   }
 
   virtual ~released_slot() noexcept;
   int32_t upstream;
   int8_t result;
+  int8_t slowness;
 
   _released_slot__isset __isset;
 
@@ -541,12 +544,18 @@
 
   void __set_result(const int8_t val);
 
+  void __set_slowness(const int8_t val);
+
   bool operator == (const released_slot & rhs) const
   {
     if (!(upstream == rhs.upstream))
       return false;
     if (!(result == rhs.result))
       return false;
+    if (__isset.slowness != rhs.__isset.slowness)
+      return false;
+    else if (__isset.slowness && !(slowness == rhs.slowness))
+      return false;
     return true;
   }
   bool operator != (const released_slot &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -59,6 +59,8 @@
 struct released_slot {
   1: i32 upstream
   2: i8 result
+  // In tenths.
+  3: optional i8 slowness
 }
 
 struct slot_release {
