Wait for a normal slot rather than take a slow one

Cause: whenever all slots were taken for a moment, tasks went to the slow upstream and ended later than if they had waited.

--- a/src/admin/state_report.cc
+++ b/src/admin/state_report.cc
@@ -40,7 +40,7 @@
                 {"rack", state.info.rack},
                 {"state", leaving ? "leaving" : "live"},
                 {"verdict", ToString(health.verdict(id, now))},
-                {"slowness", health.slowness(id)},
+                {"slowness", health.slowness(id, now)},
                 {"slots", state.info.slots},
                 {"in_flight", state.in_flight}};
     if (view.home_side.active())
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -23,6 +23,7 @@
 constexpr duration kLeavingBelieved = std::chrono::seconds(15);
 // Differences in speed below this are noise.
 constexpr double kSlownessStep = 0.5;
+constexpr double kSlow = 1.7;
 
 }  // namespace
 
@@ -238,9 +239,11 @@
   upstream_id best_id;
   std::pair<double, double> best_cost;
   for (const auto& [id, slots] : upstreams_) {
-    if (slots.info.memory_mb < memory_mb || !HasRoom(h, slots))
+    if (slots.info.memory_mb < memory_mb || !HasRoom(h, slots) ||
+        !WorthItsSlowness(id)) {
       continue;
-    double step = std::floor(health_.slowness(id) / kSlownessStep);
+    }
+    double step = std::floor(health_.slowness(id, clock_.now()) / kSlownessStep);
     double load = static_cast<double>(slots.held) / slots.info.slots;
     std::pair<double, double> cost(step, load);
     if (best && cost >= best_cost)
@@ -252,6 +255,21 @@
   return best_id;
 }
 
+// A task on an upstream that is k times slow ends later than one that waits
+// for a normal slot, unless more than k - 1 tasks wait for each of those.
+bool slot_home::WorthItsSlowness(const upstream_id& upstream) const {
+  double slowness = health_.slowness(upstream, clock_.now());
+  if (slowness < kSlow)
+    return true;
+  int normal_slots = 0;
+  for (const auto& [id, slots] : upstreams_) {
+    if (slots.info.state == instance_state::kLive &&
+        health_.slowness(id, clock_.now()) < kSlow)
+      normal_slots += slots.info.slots;
+  }
+  return DomainWaiting() >= normal_slots * (slowness - 1);
+}
+
 bool slot_home::HasRoom(const holder& h, const upstream_slots& slots) const {
   time_point now = clock_.now();
   if (slots.info.state != instance_state::kLive || now < slots.leaving_until ||
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -95,6 +95,7 @@
   std::optional<choice> BestWaiting(const std::set<const waiting_entry*>& skip);
   upstream_id BestUpstream(const holder& h, int memory_mb) const;
   bool HasRoom(const holder& h, const upstream_slots& slots) const;
+  bool WorthItsSlowness(const upstream_id& upstream) const;
   void NoteRefusal(upstream_slots& slots) const;
   void ForgetOthers();
   void ReserveForUnreachable(size_t listed);
--- a/src/policy/upstream_health.cc
+++ b/src/policy/upstream_health.cc
@@ -1,6 +1,7 @@
 #include "policy/upstream_health.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasminedyke {
 
@@ -13,6 +14,7 @@
 constexpr int kUnusedTrials = 6;
 constexpr duration kIdempotentWait = std::chrono::seconds(5);
 constexpr double kSlownessWeight = 0.1;
+constexpr duration kSlownessHalfLife = std::chrono::seconds(20);
 // One straggler must not make an upstream look ten times slower.
 constexpr double kLargestSlowness = 4;
 
@@ -48,7 +50,9 @@
   }
   if (slot.slowness > 0) {
     double bounded = std::min(slot.slowness, kLargestSlowness);
-    record.slowness += kSlownessWeight * (bounded - record.slowness);
+    double before_it = slowness(slot.upstream, now);
+    record.slowness = before_it + kSlownessWeight * (bounded - before_it);
+    record.slowness_at = now;
   }
   int weight = Weight(slot.result);
   if (weight > 0) {
@@ -128,9 +132,15 @@
   return record.verdict;
 }
 
-double upstream_health::slowness(const upstream_id& upstream) const {
+double upstream_health::slowness(const upstream_id& upstream,
+                                 time_point now) const {
   auto found = records_.find(upstream);
-  return found == records_.end() ? 1 : found->second.slowness;
+  if (found == records_.end())
+    return 1;
+  const health_record& record = found->second;
+  double idle_s = ToSeconds(now - record.slowness_at);
+  double kept = std::exp2(-idle_s / ToSeconds(kSlownessHalfLife));
+  return 1 + (record.slowness - 1) * kept;
 }
 
 std::vector<upstream_id> upstream_health::quarantined(time_point now) const {
--- a/src/policy/upstream_health.h
+++ b/src/policy/upstream_health.h
@@ -29,6 +29,7 @@
   int unused_trials = 0;
   // Moving mean of run time over what was expected; 1 is as expected.
   double slowness = 1;
+  time_point slowness_at;
 };
 
 // Quarantines an upstream after a few failures in a row and lets it back by
@@ -61,7 +62,9 @@
   void SetUpstreams(const std::vector<upstream_id>& upstreams);
 
   health_verdict verdict(const upstream_id& upstream, time_point now) const;
-  double slowness(const upstream_id& upstream) const;
+  // Run time over expected run time, as a moving mean. Without new runs it
+  // returns towards 1, so that a slow upstream is tried again.
+  double slowness(const upstream_id& upstream, time_point now) const;
   std::vector<upstream_id> quarantined(time_point now) const;
 
  private:
