--- a/replay/replay.cc
+++ b/replay/replay.cc
@@ -102,8 +102,11 @@
       world_.Deliver(number_, to, message);
     });
     if (granted_)
-      jobs_.SetWaitingElsewhere([this] {
-        return granted_->domain_waiting() - jobs_.waiting_tasks();
+      jobs_.SetWorkElsewhere([this] {
+        int running = static_cast<int>(jobs_.attempts_in_flight());
+        return dispatcher::work_elsewhere{
+            granted_->domain_waiting() - jobs_.waiting_tasks(),
+            granted_->domain_running() - running};
       });
   }
 
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -89,8 +89,12 @@
       [this](const instance_id& peer, const slot_message& message) {
         router_.SendSlotMessage(peer, message);
       });
-  jobs_.SetWaitingElsewhere(
-      [this] { return slots_->domain_waiting() - jobs_.waiting_tasks(); });
+  jobs_.SetWorkElsewhere([this] {
+    int running = static_cast<int>(jobs_.attempts_in_flight());
+    return dispatcher::work_elsewhere{
+        slots_->domain_waiting() - jobs_.waiting_tasks(),
+        slots_->domain_running() - running};
+  });
   config_.OnChange([this] { OnConfigurationChanged(); });
   membership_.OnChange([this] { OnMembershipChanged(); });
   mesh_.SetListener(&router_);
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+// A queue of our own with fewer tasks says little about the others' queues.
+constexpr int kFewWaitingTasks = 20;
 constexpr duration kLongestLease = std::chrono::minutes(5);
 constexpr duration kFirstRetryDelay = std::chrono::milliseconds(5);
 constexpr duration kLongestRetryDelay = std::chrono::milliseconds(500);
@@ -58,8 +60,8 @@
   send_to_peer_ = std::move(send_to_peer);
 }
 
-void dispatcher::SetWaitingElsewhere(std::function<int()> tasks) {
-  waiting_elsewhere_ = std::move(tasks);
+void dispatcher::SetWorkElsewhere(std::function<work_elsewhere()> look) {
+  look_elsewhere_ = std::move(look);
 }
 
 outcome<local_job, job_refusal> dispatcher::Submit(job_spec spec,
@@ -75,6 +77,9 @@
     return admitted;
   }
   ++metrics_.jobs_admitted;
+  queued_job as_queued = AsQueued(spec, estimate);
+  arrivals_.Record(queue_.RankAtArrival(as_queued), as_queued.remaining_work(),
+                   clock_.now());
   local_job number = admitted.value();
   auto job = std::make_unique<job_state>(clock_);
   job->done = std::move(done);
@@ -175,8 +180,7 @@
   admission_facts facts;
   facts.tasks = static_cast<int>(spec.tasks.size());
   facts.payload_bytes = spec.payload_bytes();
-  for (const task_spec& task : spec.tasks)
-    facts.memory_mb = std::max(facts.memory_mb, task.memory_mb);
+  facts.memory_mb = AsQueued(spec, estimate).memory_mb;
   facts.own_work = estimate.mean * facts.tasks;
   facts.longest_task = estimate.p99;
   facts.target = spec.settings.target;
@@ -186,20 +190,34 @@
   facts.queued_tasks = queue_.waiting_tasks();
   facts.queued_bytes = queued_bytes_;
 
-  queued_job as_queued{spec.team,      clock_.now(), spec.settings.target,
-                       estimate.mean,  estimate.p99, facts.tasks,
-                       facts.memory_mb};
+  queued_job as_queued = AsQueued(spec, estimate);
   facts.work_ahead = queue_.WorkAhead(as_queued);
-  if (!waiting_elsewhere_ || queue_.waiting_tasks() == 0)
+  facts.slots_taken_before =
+      arrivals_.SlotsBefore(queue_.RankAtArrival(as_queued), clock_.now());
+  if (!look_elsewhere_)
     return facts;
-  // The others' queues are assumed to look like ours.
-  double per_own_task =
-      static_cast<double>(waiting_elsewhere_()) / queue_.waiting_tasks();
-  facts.work_ahead +=
-      FromSeconds(ToSeconds(facts.work_ahead) * std::max(0.0, per_own_task));
+  // The others' jobs are assumed to look like ours.
+  work_elsewhere elsewhere = look_elsewhere_();
+  double waiting = std::max(0, elsewhere.waiting);
+  double running = std::max(0, elsewhere.running);
+  facts.work_ahead += FromSeconds(ToSeconds(facts.work_ahead) * waiting /
+                                  (queue_.waiting_tasks() + kFewWaitingTasks));
+  if (!attempts_.empty())
+    facts.slots_taken_before *=
+        1 + running / static_cast<double>(attempts_.size());
   return facts;
 }
 
+queued_job dispatcher::AsQueued(const job_spec& spec,
+                                const run_time_estimate& estimate) const {
+  int memory_mb = 0;
+  for (const task_spec& task : spec.tasks)
+    memory_mb = std::max(memory_mb, task.memory_mb);
+  return {spec.team,     clock_.now(), spec.settings.target,
+          estimate.mean, estimate.p99, static_cast<int>(spec.tasks.size()),
+          memory_mb};
+}
+
 void dispatcher::Requeue(local_job number, job_state& job) {
   queue_.Put(number, {job.spec.team, job.arrival, job.spec.settings.target,
                       job.estimate.mean, job.estimate.p99,
@@ -273,13 +291,20 @@
   if (answer && answer->run_time) {
     usage_.Book(attempt.team, *answer->run_time);
     if (answer->succeeded()) {
-      slot.slowness = ToSeconds(*answer->run_time) / ToSeconds(attempt.expected);
+      slot.slowness =
+          ToSeconds(*answer->run_time) / ToSeconds(attempt.expected);
       estimator_.Learn(attempt.work_class, attempt.declared, *answer->run_time,
                        clock_.now());
     }
   }
   if (const auto* unknown = std::get_if<outcome_unknown>(&outcome))
     ++metrics_.unknown_outcomes[unknown->reason];
+  // A task that was stopped with its job answers as failed. That says nothing
+  // about the upstream: a job that one bad upstream fails would get all the
+  // others quarantined that ran its tasks.
+  bool failed = slot.result == slot_result::kTaskError;
+  if (failed && !jobs_.contains(attempt.job))
+    slot.result = slot_result::kStopped;
   upstreams_.RecordEnd(slot, clock_.now());
   return slot;
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -45,9 +45,13 @@
   slot_strategy& strategy() { return *strategy_; }
 
   void SetQuotas(const team_quotas& quotas) { quotas_ = quotas; }
-  // Waiting tasks of the failure domain's other entry instances, as far as is
-  // known; for admission only.
-  void SetWaitingElsewhere(std::function<int()> tasks);
+  // What the failure domain's other entry instances have, as far as is known;
+  // for admission only.
+  struct work_elsewhere {
+    int waiting = 0;
+    int running = 0;
+  };
+  void SetWorkElsewhere(std::function<work_elsewhere()> look);
 
   // Takes the job and calls `done` once, never from within this call; or says
   // why not, and never calls it.
@@ -122,6 +126,8 @@
 
   outcome<local_job, job_refusal> Admit(const job_spec& spec,
                                         const run_time_estimate& estimate);
+  queued_job AsQueued(const job_spec& spec,
+                      const run_time_estimate& estimate) const;
   admission_facts AdmissionFacts(const job_spec& spec,
                                  const run_time_estimate& estimate) const;
   void Requeue(local_job number, job_state& job);
@@ -160,12 +166,13 @@
   team_quotas quotas_;
   std::unique_ptr<slot_strategy> strategy_;
   peer_sender send_to_peer_;
-  std::function<int()> waiting_elsewhere_;
+  std::function<work_elsewhere()> look_elsewhere_;
   bool admitting_ = true;
 
   job_queue queue_;
   run_time_estimator estimator_;
   retry_budget budget_;
+  arrival_meter arrivals_;
   std::unordered_map<local_job, std::unique_ptr<job_state>> jobs_;
   // Outlives the job: a late end must still free its slot and be counted.
   std::unordered_map<attempt_number, attempt_state> attempts_;
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -7,9 +7,11 @@
 namespace {
 
 // A wait of so many targets is a miss by far.
-constexpr double kFarBeyondTarget = 4;
+constexpr double kFarBeyondTarget = 2;
 // Estimates are rough; waits below this are never a reason to refuse.
-constexpr duration kShortWait = std::chrono::seconds(1);
+constexpr duration kShortWait = std::chrono::milliseconds(300);
+// A job never counts on less than this part of the slots.
+constexpr double kLeastShare = 0.2;
 constexpr duration kShortestRetryAfter = std::chrono::seconds(1);
 constexpr duration kLongestRetryAfter = std::chrono::seconds(60);
 
@@ -17,6 +19,15 @@
   return std::clamp(excess, kShortestRetryAfter, kLongestRetryAfter);
 }
 
+// How much later the job ends than on idle upstreams.
+duration ExpectedWait(const admission_facts& facts) {
+  double left = std::max(facts.usable_slots - facts.slots_taken_before,
+                         facts.usable_slots * kLeastShare);
+  double own_work = ToSeconds(facts.own_work);
+  double all_work = ToSeconds(facts.work_ahead) + own_work;
+  return FromSeconds(all_work / left - own_work / facts.usable_slots);
+}
+
 }  // namespace
 
 admission_decision DecideAdmission(const admission_facts& facts,
@@ -31,7 +42,7 @@
   if (facts.usable_slots <= 0)
     return {admission_verdict::kAdmit, duration::zero()};
 
-  duration wait = FromSeconds(ToSeconds(facts.work_ahead) / facts.usable_slots);
+  duration wait = ExpectedWait(facts);
   duration tolerated = std::max(
       FromSeconds(ToSeconds(facts.target) * kFarBeyondTarget), kShortWait);
   if (wait > tolerated)
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -33,8 +33,10 @@
 
   // The most memory that a known upstream has; 0 if none is known.
   int largest_upstream_mb = 0;
-  // Slots that this instance's jobs can count on.
+  // Slots of the failure domain, and those of them that jobs with a better
+  // rank keep busy as they arrive.
   double usable_slots = 0;
+  double slots_taken_before = 0;
   // Slot time that will be served before the job's own tasks.
   duration work_ahead{};
   int queued_tasks = 0;
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -98,6 +98,7 @@
   silence_timer_.Stop();
   last_grant_sequence_ = std::max(last_grant_sequence_, grant.sequence);
   domain_waiting_ = grant.domain_waiting;
+  domain_running_ = grant.domain_running;
   if (in_fallback_) {
     in_fallback_ = false;
     fallback_.Pause();
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -55,8 +55,9 @@
 
   // True while tasks start without grants.
   bool in_fallback() const { return in_fallback_; }
-  // What waits in the whole failure domain, as the home last said.
+  // What waits and runs in the whole failure domain, as the home last said.
   int domain_waiting() const { return domain_waiting_; }
+  int domain_running() const { return domain_running_; }
 
  private:
   void OnGrant(const slot_grant& grant);
@@ -88,6 +89,7 @@
   std::optional<time_point> asked_at_;
   uint64_t last_grant_sequence_ = 0;
   int domain_waiting_ = 0;
+  int domain_running_ = 0;
 
   // What the home knows of our waiting work: the last report less what was
   // granted since.
--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -98,12 +98,16 @@
   return tasks;
 }
 
-job_queue::fixed_rank job_queue::FixedRank(const queued_job& facts) const {
+double job_queue::RankAtArrival(const queued_job& facts) const {
   order_facts at_arrival;
   at_arrival.target = facts.target;
   at_arrival.remaining_work = facts.remaining_work();
   at_arrival.longest_task = facts.longest_task;
-  return rule_.Rank(at_arrival) +
+  return rule_.Rank(at_arrival);
+}
+
+job_queue::fixed_rank job_queue::FixedRank(const queued_job& facts) const {
+  return RankAtArrival(facts) +
          rule_.age_weight * ToSeconds(facts.arrival.time_since_epoch());
 }
 
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -60,6 +60,9 @@
   // first.
   std::vector<demand_entry> Demand(size_t limit, time_point now) const;
 
+  // The rank of a job that arrives now.
+  double RankAtArrival(const queued_job& facts) const;
+
   // Slot time of the jobs that come before one of these facts.
   duration WorkAhead(const queued_job& facts) const;
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -5,6 +5,7 @@
 #define SRC_POLICY_POLICY_H_
 
 #include "policy/admission.h"
+#include "policy/arrival_meter.h"
 #include "policy/configuration.h"
 #include "policy/granted_slots.h"
 #include "policy/job_queue.h"
--- a/src/policy/run_time_estimator.cc
+++ b/src/policy/run_time_estimator.cc
@@ -80,7 +80,11 @@
   auto found = by_class_.find(work_class);
   if (found == by_class_.end() ||
       found->second.seconds.count() < kEnoughTasks) {
-    duration mean = has_declared ? ClampDeclared(declared) : kUnknownRunTime;
+    // Too long a time that was declared would get jobs refused that nobody
+    // has seen run; too short a one only lets them in.
+    duration mean = has_declared
+                        ? std::min(ClampDeclared(declared), kUnknownRunTime)
+                        : kUnknownRunTime;
     return {mean, FromSeconds(ToSeconds(mean) * kUnknownTail), false};
   }
   const class_history& history = found->second;
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -243,7 +243,8 @@
         !WorthItsSlowness(id)) {
       continue;
     }
-    double step = std::floor(health_.slowness(id, clock_.now()) / kSlownessStep);
+    double step =
+        std::floor(health_.slowness(id, clock_.now()) / kSlownessStep);
     double load = static_cast<double>(slots.held) / slots.info.slots;
     std::pair<double, double> cost(step, load);
     if (best && cost >= best_cost)
@@ -327,6 +328,7 @@
   grant.demand_sent_at_us = h.demand.sent_at_us;
   grant.slots = std::exchange(h.outgoing, {});
   grant.domain_waiting = DomainWaiting();
+  grant.domain_running = held();
   for (const granted_slot& slot : grant.slots)
     h.unacknowledged.emplace_back(grant.sequence, slot);
   h.last_sent = clock_.now();
--- a/src/policy/slot_messages.h
+++ b/src/policy/slot_messages.h
@@ -71,8 +71,10 @@
   // `sent_at_us` of the newest demand that the home knew.
   uint64_t demand_sent_at_us = 0;
   std::vector<granted_slot> slots;
-  // All waiting tasks of the failure domain that the home knows of.
+  // All waiting and running tasks of the failure domain that the home knows
+  // of.
   int domain_waiting = 0;
+  int domain_running = 0;
 };
 
 // How an attempt on a granted slot ended, as far as it tells about the
@@ -85,6 +87,7 @@
   kLeaving,      // refused, not run: it takes no new work
   kUnreachable,  // no connection, or none of the request sent
   kBroken,       // reset, timeout or malformed reply: outcome unknown
+  kStopped,      // ended early because its job was over
 };
 
 struct released_slot {
--- a/src/policy/upstream_health.cc
+++ b/src/policy/upstream_health.cc
@@ -31,6 +31,7 @@
     case slot_result::kUnused:
     case slot_result::kFull:
     case slot_result::kLeaving:
+    case slot_result::kStopped:
       return 0;
   }
   return 0;
@@ -44,7 +45,8 @@
   record.trial_running = false;
   // Nobody had a task to try it with; asking again at once would only cost
   // messages.
-  if (before == health_verdict::kOnTrial && slot.result == slot_result::kUnused) {
+  if (before == health_verdict::kOnTrial &&
+      slot.result == slot_result::kUnused) {
     record.quarantined_until = now + kTrialDelay;
     ++record.unused_trials;
   }
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -98,6 +98,8 @@
   }
   if (grant.domain_waiting > 0)
     wire.__set_domain_waiting(grant.domain_waiting);
+  if (grant.domain_running > 0)
+    wire.__set_domain_running(grant.domain_running);
   return wire;
 }
 
@@ -246,6 +248,7 @@
   grant.sequence = static_cast<uint64_t>(wire.sequence);
   grant.demand_sent_at_us = static_cast<uint64_t>(wire.demand_sent_at_us);
   grant.domain_waiting = wire.domain_waiting;
+  grant.domain_running = wire.domain_running;
   for (const wire::granted_slot& slot : wire.slots) {
     upstream_id upstream(names.FromWire(slot.upstream));
     team_id team(names.FromWire(slot.team));
@@ -261,11 +264,10 @@
     upstream_id upstream(names.FromWire(slot.upstream));
     bool known_result =
         slot.result >= 0 &&
-        slot.result <= static_cast<int8_t>(slot_result::kBroken);
+        slot.result <= static_cast<int8_t>(slot_result::kStopped);
     if (!upstream.empty() && known_result)
-      release.slots.push_back(
-          {upstream, static_cast<slot_result>(slot.result),
-           slot.slowness / 10.0});
+      release.slots.push_back({upstream, static_cast<slot_result>(slot.result),
+                               slot.slowness / 10.0});
   }
   return release;
 }
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1030,6 +1030,11 @@
   this->domain_waiting = val;
 __isset.domain_waiting = true;
 }
+
+void slot_grant::__set_domain_running(const int32_t val) {
+  this->domain_running = val;
+__isset.domain_running = true;
+}
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj)
 {
   obj.printTo(out);
@@ -1102,6 +1107,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->domain_running);
+          this->__isset.domain_running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1145,6 +1158,11 @@
     xfer += oprot->writeI32(this->domain_waiting);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.domain_running) {
+    xfer += oprot->writeFieldBegin("domain_running", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->domain_running);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1156,6 +1174,7 @@
   swap(a.demand_sent_at_us, b.demand_sent_at_us);
   swap(a.slots, b.slots);
   swap(a.domain_waiting, b.domain_waiting);
+  swap(a.domain_running, b.domain_running);
   swap(a.__isset, b.__isset);
 }
 
@@ -1164,6 +1183,7 @@
   demand_sent_at_us = other42.demand_sent_at_us;
   slots = other42.slots;
   domain_waiting = other42.domain_waiting;
+  domain_running = other42.domain_running;
   __isset = other42.__isset;
 }
 slot_grant& slot_grant::operator=(const slot_grant& other43) {
@@ -1171,6 +1191,7 @@
   demand_sent_at_us = other43.demand_sent_at_us;
   slots = other43.slots;
   domain_waiting = other43.domain_waiting;
+  domain_running = other43.domain_running;
   __isset = other43.__isset;
   return *this;
 }
@@ -1181,6 +1202,7 @@
   out << ", " << "demand_sent_at_us=" << to_string(demand_sent_at_us);
   out << ", " << "slots="; (__isset.slots ? (out << to_string(slots)) : (out << "<null>"));
   out << ", " << "domain_waiting="; (__isset.domain_waiting ? (out << to_string(domain_waiting)) : (out << "<null>"));
+  out << ", " << "domain_running="; (__isset.domain_running ? (out << to_string(domain_running)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -449,11 +449,12 @@
 std::ostream& operator<<(std::ostream& out, const granted_slot& obj);
 
 typedef struct _slot_grant__isset {
-  _slot_grant__isset() : sequence(false), demand_sent_at_us(false), slots(false), domain_waiting(false) {}
+  _slot_grant__isset() : sequence(false), demand_sent_at_us(false), slots(false), domain_waiting(false), domain_running(false) {}
   bool sequence :1;
   bool demand_sent_at_us :1;
   bool slots :1;
   bool domain_waiting :1;
+  bool domain_running :1;
 } _slot_grant__isset;
 
 class slot_grant : public virtual ::apache::thrift::TBase {
@@ -464,7 +465,8 @@
   slot_grant() noexcept
              : sequence(0),
                demand_sent_at_us(0),
-               domain_waiting(0) {
+               domain_waiting(0),
+               domain_running(0) {
   }
 
   virtual ~slot_grant() noexcept;
@@ -472,6 +474,7 @@
   int64_t demand_sent_at_us;
   std::vector<granted_slot>  slots;
   int32_t domain_waiting;
+  int32_t domain_running;
 
   _slot_grant__isset __isset;
 
@@ -483,6 +486,8 @@
 
   void __set_domain_waiting(const int32_t val);
 
+  void __set_domain_running(const int32_t val);
+
   bool operator == (const slot_grant & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -497,6 +502,10 @@
       return false;
     else if (__isset.domain_waiting && !(domain_waiting == rhs.domain_waiting))
       return false;
+    if (__isset.domain_running != rhs.__isset.domain_running)
+      return false;
+    else if (__isset.domain_running && !(domain_running == rhs.domain_running))
+      return false;
     return true;
   }
   bool operator != (const slot_grant &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -53,6 +53,7 @@
   2: i64 demand_sent_at_us
   3: optional list<granted_slot> slots
   4: optional i32 domain_waiting
+  5: optional i32 domain_running
 }
 
 // The results' numbers are those of `slot_result`.
