--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -27,7 +27,11 @@
   // A peer that closes while we write must be an error of that write, not
   // the end of the process.
   std::signal(SIGPIPE, SIG_IGN);
-  base_.reset(event_base_new());
+  // Without it, timers are rounded up to whole milliseconds.
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  base_.reset(event_base_new_with_config(config));
+  event_config_free(config);
   if (!base_)
     throw std::runtime_error("libevent can't create an event base");
   timer_event_.reset(event_new(
@@ -87,6 +91,10 @@
     return;
   armed_for_ = *due;
   auto wait = std::max(duration::zero(), *due - now());
+  if (wait == duration::zero()) {
+    event_active(timer_event_.get(), EV_TIMEOUT, 0);
+    return;
+  }
   timeval tv;
   tv.tv_sec = wait.count() / 1000000;
   tv.tv_usec = wait.count() % 1000000;
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -7,6 +7,9 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "http/evhttp_convert.h"
 
@@ -81,6 +84,16 @@
   timer_.StartAfter(timeout, [this] { OnTimeout(); });
   evhttp_make_request(connection_.get(), request_, ToCommand(request.method),
                       request.path.c_str());
+  SendAtOnce();
+}
+
+// A small request must not wait for the acknowledgement of earlier bytes.
+void http_connection::SendAtOnce() {
+  if (!connection_)
+    return;
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection_.get());
+  int on = 1;
+  setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
 void http_connection::Abort() {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -62,6 +62,7 @@
   static void OnReply(evhttp_request* request, void* self);
 
   bool Open();
+  void SendAtOnce();
   bool HasUnreadInput() const;
   void OnTimeout();
   void Finish(http_result result);
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -16,8 +16,10 @@
 // The home answers every heartbeat; if it has been asked for longer than that
 // takes and says nothing, it is taken for dead.
 constexpr duration kHomeSilence = std::chrono::milliseconds(750);
-constexpr duration kReportDelay = std::chrono::milliseconds(1);
-constexpr duration kReleaseDelay = std::chrono::milliseconds(1);
+// The first report or release after a pause goes at once, further ones are
+// collected for so long.
+constexpr duration kReportGap = std::chrono::milliseconds(1);
+constexpr duration kReleaseGap = std::chrono::milliseconds(1);
 // Jobs of each team that a report names.
 constexpr size_t kReportedJobs = 6;
 // The home always knows of at least so many waiting tasks, if there are any.
@@ -144,18 +146,21 @@
     return;
   releases_.push_back(slot);
   if (!release_timer_.active())
-    release_timer_.StartAfter(kReleaseDelay, [this] { FlushReleases(); });
+    release_timer_.StartAt(std::max(clock_.now(), released_at_ + kReleaseGap),
+                           [this] { FlushReleases(); });
 }
 
 void granted_slots::FlushReleases() {
   if (releases_.empty() || home_.empty())
     return;
+  released_at_ = clock_.now();
   host_.SendToPeer(home_, slot_release{std::exchange(releases_, {})});
 }
 
 void granted_slots::ReportSoon() {
   if (!report_timer_.active())
-    report_timer_.StartAfter(kReportDelay, [this] { ReportIfNeeded(); });
+    report_timer_.StartAt(std::max(clock_.now(), reported_at_ + kReportGap),
+                          [this] { ReportIfNeeded(); });
   ScheduleHeartbeat();
 }
 
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -99,6 +99,7 @@
   // The next report must say what is held.
   bool full_report_due_ = true;
   std::vector<released_slot> releases_;
+  time_point released_at_;
   // When the right to reuse ends, for each slot in use; by upstream.
   std::multimap<upstream_id, time_point> reuse_until_;
 
