--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -278,6 +278,8 @@
     return false;
   }
   upstream_id id(slots.info.id.str());
+  if (slots.held >= health_.MostUnderWay(id))
+    return false;
   auto held = h.held.find(id);
   int sharers = std::max<int>(1, static_cast<int>(live_holders_.size()));
   int share = std::max(1, slots.info.connections / sharers);
--- a/src/policy/upstream_health.cc
+++ b/src/policy/upstream_health.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jasminedyke {
 
@@ -122,6 +123,17 @@
   });
 }
 
+// An upstream that fails at once frees its slots at once, too. Were they all
+// filled again while the first failures are being reported, twice its slots
+// would be lost before its quarantine.
+int upstream_health::MostUnderWay(const upstream_id& upstream) const {
+  auto found = records_.find(upstream);
+  if (found == records_.end() || found->second.consecutive_failures == 0)
+    return std::numeric_limits<int>::max();
+  return std::max(1,
+                  kFailuresToQuarantine - found->second.consecutive_failures);
+}
+
 health_verdict upstream_health::verdict(const upstream_id& upstream,
                                         time_point now) const {
   auto found = records_.find(upstream);
--- a/src/policy/upstream_health.h
+++ b/src/policy/upstream_health.h
@@ -61,6 +61,10 @@
   // The upstreams that the majority guard counts.
   void SetUpstreams(const std::vector<upstream_id>& upstreams);
 
+  // After a failure, how many tasks may be under way on it until the next
+  // success; the maximum of `int` before.
+  int MostUnderWay(const upstream_id& upstream) const;
+
   health_verdict verdict(const upstream_id& upstream, time_point now) const;
   // Run time over expected run time, as a moving mean. Without new runs it
   // returns towards 1, so that a slow upstream is tried again.
