--- a/src/cluster/remote_jobs.cc
+++ b/src/cluster/remote_jobs.cc
@@ -12,10 +12,12 @@
 }  // namespace
 
 remote_jobs::remote_jobs(scheduler& clock,
+                         const instance_id& self,
                          peer_port& peers,
                          const membership_view& membership,
                          local_handler handle)
     : clock_(clock),
+      self_(self),
       peers_(peers),
       membership_(membership),
       handle_(std::move(handle)) {}
@@ -26,6 +28,11 @@
   pending.request = request;
   pending.done = std::move(done);
   const instance_id& owner = request.job.owner;
+  // An earlier incarnation of this instance.
+  if (owner == self_) {
+    FinishLater(number, forward_error::kOwnerGone);
+    return;
+  }
   if (auto peer = peers_.Identity(owner)) {
     Send(number, *peer);
     return;
--- a/src/cluster/remote_jobs.h
+++ b/src/cluster/remote_jobs.h
@@ -27,6 +27,7 @@
                          std::function<void(const http_reply&)>)>;
 
   remote_jobs(scheduler& clock,
+              const instance_id& self,
               peer_port& peers,
               const membership_view& membership,
               local_handler handle);
@@ -54,6 +55,7 @@
   void Finish(uint64_t number, const outcome<http_reply, forward_error>& reply);
 
   scheduler& clock_;
+  instance_id self_;
   peer_port& peers_;
   const membership_view& membership_;
   local_handler handle_;
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -51,6 +51,7 @@
       homes_(loop, self_, mesh_, *slots_, home_side_),
       documents_(loop, mesh_, config_, membership_, settings.instance),
       remote_(loop,
+              settings.instance,
               mesh_,
               membership_.view(),
               [this](const forwarded_job& request,
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -146,7 +146,8 @@
     // are due; a task of a job that is over would run for nobody.
     bool in_time = job.deadline - clock_.now() >= kShortestLease;
     return in_time && facts.memory_mb <= memory_mb &&
-           job.avoid != order.upstream && (!trial || MayRunOnTrial(number));
+           (order.granted || job.avoid != order.upstream) &&
+           (!trial || MayRunOnTrial(number));
   };
   auto at_quota = [&](const team_id& team) {
     auto running = running_by_team_.find(team);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -107,7 +107,8 @@
     size_t answered = 0;
     // A task has answered or has an unknown outcome.
     bool may_have_run = false;
-    // The upstream that a repeat should not go to again.
+    // The upstream that a repeat should not go to again. The home chooses
+    // another by itself, since it was told of the failure.
     upstream_id avoid;
     scoped_timer deadline_timer;
   };
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace jasminedyke {
 
@@ -232,12 +233,13 @@
   return best;
 }
 
-// The fastest ones first, then the least loaded: a straggling upstream gets
-// work only when the others are full.
+// Those that did not just fail first, then the fastest, then the least loaded:
+// a straggling upstream gets work only when the others are full, and a request
+// that is repeated goes elsewhere.
 upstream_id slot_home::BestUpstream(const holder& h, int memory_mb) const {
   const upstream_slots* best = nullptr;
   upstream_id best_id;
-  std::pair<double, double> best_cost;
+  std::tuple<bool, double, double> best_cost;
   for (const auto& [id, slots] : upstreams_) {
     if (slots.info.memory_mb < memory_mb || !HasRoom(h, slots) ||
         !WorthItsSlowness(id)) {
@@ -246,7 +248,8 @@
     double step =
         std::floor(health_.slowness(id, clock_.now()) / kSlownessStep);
     double load = static_cast<double>(slots.held) / slots.info.slots;
-    std::pair<double, double> cost(step, load);
+    std::tuple<bool, double, double> cost(health_.HasJustFailed(id), step,
+                                          load);
     if (best && cost >= best_cost)
       continue;
     best = &slots;
--- a/src/policy/upstream_health.cc
+++ b/src/policy/upstream_health.cc
@@ -123,6 +123,11 @@
   });
 }
 
+bool upstream_health::HasJustFailed(const upstream_id& upstream) const {
+  auto found = records_.find(upstream);
+  return found != records_.end() && found->second.consecutive_failures > 0;
+}
+
 // An upstream that fails at once frees its slots at once, too. Were they all
 // filled again while the first failures are being reported, twice its slots
 // would be lost before its quarantine.
--- a/src/policy/upstream_health.h
+++ b/src/policy/upstream_health.h
@@ -61,6 +61,8 @@
   // The upstreams that the majority guard counts.
   void SetUpstreams(const std::vector<upstream_id>& upstreams);
 
+  bool HasJustFailed(const upstream_id& upstream) const;
+
   // After a failure, how many tasks may be under way on it until the next
   // success; the maximum of `int` before.
   int MostUnderWay(const upstream_id& upstream) const;
--- a/src/protocol/peer_link.h
+++ b/src/protocol/peer_link.h
@@ -63,11 +63,13 @@
     std::string key;
   };
 
-  // Takes over `connection`, which is connected or connecting.
+  // Takes over `connection`, which is connected or connecting; `outgoing` if
+  // this side opened it.
   peer_link(event_loop& loop,
             const settings& own,
             const wire_names& names,
             bufferevent* connection,
+            bool outgoing,
             owner& told,
             peer_traffic& traffic);
   ~peer_link();
@@ -78,6 +80,7 @@
   void Send(const peer_message& message);
 
   bool established() const { return established_; }
+  bool outgoing() const { return outgoing_; }
   // Known once established.
   const peer_identity& peer() const { return peer_; }
   time_point last_use() const { return last_use_; }
@@ -105,6 +108,7 @@
   owner& owner_;
   peer_traffic& traffic_;
   std::unique_ptr<bufferevent, bufferevent_deleter> connection_;
+  bool outgoing_;
   std::string nonce_;
   std::optional<peer_hello> peer_hello_;
   peer_identity peer_;
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -111,7 +111,7 @@
   bufferevent* connection =
       bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
   auto link = std::make_unique<peer_link>(loop_, own_, names_, connection,
-                                          *this, traffic_);
+                                          false, *this, traffic_);
   peer_link* key = link.get();
   links_.emplace(key, std::move(link));
 }
@@ -124,7 +124,7 @@
   bufferevent* connection =
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   sockaddr_in to = ToSockaddr(address);
-  auto link = std::make_unique<peer_link>(loop_, own_, names_, connection,
+  auto link = std::make_unique<peer_link>(loop_, own_, names_, connection, true,
                                           *this, traffic_);
   peer_link* key = link.get();
   links_.emplace(key, std::move(link));
@@ -164,12 +164,24 @@
   loop_.CallAfter(duration::zero(), [doomed] { doomed->reset(); });
 }
 
+// Both sides may have connected at once. Were each to keep the link that came
+// last, they could keep different ones and close both, again and again; so both
+// keep the one that the lesser id opened.
+bool peer_mesh::IsPreferred(const peer_link& link) const {
+  return link.outgoing() == (own_.self.instance < link.peer().instance);
+}
+
 void peer_mesh::OnEstablished(peer_link& link) {
   const instance_id& peer = link.peer().instance;
   auto old = by_peer_.find(peer);
-  // The peer has started again, or both sides connected at once.
-  if (old != by_peer_.end())
+  if (old != by_peer_.end()) {
+    bool same_incarnation = old->second->peer() == link.peer();
+    if (same_incarnation && !IsPreferred(link)) {
+      OnEnded(link, link_end::kClosed);
+      return;
+    }
     OnEnded(*old->second, link_end::kClosed);
+  }
   by_peer_[peer] = &link;
   LogEvent(log_level::kInfo, "peer_up", {{"peer", peer.str()}});
   if (listener_)
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -53,6 +53,7 @@
   void Maintain();
   void CloseIdle();
   void Discard(peer_link& link);
+  bool IsPreferred(const peer_link& link) const;
 
   void OnEstablished(peer_link& link) override;
   void OnMessage(peer_link& link, const peer_message& message) override;
