--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -59,6 +59,7 @@
   std::vector<std::string> spreads = {"uneven"};
   double declared_factor = -1;
   bool by_class = false;
+  bool by_kind = false;
   std::string record;
   std::vector<std::string> traces;
 };
@@ -144,6 +145,16 @@
   PrintRow(s, order, spread.name, load, entries, result);
   if (opt.by_class)
     PrintClasses(d, result);
+  if (opt.by_kind) {
+    double starts = static_cast<double>(result.starts);
+    std::printf(
+        "    bytes per start: demands %.1f, grants %.1f, releases %.1f; "
+        "%.0f starts/s\n",
+        static_cast<double>(result.bytes_by_kind[0]) / starts,
+        static_cast<double>(result.bytes_by_kind[1]) / starts,
+        static_cast<double>(result.bytes_by_kind[2]) / starts,
+        starts / result.seconds);
+  }
   std::fflush(stdout);
   return result.doubled == 0 && result.unfinished == 0;
 }
@@ -222,6 +233,7 @@
   app.add_option("--declared-factor", opt.declared_factor,
                  "declared over real run time; 0: nothing declared");
   app.add_flag("--by-class", opt.by_class, "also a line for each class");
+  app.add_flag("--by-kind", opt.by_kind, "also bytes by kind of message");
   app.add_option("--record", opt.record, "write a trace's jobs to this file");
   app.add_option("--trace", opt.traces, "replay these traces instead");
   CLI11_PARSE(app, argc, argv);
--- a/replay/replay.cc
+++ b/replay/replay.cc
@@ -105,8 +105,8 @@
       jobs_.SetWorkElsewhere([this] {
         int running = static_cast<int>(jobs_.attempts_in_flight());
         return dispatcher::work_elsewhere{
-            granted_->domain_waiting() - jobs_.waiting_tasks(),
-            granted_->domain_running() - running};
+            granted_->work_in_domain().waiting - jobs_.waiting_tasks(),
+            granted_->work_in_domain().running - running};
       });
   }
 
@@ -429,6 +429,7 @@
   uint64_t bytes = EncodeFrame(wrapped, names_).size() + 4;
   ++result_.peer_messages;
   result_.peer_bytes += bytes;
+  result_.bytes_by_kind[message.index()] += bytes;
   bytes_by_entry_[from] += bytes;
   entries_[receiver]->clock().CallAfter(
       FromMilliseconds(deployment_.peer_delay_ms), deliver);
--- a/replay/replay.h
+++ b/replay/replay.h
@@ -4,6 +4,7 @@
 #ifndef REPLAY_REPLAY_H_
 #define REPLAY_REPLAY_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -62,6 +63,8 @@
   uint64_t doubled = 0;
   uint64_t peer_messages = 0;
   uint64_t peer_bytes = 0;
+  // Of demands, grants and releases.
+  std::array<uint64_t, 3> bytes_by_kind{};
   // The most that any one entry instance sent.
   uint64_t most_bytes_of_one = 0;
   double seconds = 0;
--- a/src/admin/state_report.cc
+++ b/src/admin/state_report.cc
@@ -149,13 +149,14 @@
   state["ready"] = not_ready_because.empty();
   state["not_ready_because"] = not_ready_because;
   state["versions"] = VersionsReport(view);
-  state["queue"] = {{"jobs", view.jobs.jobs()},
-                    {"waiting_tasks", view.jobs.waiting_tasks()},
-                    {"running_tasks", view.jobs.attempts_in_flight()},
-                    {"payload_bytes", view.jobs.queued_bytes()},
-                    {"domain_waiting_tasks", view.slots.domain_waiting()},
-                    {"remembered_jobs", view.registry.remembered()},
-                    {"forwarded_requests", view.remote.pending()}};
+  state["queue"] = {
+      {"jobs", view.jobs.jobs()},
+      {"waiting_tasks", view.jobs.waiting_tasks()},
+      {"running_tasks", view.jobs.attempts_in_flight()},
+      {"payload_bytes", view.jobs.queued_bytes()},
+      {"domain_waiting_tasks", view.slots.work_in_domain().waiting},
+      {"remembered_jobs", view.registry.remembered()},
+      {"forwarded_requests", view.remote.pending()}};
   state["slots"] = {{"home", view.homes.home().str()},
                     {"is_home", view.home_side.active()},
                     {"without_home", view.slots.in_fallback()}};
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -93,8 +93,8 @@
   jobs_.SetWorkElsewhere([this] {
     int running = static_cast<int>(jobs_.attempts_in_flight());
     return dispatcher::work_elsewhere{
-        slots_->domain_waiting() - jobs_.waiting_tasks(),
-        slots_->domain_running() - running};
+        slots_->work_in_domain().waiting - jobs_.waiting_tasks(),
+        slots_->work_in_domain().running - running};
   });
   config_.OnChange([this] { OnConfigurationChanged(); });
   membership_.OnChange([this] { OnMembershipChanged(); });
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -11,6 +11,8 @@
 // time is counted on our own clock from before the home's, so a holder that
 // was paused judges its grants lapsed before the home does.
 constexpr duration kGrantLease = std::chrono::seconds(1);
+// More than are sent within a lease.
+constexpr size_t kDemandsRemembered = 1500;
 constexpr duration kHeartbeat = std::chrono::milliseconds(500);
 constexpr duration kFullReportEvery = std::chrono::seconds(2);
 // The home answers every heartbeat; if it has been asked for longer than that
@@ -99,15 +101,14 @@
   asked_at_.reset();
   silence_timer_.Stop();
   last_grant_sequence_ = std::max(last_grant_sequence_, grant.sequence);
-  domain_waiting_ = grant.domain_waiting;
-  domain_running_ = grant.domain_running;
+  if (grant.work)
+    domain_work_ = *grant.work;
   if (in_fallback_) {
     in_fallback_ = false;
     fallback_.Pause();
     full_report_due_ = true;
   }
-  time_point demanded_at{duration(grant.demand_sent_at_us)};
-  bool in_time = clock_.now() - demanded_at <= kGrantLease;
+  bool in_time = IsInTime(grant.demand_sequence);
   for (const granted_slot& slot : grant.slots)
     UseSlot(slot, in_time);
   ReportSoon();
@@ -207,7 +208,7 @@
   FlushReleases();
   time_point now = clock_.now();
   slot_demand demand;
-  demand.sent_at_us = static_cast<uint64_t>(now.time_since_epoch().count());
+  demand.sequence = NumberDemand();
   demand.last_grant_sequence = last_grant_sequence_;
   demand.running = host_.running_by_team();
   demand.full_report =
@@ -243,6 +244,22 @@
   return host_.waiting_tasks() > 0 || !host_.running_by_team().empty();
 }
 
+uint64_t granted_slots::NumberDemand() {
+  demands_sent_.push_back(clock_.now());
+  if (demands_sent_.size() > kDemandsRemembered)
+    demands_sent_.pop_front();
+  return ++demand_sequence_;
+}
+
+// Grants answer one of the last demands, and that one was sent not long ago.
+bool granted_slots::IsInTime(uint64_t demand_sequence) const {
+  uint64_t newer = demand_sequence_ - demand_sequence;
+  if (demand_sequence > demand_sequence_ || newer >= demands_sent_.size())
+    return false;
+  time_point sent = demands_sent_[demands_sent_.size() - 1 - newer];
+  return clock_.now() - sent <= kGrantLease;
+}
+
 void granted_slots::ExpectAnswer() {
   if (asked_at_ || host_.waiting_tasks() == 0)
     return;
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -4,6 +4,7 @@
 #ifndef SRC_POLICY_GRANTED_SLOTS_H_
 #define SRC_POLICY_GRANTED_SLOTS_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -56,8 +57,7 @@
   // True while tasks start without grants.
   bool in_fallback() const { return in_fallback_; }
   // What waits and runs in the whole failure domain, as the home last said.
-  int domain_waiting() const { return domain_waiting_; }
-  int domain_running() const { return domain_running_; }
+  const domain_work& work_in_domain() const { return domain_work_; }
 
  private:
   void OnGrant(const slot_grant& grant);
@@ -72,6 +72,8 @@
   void Heartbeat();
   void ScheduleHeartbeat();
   bool HasBusiness() const;
+  uint64_t NumberDemand();
+  bool IsInTime(uint64_t demand_sequence) const;
   void ExpectAnswer();
   void StartWithoutHome();
   std::vector<upstream_count> InFlight() const;
@@ -88,8 +90,11 @@
   // When the home was first asked since it last said anything.
   std::optional<time_point> asked_at_;
   uint64_t last_grant_sequence_ = 0;
-  int domain_waiting_ = 0;
-  int domain_running_ = 0;
+  domain_work domain_work_;
+  // When the latest demands were sent, the newest last, which has the number
+  // `demand_sequence_`.
+  std::deque<time_point> demands_sent_;
+  uint64_t demand_sequence_ = 0;
 
   // What the home knows of our waiting work: the last report less what was
   // granted since.
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -15,6 +15,8 @@
 // again. If it lives after all, the upstreams refuse what is too much.
 constexpr duration kHolderSilence = std::chrono::seconds(3);
 // Even without grants a holder with demand hears from the home this often.
+constexpr duration kIssueGap = std::chrono::milliseconds(4);
+constexpr duration kTellWorkEvery = std::chrono::milliseconds(100);
 constexpr duration kSignOfLife = std::chrono::milliseconds(400);
 // One slot that others seemed to use is tried again after this.
 constexpr duration kOthersBelieved = std::chrono::seconds(1);
@@ -163,15 +165,17 @@
   return total;
 }
 
-// All messages that are ready in one pass of the loop are answered together:
-// the busier the home, the larger its batches.
+// A pass soon after the last one waits a little, so that a busy home puts more
+// grants into each message; after a pause it answers at once.
 void slot_home::ScheduleIssue() {
   if (!active_ || !ReadyToGrant())
     return;
-  issue_timer_.StartAfter(duration::zero(), [this] { Issue(); });
+  time_point when = std::max(clock_.now(), issued_ + kIssueGap);
+  issue_timer_.StartAt(when, [this] { Issue(); });
 }
 
 void slot_home::Issue() {
+  issued_ = clock_.now();
   ForgetOthers();
   while (GrantOne()) {
   }
@@ -271,7 +275,7 @@
         health_.slowness(id, clock_.now()) < kSlow)
       normal_slots += slots.info.slots;
   }
-  return DomainWaiting() >= normal_slots * (slowness - 1);
+  return Work().waiting >= normal_slots * (slowness - 1);
 }
 
 bool slot_home::HasRoom(const holder& h, const upstream_slots& slots) const {
@@ -330,10 +334,12 @@
 void slot_home::Send(const instance_id& to, holder& h) {
   slot_grant grant;
   grant.sequence = ++h.last_sequence;
-  grant.demand_sent_at_us = h.demand.sent_at_us;
+  grant.demand_sequence = h.demand.sequence;
   grant.slots = std::exchange(h.outgoing, {});
-  grant.domain_waiting = DomainWaiting();
-  grant.domain_running = held();
+  if (clock_.now() - h.work_told >= kTellWorkEvery) {
+    grant.work = Work();
+    h.work_told = clock_.now();
+  }
   for (const granted_slot& slot : grant.slots)
     h.unacknowledged.emplace_back(grant.sequence, slot);
   h.last_sent = clock_.now();
@@ -407,13 +413,14 @@
   return running;
 }
 
-int slot_home::DomainWaiting() const {
-  int waiting = 0;
+domain_work slot_home::Work() const {
+  domain_work work;
+  work.running = held();
   for (const auto& [id, h] : holders_) {
     for (const waiting_entry& entry : h.waiting)
-      waiting += entry.demand.tasks;
+      work.waiting += entry.demand.tasks;
   }
-  return waiting;
+  return work;
 }
 
 }  // namespace jasminedyke
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -71,6 +71,8 @@
     std::deque<std::pair<uint64_t, granted_slot>> unacknowledged;
     time_point last_heard;
     time_point last_sent;
+    // When the domain's work was last told.
+    time_point work_told;
     bool reported = false;
     // What the pass under way will send.
     std::vector<granted_slot> outgoing;
@@ -106,7 +108,7 @@
   void DropHolder(const instance_id& id);
   bool ReadyToGrant() const;
   int RunningOfTeam(const team_id& team) const;
-  int DomainWaiting() const;
+  domain_work Work() const;
 
   scheduler& clock_;
   failure_domain_id domain_;
@@ -116,6 +118,7 @@
   upstream_health health_;
   bool active_ = false;
   time_point started_;
+  time_point issued_;
   std::vector<instance_id> live_holders_;
   // Entry instances that are listed as live and can't be reached.
   size_t unreachable_ = 0;
--- a/src/policy/slot_messages.h
+++ b/src/policy/slot_messages.h
@@ -5,6 +5,7 @@
 #define SRC_POLICY_SLOT_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -41,8 +42,8 @@
 // From an entry instance to the home of its failure domain: all that it wants
 // and holds. Each one replaces the one before.
 struct slot_demand {
-  // The sender's clock, handed back in grants; it means nothing to others.
-  uint64_t sent_at_us = 0;
+  // Counts the sender's demands; handed back in grants.
+  uint64_t sequence = 0;
   // The last grant message that the sender had when it sent this.
   uint64_t last_grant_sequence = 0;
   // Best first.
@@ -64,17 +65,23 @@
   bool operator==(const granted_slot&) const = default;
 };
 
+struct domain_work {
+  int waiting = 0;
+  int running = 0;
+
+  bool operator==(const domain_work&) const = default;
+};
+
 // From the home: slots that the receiver may start tasks on, and a sign of
 // life if there are none.
 struct slot_grant {
   uint64_t sequence = 0;
-  // `sent_at_us` of the newest demand that the home knew.
-  uint64_t demand_sent_at_us = 0;
+  // Of the newest demand that the home knew.
+  uint64_t demand_sequence = 0;
   std::vector<granted_slot> slots;
   // All waiting and running tasks of the failure domain that the home knows
-  // of.
-  int domain_waiting = 0;
-  int domain_running = 0;
+  // of. Nothing: about as before.
+  std::optional<domain_work> work;
 };
 
 // How an attempt on a granted slot ended, as far as it tells about the
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <memory>
+#include <set>
 #include <utility>
 
 #include <peer_types.h>
@@ -37,16 +38,22 @@
   return static_cast<int32_t>(std::clamp(rank * 1000, -kLimit, kLimit));
 }
 
+// What most releases say and therefore leave out: answered, about in time.
+bool IsUsual(const released_slot& slot) {
+  return slot.result != slot_result::kAnswered ||
+         std::abs(slot.slowness - 1) < 0.25;
+}
+
 int8_t SlownessToTenths(double slowness) {
   constexpr double kLimit = std::numeric_limits<int8_t>::max();
-  return static_cast<int8_t>(std::clamp(slowness * 10, 1.0, kLimit));
+  return static_cast<int8_t>(std::clamp(slowness * 10, 0.0, kLimit));
 }
 
 // Messages to the wire.
 
 wire::slot_demand ToWire(const slot_demand& demand, const wire_names& names) {
   wire::slot_demand wire;
-  wire.sent_at_us = static_cast<int64_t>(demand.sent_at_us);
+  wire.sequence = static_cast<int64_t>(demand.sequence);
   wire.last_grant_sequence = static_cast<int64_t>(demand.last_grant_sequence);
   if (!demand.waiting.empty()) {
     wire.__set_waiting(ConvertAll(demand.waiting, [&](const demand_entry& e) {
@@ -85,21 +92,25 @@
 wire::slot_grant ToWire(const slot_grant& grant, const wire_names& names) {
   wire::slot_grant wire;
   wire.sequence = static_cast<int64_t>(grant.sequence);
-  wire.demand_sent_at_us = static_cast<int64_t>(grant.demand_sent_at_us);
-  if (!grant.slots.empty()) {
-    wire.__set_slots(ConvertAll(grant.slots, [&](const granted_slot& s) {
-      wire::granted_slot slot;
-      slot.upstream = names.ToWire(s.upstream.str());
-      slot.team = names.ToWire(s.team.str());
-      if (s.trial)
-        slot.__set_trial(true);
-      return slot;
-    }));
+  wire.demand_sequence = static_cast<int64_t>(grant.demand_sequence);
+  std::set<team_id> teams;
+  for (const granted_slot& slot : grant.slots)
+    teams.insert(slot.team);
+  for (size_t i = 0; i < grant.slots.size(); ++i) {
+    const granted_slot& slot = grant.slots[i];
+    wire.upstreams.push_back(names.ToWire(slot.upstream.str()));
+    if (i == 0 || teams.size() > 1)
+      wire.teams.push_back(names.ToWire(slot.team.str()));
+    if (slot.trial)
+      wire.trials.push_back(static_cast<int32_t>(i));
+  }
+  wire.__isset.upstreams = !wire.upstreams.empty();
+  wire.__isset.teams = !wire.teams.empty();
+  wire.__isset.trials = !wire.trials.empty();
+  if (grant.work) {
+    wire.__set_domain_waiting(grant.work->waiting);
+    wire.__set_domain_running(grant.work->running);
   }
-  if (grant.domain_waiting > 0)
-    wire.__set_domain_waiting(grant.domain_waiting);
-  if (grant.domain_running > 0)
-    wire.__set_domain_running(grant.domain_running);
   return wire;
 }
 
@@ -109,8 +120,9 @@
   wire.slots = ConvertAll(release.slots, [&](const released_slot& s) {
     wire::released_slot slot;
     slot.upstream = names.ToWire(s.upstream.str());
-    slot.result = static_cast<int8_t>(s.result);
-    if (s.slowness > 0)
+    if (s.result != slot_result::kAnswered)
+      slot.__set_result(static_cast<int8_t>(s.result));
+    if (!IsUsual(s))
       slot.__set_slowness(SlownessToTenths(s.slowness));
     return slot;
   });
@@ -216,7 +228,7 @@
 
 slot_demand FromWire(const wire::slot_demand& wire, const wire_names& names) {
   slot_demand demand;
-  demand.sent_at_us = static_cast<uint64_t>(wire.sent_at_us);
+  demand.sequence = static_cast<uint64_t>(wire.sequence);
   demand.last_grant_sequence = static_cast<uint64_t>(wire.last_grant_sequence);
   for (const wire::demand_entry& entry : wire.waiting) {
     team_id team(names.FromWire(entry.team));
@@ -246,14 +258,20 @@
 slot_grant FromWire(const wire::slot_grant& wire, const wire_names& names) {
   slot_grant grant;
   grant.sequence = static_cast<uint64_t>(wire.sequence);
-  grant.demand_sent_at_us = static_cast<uint64_t>(wire.demand_sent_at_us);
-  grant.domain_waiting = wire.domain_waiting;
-  grant.domain_running = wire.domain_running;
-  for (const wire::granted_slot& slot : wire.slots) {
-    upstream_id upstream(names.FromWire(slot.upstream));
-    team_id team(names.FromWire(slot.team));
+  grant.demand_sequence = static_cast<uint64_t>(wire.demand_sequence);
+  if (wire.__isset.domain_waiting && wire.__isset.domain_running)
+    grant.work = domain_work{wire.domain_waiting, wire.domain_running};
+  for (size_t i = 0; i < wire.upstreams.size(); ++i) {
+    // One team stands for all.
+    size_t team_at = wire.teams.size() == 1 ? 0 : i;
+    if (team_at >= wire.teams.size())
+      break;
+    upstream_id upstream(names.FromWire(wire.upstreams[i]));
+    team_id team(names.FromWire(wire.teams[team_at]));
+    bool trial = std::ranges::find(wire.trials, static_cast<int32_t>(i)) !=
+                 wire.trials.end();
     if (!upstream.empty() && !team.empty())
-      grant.slots.push_back({upstream, team, slot.trial});
+      grant.slots.push_back({upstream, team, trial});
   }
   return grant;
 }
@@ -262,12 +280,16 @@
   slot_release release;
   for (const wire::released_slot& slot : wire.slots) {
     upstream_id upstream(names.FromWire(slot.upstream));
+    released_slot released{upstream, slot_result::kAnswered, 0};
+    if (slot.__isset.result)
+      released.result = static_cast<slot_result>(slot.result);
+    else
+      released.slowness = slot.__isset.slowness ? slot.slowness / 10.0 : 1;
     bool known_result =
         slot.result >= 0 &&
         slot.result <= static_cast<int8_t>(slot_result::kStopped);
     if (!upstream.empty() && known_result)
-      release.slots.push_back({upstream, static_cast<slot_result>(slot.result),
-                               slot.slowness / 10.0});
+      release.slots.push_back(released);
   }
   return release;
 }
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -577,8 +577,8 @@
 }
 
 
-void slot_demand::__set_sent_at_us(const int64_t val) {
-  this->sent_at_us = val;
+void slot_demand::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
 void slot_demand::__set_last_grant_sequence(const int64_t val) {
@@ -639,8 +639,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_at_us);
-          this->__isset.sent_at_us = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -758,8 +758,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("slot_demand");
 
-  xfer += oprot->writeFieldBegin("sent_at_us", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sent_at_us);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("last_grant_sequence", ::apache::thrift::protocol::T_I64, 2);
@@ -830,7 +830,7 @@
 
 void swap(slot_demand &a, slot_demand &b) {
   using ::std::swap;
-  swap(a.sent_at_us, b.sent_at_us);
+  swap(a.sequence, b.sequence);
   swap(a.last_grant_sequence, b.last_grant_sequence);
   swap(a.waiting, b.waiting);
   swap(a.running, b.running);
@@ -841,7 +841,7 @@
 }
 
 slot_demand::slot_demand(const slot_demand& other32) {
-  sent_at_us = other32.sent_at_us;
+  sequence = other32.sequence;
   last_grant_sequence = other32.last_grant_sequence;
   waiting = other32.waiting;
   running = other32.running;
@@ -851,7 +851,7 @@
   __isset = other32.__isset;
 }
 slot_demand& slot_demand::operator=(const slot_demand& other33) {
-  sent_at_us = other33.sent_at_us;
+  sequence = other33.sequence;
   last_grant_sequence = other33.last_grant_sequence;
   waiting = other33.waiting;
   running = other33.running;
@@ -864,7 +864,7 @@
 void slot_demand::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "slot_demand(";
-  out << "sent_at_us=" << to_string(sent_at_us);
+  out << "sequence=" << to_string(sequence);
   out << ", " << "last_grant_sequence=" << to_string(last_grant_sequence);
   out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
   out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
@@ -875,155 +875,31 @@
 }
 
 
-granted_slot::~granted_slot() noexcept {
-}
-
-
-void granted_slot::__set_upstream(const int32_t val) {
-  this->upstream = val;
-}
-
-void granted_slot::__set_team(const int32_t val) {
-  this->team = val;
-}
-
-void granted_slot::__set_trial(const bool val) {
-  this->trial = val;
-__isset.trial = true;
-}
-std::ostream& operator<<(std::ostream& out, const granted_slot& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t granted_slot::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->upstream);
-          this->__isset.upstream = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->team);
-          this->__isset.team = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->trial);
-          this->__isset.trial = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t granted_slot::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("granted_slot");
-
-  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->upstream);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->team);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.trial) {
-    xfer += oprot->writeFieldBegin("trial", ::apache::thrift::protocol::T_BOOL, 3);
-    xfer += oprot->writeBool(this->trial);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
+slot_grant::~slot_grant() noexcept {
 }
 
-void swap(granted_slot &a, granted_slot &b) {
-  using ::std::swap;
-  swap(a.upstream, b.upstream);
-  swap(a.team, b.team);
-  swap(a.trial, b.trial);
-  swap(a.__isset, b.__isset);
-}
 
-granted_slot::granted_slot(const granted_slot& other34) noexcept {
-  upstream = other34.upstream;
-  team = other34.team;
-  trial = other34.trial;
-  __isset = other34.__isset;
-}
-granted_slot& granted_slot::operator=(const granted_slot& other35) noexcept {
-  upstream = other35.upstream;
-  team = other35.team;
-  trial = other35.trial;
-  __isset = other35.__isset;
-  return *this;
-}
-void granted_slot::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "granted_slot(";
-  out << "upstream=" << to_string(upstream);
-  out << ", " << "team=" << to_string(team);
-  out << ", " << "trial="; (__isset.trial ? (out << to_string(trial)) : (out << "<null>"));
-  out << ")";
+void slot_grant::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
 
-
-slot_grant::~slot_grant() noexcept {
+void slot_grant::__set_demand_sequence(const int64_t val) {
+  this->demand_sequence = val;
 }
 
-
-void slot_grant::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void slot_grant::__set_upstreams(const std::vector<int32_t> & val) {
+  this->upstreams = val;
+__isset.upstreams = true;
 }
 
-void slot_grant::__set_demand_sent_at_us(const int64_t val) {
-  this->demand_sent_at_us = val;
+void slot_grant::__set_teams(const std::vector<int32_t> & val) {
+  this->teams = val;
+__isset.teams = true;
 }
 
-void slot_grant::__set_slots(const std::vector<granted_slot> & val) {
-  this->slots = val;
-__isset.slots = true;
+void slot_grant::__set_trials(const std::vector<int32_t> & val) {
+  this->trials = val;
+__isset.trials = true;
 }
 
 void slot_grant::__set_domain_waiting(const int32_t val) {
@@ -1073,8 +949,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->demand_sent_at_us);
-          this->__isset.demand_sent_at_us = true;
+          xfer += iprot->readI64(this->demand_sequence);
+          this->__isset.demand_sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1082,19 +958,59 @@
       case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->slots.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->slots.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            this->upstreams.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->upstreams.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->slots[_i40].read(iprot);
+              xfer += iprot->readI32(this->upstreams[_i38]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.slots = true;
+          this->__isset.upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->teams.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->teams.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
+            {
+              xfer += iprot->readI32(this->teams[_i43]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.teams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->trials.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->trials.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += iprot->readI32(this->trials[_i48]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.trials = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1136,18 +1052,18 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("demand_sent_at_us", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->demand_sent_at_us);
+  xfer += oprot->writeFieldBegin("demand_sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->demand_sequence);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.slots) {
-    xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 3);
+  if (this->__isset.upstreams) {
+    xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 3);
     {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
-      std::vector<granted_slot> ::const_iterator _iter41;
-      for (_iter41 = this->slots.begin(); _iter41 != this->slots.end(); ++_iter41)
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->upstreams.size()));
+      std::vector<int32_t> ::const_iterator _iter49;
+      for (_iter49 = this->upstreams.begin(); _iter49 != this->upstreams.end(); ++_iter49)
       {
-        xfer += (*_iter41).write(oprot);
+        xfer += oprot->writeI32((*_iter49));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1163,6 +1079,32 @@
     xfer += oprot->writeI32(this->domain_running);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.teams) {
+    xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->teams.size()));
+      std::vector<int32_t> ::const_iterator _iter50;
+      for (_iter50 = this->teams.begin(); _iter50 != this->teams.end(); ++_iter50)
+      {
+        xfer += oprot->writeI32((*_iter50));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.trials) {
+    xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->trials.size()));
+      std::vector<int32_t> ::const_iterator _iter51;
+      for (_iter51 = this->trials.begin(); _iter51 != this->trials.end(); ++_iter51)
+      {
+        xfer += oprot->writeI32((*_iter51));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1171,36 +1113,44 @@
 void swap(slot_grant &a, slot_grant &b) {
   using ::std::swap;
   swap(a.sequence, b.sequence);
-  swap(a.demand_sent_at_us, b.demand_sent_at_us);
-  swap(a.slots, b.slots);
+  swap(a.demand_sequence, b.demand_sequence);
+  swap(a.upstreams, b.upstreams);
+  swap(a.teams, b.teams);
+  swap(a.trials, b.trials);
   swap(a.domain_waiting, b.domain_waiting);
   swap(a.domain_running, b.domain_running);
   swap(a.__isset, b.__isset);
 }
 
-slot_grant::slot_grant(const slot_grant& other42) {
-  sequence = other42.sequence;
-  demand_sent_at_us = other42.demand_sent_at_us;
-  slots = other42.slots;
-  domain_waiting = other42.domain_waiting;
-  domain_running = other42.domain_running;
-  __isset = other42.__isset;
-}
-slot_grant& slot_grant::operator=(const slot_grant& other43) {
-  sequence = other43.sequence;
-  demand_sent_at_us = other43.demand_sent_at_us;
-  slots = other43.slots;
-  domain_waiting = other43.domain_waiting;
-  domain_running = other43.domain_running;
-  __isset = other43.__isset;
+slot_grant::slot_grant(const slot_grant& other52) {
+  sequence = other52.sequence;
+  demand_sequence = other52.demand_sequence;
+  upstreams = other52.upstreams;
+  teams = other52.teams;
+  trials = other52.trials;
+  domain_waiting = other52.domain_waiting;
+  domain_running = other52.domain_running;
+  __isset = other52.__isset;
+}
+slot_grant& slot_grant::operator=(const slot_grant& other53) {
+  sequence = other53.sequence;
+  demand_sequence = other53.demand_sequence;
+  upstreams = other53.upstreams;
+  teams = other53.teams;
+  trials = other53.trials;
+  domain_waiting = other53.domain_waiting;
+  domain_running = other53.domain_running;
+  __isset = other53.__isset;
   return *this;
 }
 void slot_grant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "slot_grant(";
   out << "sequence=" << to_string(sequence);
-  out << ", " << "demand_sent_at_us=" << to_string(demand_sent_at_us);
-  out << ", " << "slots="; (__isset.slots ? (out << to_string(slots)) : (out << "<null>"));
+  out << ", " << "demand_sequence=" << to_string(demand_sequence);
+  out << ", " << "upstreams="; (__isset.upstreams ? (out << to_string(upstreams)) : (out << "<null>"));
+  out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
+  out << ", " << "trials="; (__isset.trials ? (out << to_string(trials)) : (out << "<null>"));
   out << ", " << "domain_waiting="; (__isset.domain_waiting ? (out << to_string(domain_waiting)) : (out << "<null>"));
   out << ", " << "domain_running="; (__isset.domain_running ? (out << to_string(domain_running)) : (out << "<null>"));
   out << ")";
@@ -1217,6 +1167,7 @@
 
 void released_slot::__set_result(const int8_t val) {
   this->result = val;
+__isset.result = true;
 }
 
 void released_slot::__set_slowness(const int8_t val) {
@@ -1296,10 +1247,11 @@
   xfer += oprot->writeI32(this->upstream);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_BYTE, 2);
-  xfer += oprot->writeByte(this->result);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.result) {
+    xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_BYTE, 2);
+    xfer += oprot->writeByte(this->result);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.slowness) {
     xfer += oprot->writeFieldBegin("slowness", ::apache::thrift::protocol::T_BYTE, 3);
     xfer += oprot->writeByte(this->slowness);
@@ -1318,24 +1270,24 @@
   swap(a.__isset, b.__isset);
 }
 
-released_slot::released_slot(const released_slot& other44) noexcept {
-  upstream = other44.upstream;
-  result = other44.result;
-  slowness = other44.slowness;
-  __isset = other44.__isset;
+released_slot::released_slot(const released_slot& other54) noexcept {
+  upstream = other54.upstream;
+  result = other54.result;
+  slowness = other54.slowness;
+  __isset = other54.__isset;
 }
-released_slot& released_slot::operator=(const released_slot& other45) noexcept {
-  upstream = other45.upstream;
-  result = other45.result;
-  slowness = other45.slowness;
-  __isset = other45.__isset;
+released_slot& released_slot::operator=(const released_slot& other55) noexcept {
+  upstream = other55.upstream;
+  result = other55.result;
+  slowness = other55.slowness;
+  __isset = other55.__isset;
   return *this;
 }
 void released_slot::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "released_slot(";
   out << "upstream=" << to_string(upstream);
-  out << ", " << "result=" << to_string(result);
+  out << ", " << "result="; (__isset.result ? (out << to_string(result)) : (out << "<null>"));
   out << ", " << "slowness="; (__isset.slowness ? (out << to_string(slowness)) : (out << "<null>"));
   out << ")";
 }
@@ -1380,14 +1332,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slots.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->slots.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->slots.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->slots[_i50].read(iprot);
+              xfer += this->slots[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1416,10 +1368,10 @@
   xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
-    std::vector<released_slot> ::const_iterator _iter51;
-    for (_iter51 = this->slots.begin(); _iter51 != this->slots.end(); ++_iter51)
+    std::vector<released_slot> ::const_iterator _iter61;
+    for (_iter61 = this->slots.begin(); _iter61 != this->slots.end(); ++_iter61)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1436,13 +1388,13 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_release::slot_release(const slot_release& other52) {
-  slots = other52.slots;
-  __isset = other52.__isset;
+slot_release::slot_release(const slot_release& other62) {
+  slots = other62.slots;
+  __isset = other62.__isset;
 }
-slot_release& slot_release::operator=(const slot_release& other53) {
-  slots = other53.slots;
-  __isset = other53.__isset;
+slot_release& slot_release::operator=(const slot_release& other63) {
+  slots = other63.slots;
+  __isset = other63.__isset;
   return *this;
 }
 void slot_release::printTo(std::ostream& out) const {
@@ -1545,15 +1497,15 @@
   swap(a.__isset, b.__isset);
 }
 
-instance_version::instance_version(const instance_version& other54) {
-  instance = other54.instance;
-  config_version = other54.config_version;
-  __isset = other54.__isset;
+instance_version::instance_version(const instance_version& other64) {
+  instance = other64.instance;
+  config_version = other64.config_version;
+  __isset = other64.__isset;
 }
-instance_version& instance_version::operator=(const instance_version& other55) {
-  instance = other55.instance;
-  config_version = other55.config_version;
-  __isset = other55.__isset;
+instance_version& instance_version::operator=(const instance_version& other65) {
+  instance = other65.instance;
+  config_version = other65.config_version;
+  __isset = other65.__isset;
   return *this;
 }
 void instance_version::printTo(std::ostream& out) const {
@@ -1642,14 +1594,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->in_force.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->in_force.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->in_force.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->in_force[_i60].read(iprot);
+              xfer += this->in_force[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1692,10 +1644,10 @@
     xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->in_force.size()));
-      std::vector<instance_version> ::const_iterator _iter61;
-      for (_iter61 = this->in_force.begin(); _iter61 != this->in_force.end(); ++_iter61)
+      std::vector<instance_version> ::const_iterator _iter71;
+      for (_iter71 = this->in_force.begin(); _iter71 != this->in_force.end(); ++_iter71)
       {
-        xfer += (*_iter61).write(oprot);
+        xfer += (*_iter71).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1715,19 +1667,19 @@
   swap(a.__isset, b.__isset);
 }
 
-status::status(const status& other62) {
-  config_version = other62.config_version;
-  membership_version = other62.membership_version;
-  leaving = other62.leaving;
-  in_force = other62.in_force;
-  __isset = other62.__isset;
+status::status(const status& other72) {
+  config_version = other72.config_version;
+  membership_version = other72.membership_version;
+  leaving = other72.leaving;
+  in_force = other72.in_force;
+  __isset = other72.__isset;
 }
-status& status::operator=(const status& other63) {
-  config_version = other63.config_version;
-  membership_version = other63.membership_version;
-  leaving = other63.leaving;
-  in_force = other63.in_force;
-  __isset = other63.__isset;
+status& status::operator=(const status& other73) {
+  config_version = other73.config_version;
+  membership_version = other73.membership_version;
+  leaving = other73.leaving;
+  in_force = other73.in_force;
+  __isset = other73.__isset;
   return *this;
 }
 void status::printTo(std::ostream& out) const {
@@ -1778,9 +1730,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast64;
-          xfer += iprot->readI32(ecast64);
-          this->kind = static_cast<document_kind::type>(ecast64);
+          int32_t ecast74;
+          xfer += iprot->readI32(ecast74);
+          this->kind = static_cast<document_kind::type>(ecast74);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1818,13 +1770,13 @@
   swap(a.__isset, b.__isset);
 }
 
-document_request::document_request(const document_request& other65) noexcept {
-  kind = other65.kind;
-  __isset = other65.__isset;
+document_request::document_request(const document_request& other75) noexcept {
+  kind = other75.kind;
+  __isset = other75.__isset;
 }
-document_request& document_request::operator=(const document_request& other66) noexcept {
-  kind = other66.kind;
-  __isset = other66.__isset;
+document_request& document_request::operator=(const document_request& other76) noexcept {
+  kind = other76.kind;
+  __isset = other76.__isset;
   return *this;
 }
 void document_request::printTo(std::ostream& out) const {
@@ -1880,9 +1832,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast67;
-          xfer += iprot->readI32(ecast67);
-          this->kind = static_cast<document_kind::type>(ecast67);
+          int32_t ecast77;
+          xfer += iprot->readI32(ecast77);
+          this->kind = static_cast<document_kind::type>(ecast77);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1946,17 +1898,17 @@
   swap(a.__isset, b.__isset);
 }
 
-document::document(const document& other68) {
-  kind = other68.kind;
-  version = other68.version;
-  json = other68.json;
-  __isset = other68.__isset;
+document::document(const document& other78) {
+  kind = other78.kind;
+  version = other78.version;
+  json = other78.json;
+  __isset = other78.__isset;
 }
-document& document::operator=(const document& other69) {
-  kind = other69.kind;
-  version = other69.version;
-  json = other69.json;
-  __isset = other69.__isset;
+document& document::operator=(const document& other79) {
+  kind = other79.kind;
+  version = other79.version;
+  json = other79.json;
+  __isset = other79.__isset;
   return *this;
 }
 void document::printTo(std::ostream& out) const {
@@ -2114,21 +2066,21 @@
   swap(a.__isset, b.__isset);
 }
 
-job_request::job_request(const job_request& other70) {
-  number = other70.number;
-  operation = other70.operation;
-  job = other70.job;
-  team = other70.team;
-  body = other70.body;
-  __isset = other70.__isset;
-}
-job_request& job_request::operator=(const job_request& other71) {
-  number = other71.number;
-  operation = other71.operation;
-  job = other71.job;
-  team = other71.team;
-  body = other71.body;
-  __isset = other71.__isset;
+job_request::job_request(const job_request& other80) {
+  number = other80.number;
+  operation = other80.operation;
+  job = other80.job;
+  team = other80.team;
+  body = other80.body;
+  __isset = other80.__isset;
+}
+job_request& job_request::operator=(const job_request& other81) {
+  number = other81.number;
+  operation = other81.operation;
+  job = other81.job;
+  team = other81.team;
+  body = other81.body;
+  __isset = other81.__isset;
   return *this;
 }
 void job_request::printTo(std::ostream& out) const {
@@ -2235,15 +2187,15 @@
   swap(a.__isset, b.__isset);
 }
 
-header::header(const header& other72) {
-  name = other72.name;
-  value = other72.value;
-  __isset = other72.__isset;
+header::header(const header& other82) {
+  name = other82.name;
+  value = other82.value;
+  __isset = other82.__isset;
 }
-header& header::operator=(const header& other73) {
-  name = other73.name;
-  value = other73.value;
-  __isset = other73.__isset;
+header& header::operator=(const header& other83) {
+  name = other83.name;
+  value = other83.value;
+  __isset = other83.__isset;
   return *this;
 }
 void header::printTo(std::ostream& out) const {
@@ -2322,14 +2274,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->headers.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->headers.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->headers[_i78].read(iprot);
+              xfer += this->headers[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2374,10 +2326,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<header> ::const_iterator _iter79;
-    for (_iter79 = this->headers.begin(); _iter79 != this->headers.end(); ++_iter79)
+    std::vector<header> ::const_iterator _iter89;
+    for (_iter89 = this->headers.begin(); _iter89 != this->headers.end(); ++_iter89)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2401,19 +2353,19 @@
   swap(a.__isset, b.__isset);
 }
 
-job_reply::job_reply(const job_reply& other80) {
-  number = other80.number;
-  status = other80.status;
-  headers = other80.headers;
-  body = other80.body;
-  __isset = other80.__isset;
+job_reply::job_reply(const job_reply& other90) {
+  number = other90.number;
+  status = other90.status;
+  headers = other90.headers;
+  body = other90.body;
+  __isset = other90.__isset;
 }
-job_reply& job_reply::operator=(const job_reply& other81) {
-  number = other81.number;
-  status = other81.status;
-  headers = other81.headers;
-  body = other81.body;
-  __isset = other81.__isset;
+job_reply& job_reply::operator=(const job_reply& other91) {
+  number = other91.number;
+  status = other91.status;
+  headers = other91.headers;
+  body = other91.body;
+  __isset = other91.__isset;
   return *this;
 }
 void job_reply::printTo(std::ostream& out) const {
@@ -2675,31 +2627,31 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other82) {
-  hello_message = other82.hello_message;
-  proof_message = other82.proof_message;
-  demand = other82.demand;
-  grant = other82.grant;
-  release = other82.release;
-  status_message = other82.status_message;
-  wanted = other82.wanted;
-  document_message = other82.document_message;
-  request = other82.request;
-  reply = other82.reply;
-  __isset = other82.__isset;
-}
-frame& frame::operator=(const frame& other83) {
-  hello_message = other83.hello_message;
-  proof_message = other83.proof_message;
-  demand = other83.demand;
-  grant = other83.grant;
-  release = other83.release;
-  status_message = other83.status_message;
-  wanted = other83.wanted;
-  document_message = other83.document_message;
-  request = other83.request;
-  reply = other83.reply;
-  __isset = other83.__isset;
+frame::frame(const frame& other92) {
+  hello_message = other92.hello_message;
+  proof_message = other92.proof_message;
+  demand = other92.demand;
+  grant = other92.grant;
+  release = other92.release;
+  status_message = other92.status_message;
+  wanted = other92.wanted;
+  document_message = other92.document_message;
+  request = other92.request;
+  reply = other92.reply;
+  __isset = other92.__isset;
+}
+frame& frame::operator=(const frame& other93) {
+  hello_message = other93.hello_message;
+  proof_message = other93.proof_message;
+  demand = other93.demand;
+  grant = other93.grant;
+  release = other93.release;
+  status_message = other93.status_message;
+  wanted = other93.wanted;
+  document_message = other93.document_message;
+  request = other93.request;
+  reply = other93.reply;
+  __isset = other93.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -44,8 +44,6 @@
 
 class slot_demand;
 
-class granted_slot;
-
 class slot_grant;
 
 class released_slot;
@@ -299,8 +297,8 @@
 std::ostream& operator<<(std::ostream& out, const count& obj);
 
 typedef struct _slot_demand__isset {
-  _slot_demand__isset() : sent_at_us(false), last_grant_sequence(false), waiting(false), running(false), full_report(false), held(false), quarantined(false) {}
-  bool sent_at_us :1;
+  _slot_demand__isset() : sequence(false), last_grant_sequence(false), waiting(false), running(false), full_report(false), held(false), quarantined(false) {}
+  bool sequence :1;
   bool last_grant_sequence :1;
   bool waiting :1;
   bool running :1;
@@ -315,13 +313,13 @@
   slot_demand(const slot_demand&);
   slot_demand& operator=(const slot_demand&);
   slot_demand() noexcept
-              : sent_at_us(0),
+              : sequence(0),
                 last_grant_sequence(0),
                 full_report(0) {
   }
 
   virtual ~slot_demand() noexcept;
-  int64_t sent_at_us;
+  int64_t sequence;
   int64_t last_grant_sequence;
   std::vector<demand_entry>  waiting;
   std::vector<count>  running;
@@ -331,7 +329,7 @@
 
   _slot_demand__isset __isset;
 
-  void __set_sent_at_us(const int64_t val);
+  void __set_sequence(const int64_t val);
 
   void __set_last_grant_sequence(const int64_t val);
 
@@ -347,7 +345,7 @@
 
   bool operator == (const slot_demand & rhs) const
   {
-    if (!(sent_at_us == rhs.sent_at_us))
+    if (!(sequence == rhs.sequence))
       return false;
     if (!(last_grant_sequence == rhs.last_grant_sequence))
       return false;
@@ -389,70 +387,13 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_demand& obj);
 
-typedef struct _granted_slot__isset {
-  _granted_slot__isset() : upstream(false), team(false), trial(false) {}
-  bool upstream :1;
-  bool team :1;
-  bool trial :1;
-} _granted_slot__isset;
-
-class granted_slot : public virtual ::apache::thrift::TBase {
- public:
-
-  granted_slot(const granted_slot&) noexcept;
-  granted_slot& operator=(const granted_slot&) noexcept;
-  granted_slot() noexcept
-               : upstream(0),
-                 team(0),
-                 trial(0) {
-  }
-
-  virtual ~granted_slot() noexcept;
-  int32_t upstream;
-  int32_t team;
-  bool trial;
-
-  _granted_slot__isset __isset;
-
-  void __set_upstream(const int32_t val);
-
-  void __set_team(const int32_t val);
-
-  void __set_trial(const bool val);
-
-  bool operator == (const granted_slot & rhs) const
-  {
-    if (!(upstream == rhs.upstream))
-      return false;
-    if (!(team == rhs.team))
-      return false;
-    if (__isset.trial != rhs.__isset.trial)
-      return false;
-    else if (__isset.trial && !(trial == rhs.trial))
-      return false;
-    return true;
-  }
-  bool operator != (const granted_slot &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const granted_slot & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(granted_slot &a, granted_slot &b);
-
-std::ostream& operator<<(std::ostream& out, const granted_slot& obj);
-
 typedef struct _slot_grant__isset {
-  _slot_grant__isset() : sequence(false), demand_sent_at_us(false), slots(false), domain_waiting(false), domain_running(false) {}
+  _slot_grant__isset() : sequence(false), demand_sequence(false), upstreams(false), teams(false), trials(false), domain_waiting(false), domain_running(false) {}
   bool sequence :1;
-  bool demand_sent_at_us :1;
-  bool slots :1;
+  bool demand_sequence :1;
+  bool upstreams :1;
+  bool teams :1;
+  bool trials :1;
   bool domain_waiting :1;
   bool domain_running :1;
 } _slot_grant__isset;
@@ -464,15 +405,17 @@
   slot_grant& operator=(const slot_grant&);
   slot_grant() noexcept
              : sequence(0),
-               demand_sent_at_us(0),
+               demand_sequence(0),
                domain_waiting(0),
                domain_running(0) {
   }
 
   virtual ~slot_grant() noexcept;
   int64_t sequence;
-  int64_t demand_sent_at_us;
-  std::vector<granted_slot>  slots;
+  int64_t demand_sequence;
+  std::vector<int32_t>  upstreams;
+  std::vector<int32_t>  teams;
+  std::vector<int32_t>  trials;
   int32_t domain_waiting;
   int32_t domain_running;
 
@@ -480,9 +423,13 @@
 
   void __set_sequence(const int64_t val);
 
-  void __set_demand_sent_at_us(const int64_t val);
+  void __set_demand_sequence(const int64_t val);
+
+  void __set_upstreams(const std::vector<int32_t> & val);
 
-  void __set_slots(const std::vector<granted_slot> & val);
+  void __set_teams(const std::vector<int32_t> & val);
+
+  void __set_trials(const std::vector<int32_t> & val);
 
   void __set_domain_waiting(const int32_t val);
 
@@ -492,11 +439,19 @@
   {
     if (!(sequence == rhs.sequence))
       return false;
-    if (!(demand_sent_at_us == rhs.demand_sent_at_us))
+    if (!(demand_sequence == rhs.demand_sequence))
+      return false;
+    if (__isset.upstreams != rhs.__isset.upstreams)
+      return false;
+    else if (__isset.upstreams && !(upstreams == rhs.upstreams))
       return false;
-    if (__isset.slots != rhs.__isset.slots)
+    if (__isset.teams != rhs.__isset.teams)
       return false;
-    else if (__isset.slots && !(slots == rhs.slots))
+    else if (__isset.teams && !(teams == rhs.teams))
+      return false;
+    if (__isset.trials != rhs.__isset.trials)
+      return false;
+    else if (__isset.trials && !(trials == rhs.trials))
       return false;
     if (__isset.domain_waiting != rhs.__isset.domain_waiting)
       return false;
@@ -559,7 +514,9 @@
   {
     if (!(upstream == rhs.upstream))
       return false;
-    if (!(result == rhs.result))
+    if (__isset.result != rhs.__isset.result)
+      return false;
+    else if (__isset.result && !(result == rhs.result))
       return false;
     if (__isset.slowness != rhs.__isset.slowness)
       return false;
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -19,7 +19,7 @@
   1: binary mac
 }
 
-// Upstreams and teams go by 32-bit hashes of their ids.
+// Upstreams and teams go by the short numbers of `wire_names`.
 struct demand_entry {
   1: i32 team
   2: i32 rank_ms
@@ -33,7 +33,7 @@
 }
 
 struct slot_demand {
-  1: i64 sent_at_us
+  1: i64 sequence
   2: i64 last_grant_sequence
   3: optional list<demand_entry> waiting
   4: optional list<count> running
@@ -42,25 +42,23 @@
   7: optional list<i32> quarantined
 }
 
-struct granted_slot {
-  1: i32 upstream
-  2: i32 team
-  3: optional bool trial
-}
-
 struct slot_grant {
   1: i64 sequence
-  2: i64 demand_sent_at_us
-  3: optional list<granted_slot> slots
+  2: i64 demand_sequence
+  // Of the granted slots, in order: the upstreams; the teams, or one team for
+  // all; and the positions of trials.
+  3: optional list<i32> upstreams
+  6: optional list<i32> teams
+  7: optional list<i32> trials
   4: optional i32 domain_waiting
   5: optional i32 domain_running
 }
 
-// The results' numbers are those of `slot_result`.
+// The results' numbers are those of `slot_result`; none: it answered. The
+// slowness is in tenths; none: about as expected.
 struct released_slot {
   1: i32 upstream
-  2: i8 result
-  // In tenths.
+  2: optional i8 result
   3: optional i8 slowness
 }
 
--- a/src/protocol/wire_names.h
+++ b/src/protocol/wire_names.h
@@ -12,9 +12,12 @@
 
 namespace jasminedyke {
 
-// Maps names to 32-bit hashes and those that are known back to names. A name
-// that is unknown here, because our list is older than the peer's, comes out
-// empty; whoever gets an empty name drops that entry.
+// Maps names to numbers that take two bytes in compact protocol, and back. A
+// number is the name's hash, or the next free one where two names clash; so
+// instances with the same names have the same numbers. While lists differ, a
+// number may be unknown here and come out empty: whoever gets an empty name
+// drops that entry. Or, rarely, it may mean another name: that costs a refused
+// start or an unused slot, as every wrong view of slots does.
 class wire_names {
  public:
   void Load(const std::vector<std::string>& names);
--- a/tests/frame_codec/frame_codec_test.cc
+++ b/tests/frame_codec/frame_codec_test.cc
@@ -22,14 +22,15 @@
 
 TEST_CASE("frame_codec: every message survives the way") {
   slot_demand demand;
-  demand.sent_at_us = 1'234'567;
+  demand.sequence = 1'234'567;
   demand.last_grant_sequence = 9;
   demand.waiting = {{team_id("lahore"), -1.5, 20, 64}};
   demand.running = {{team_id("lahore"), 3}};
   demand.full_report = true;
   demand.held = {{upstream_id("u0"), 2}};
   demand.quarantined = {upstream_id("u1")};
-  slot_grant grant{7, 55, {{upstream_id("u1"), team_id("lahore"), true}}, 8, 9};
+  slot_grant grant{
+      7, 55, {{upstream_id("u1"), team_id("lahore"), true}}, domain_work{8, 9}};
   slot_release release{{{upstream_id("u0"), slot_result::kBroken, 1.5}}};
   const std::vector<peer_message> messages = {
       grant,
@@ -66,8 +67,7 @@
                    1,
                    {{upstream_id("new"), team_id("lahore"), false},
                     {upstream_id("u0"), team_id("lahore"), false}},
-                   0,
-                   0};
+                   {}};
   wire_names names = Names();
   auto decoded = DecodeFrame(EncodeFrame(peer_message(grant), names), names);
   REQUIRE(decoded.ok());
@@ -108,7 +108,7 @@
 TEST_CASE("frame_codec: any bytes are a frame or a problem") {
   std::mt19937_64 random(3);
   wire_names names = Names();
-  slot_grant grant{1, 1, {{upstream_id("u0"), team_id("lahore"), false}}, 5, 5};
+  slot_grant grant{1, 1, {{upstream_id("u0"), team_id("lahore"), false}}, {}};
   std::string good = EncodeFrame(peer_message(grant), names);
   for (int i = 0; i < 20'000; ++i) {
     std::string bytes = good;
