Use other failure domains when the own one is not enough; grant small jobs in bulk

Cause: a failure domain whose upstreams were gone let its jobs wait until they timed out. Entry instances now tell free slots along with their heartbeats; if no own upstream is fit, or more tasks wait than there are own slots, tasks start where there is room. One refusal ends the use of that room until there is news, so a wrong view costs one message a second. Jobs of nearly one rank now share a report's entry, and only messages to other instances wait.

--- a/replay/replay.cc
+++ b/replay/replay.cc
@@ -92,6 +92,7 @@
         upstreams_(kDomain),
         jobs_(clock_, *this, *this, upstreams_, world.rule_, queue_caps()),
         home_(clock_,
+              EntryId(number),
               kDomain,
               world.rule_,
               [this](const instance_id& to, const slot_grant& grant) {
@@ -209,8 +210,8 @@
       case sharing::kGranted:
         break;
     }
-    auto granted = std::make_unique<granted_slots>(clock_, upstreams_, jobs_,
-                                                   world_.rule_, settings);
+    auto granted = std::make_unique<granted_slots>(
+        clock_, upstreams_, jobs_, world_.rule_, seed, settings);
     granted_ = granted.get();
     return granted;
   }
--- a/src/cluster/document_sync.cc
+++ b/src/cluster/document_sync.cc
@@ -16,7 +16,7 @@
                              peer_port& peers,
                              configuration_store& config,
                              membership_poller& membership,
-                             const instance_id& self)
+                             const peer_identity& self)
     : clock_(clock),
       peers_(peers),
       config_(config),
@@ -29,7 +29,7 @@
 }
 
 void document_sync::OnVersionsChanged() {
-  NoteInForce(self_, config_.version());
+  NoteInForce(self_.instance, config_.version());
   SendStatusToAll();
 }
 
@@ -49,6 +49,7 @@
   NoteInForce(peer, status.config);
   for (const instance_version& news : status.in_force)
     NoteInForce(news.instance, news.version);
+  TakeRooms(peer, status);
   if (status.leaving)
     leaving_.insert(peer);
   if (status.config > config_.version())
@@ -94,7 +95,7 @@
   in_force_count count;
   bool self_listed = false;
   for (const instance_info& info : membership_.view().entries()) {
-    self_listed = self_listed || info.id == self_;
+    self_listed = self_listed || info.id == self_.instance;
     if (info.state != instance_state::kLive)
       continue;
     ++count.live;
@@ -112,9 +113,49 @@
 
 void document_sync::Heartbeat() {
   SendStatusToAll();
+  rooms_.clear();
   Start();
 }
 
+void document_sync::SetRoomSource(std::function<int()> own_free_slots) {
+  own_free_slots_ = std::move(own_free_slots);
+}
+
+void document_sync::OnRoom(std::function<void(const domain_room&)> handler) {
+  on_room_ = std::move(handler);
+}
+
+std::vector<domain_room> document_sync::RoomsFor(
+    const instance_id& peer) const {
+  std::vector<domain_room> rooms;
+  auto identity = peers_.Identity(peer);
+  if (!identity)
+    return rooms;
+  if (identity->failure_domain != self_.failure_domain) {
+    int free_slots = own_free_slots_ ? own_free_slots_() : 0;
+    if (free_slots > 0)
+      rooms.push_back({self_.failure_domain, free_slots});
+    return rooms;
+  }
+  for (const auto& [domain, free_slots] : rooms_)
+    rooms.push_back({domain, free_slots});
+  return rooms;
+}
+
+void document_sync::TakeRooms(const instance_id& peer,
+                              const peer_status& status) {
+  auto identity = peers_.Identity(peer);
+  for (const domain_room& room : status.rooms) {
+    if (room.domain == self_.failure_domain)
+      continue;
+    // First hand, so worth passing on.
+    if (identity && identity->failure_domain == room.domain)
+      rooms_[room.domain] = room.free_slots;
+    if (on_room_)
+      on_room_(room);
+  }
+}
+
 void document_sync::SendStatus(const instance_id& peer) {
   peer_status status;
   status.config = config_.version();
@@ -123,10 +164,11 @@
   uint64_t& sent = sent_news_[peer];
   for (const auto& [instance, known] : in_force_) {
     bool is_news = known.news > sent;
-    if (is_news && instance != peer && instance != self_)
+    if (is_news && instance != peer && instance != self_.instance)
       status.in_force.push_back({instance, known.version});
   }
   sent = last_news_;
+  status.rooms = RoomsFor(peer);
   peers_.Send(peer, status);
 }
 
--- a/src/cluster/document_sync.h
+++ b/src/cluster/document_sync.h
@@ -5,9 +5,11 @@
 #define SRC_CLUSTER_DOCUMENT_SYNC_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "base/base.h"
 #include "platform/platform.h"
@@ -31,7 +33,7 @@
                 peer_port& peers,
                 configuration_store& config,
                 membership_poller& membership,
-                const instance_id& self);
+                const peer_identity& self);
 
   void Start();
 
@@ -43,6 +45,11 @@
   void OnRequest(const instance_id& peer, const document_request& request);
   void OnDocument(const peer_document& document);
 
+  // Rooms of failure domains go along with the heartbeats: the own one to other
+  // domains, theirs to peers of the own domain.
+  void SetRoomSource(std::function<int()> own_free_slots);
+  void OnRoom(std::function<void(const domain_room&)> handler);
+
   // Tells the peers that this instance is stopping.
   void AnnounceLeaving();
   bool IsLeaving(const instance_id& peer) const {
@@ -60,6 +67,8 @@
 
   void Heartbeat();
   void SendStatus(const instance_id& peer);
+  std::vector<domain_room> RoomsFor(const instance_id& peer) const;
+  void TakeRooms(const instance_id& peer, const peer_status& status);
   void SendStatusToAll();
   void NoteInForce(const instance_id& instance, config_version version);
   void AskFor(const instance_id& peer, document_kind kind);
@@ -68,7 +77,11 @@
   peer_port& peers_;
   configuration_store& config_;
   membership_poller& membership_;
-  instance_id self_;
+  peer_identity self_;
+  std::function<int()> own_free_slots_;
+  std::function<void(const domain_room&)> on_room_;
+  // Heard since the last heartbeat.
+  std::map<failure_domain_id, int> rooms_;
   bool announcing_leave_ = false;
   std::set<instance_id> leaving_;
   std::map<instance_id, known_version> in_force_;
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -1,5 +1,6 @@
 #include "daemon/instance.h"
 
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,7 @@
       registry_(loop, jobs_, mint_),
       mesh_(loop, {self_, settings.peer_key}, settings.peers, names_),
       home_side_(loop,
+                 settings.instance,
                  settings.failure_domain,
                  DefaultOrderRule(),
                  [this](const instance_id& to, const slot_grant& grant) {
@@ -47,9 +49,10 @@
                                upstreams_,
                                jobs_,
                                DefaultOrderRule(),
+                               std::random_device()(),
                                grant_settings())),
       homes_(loop, self_, mesh_, *slots_, home_side_),
-      documents_(loop, mesh_, config_, membership_, settings.instance),
+      documents_(loop, mesh_, config_, membership_, self_),
       remote_(loop,
               settings.instance,
               mesh_,
@@ -99,6 +102,8 @@
   config_.OnChange([this] { OnConfigurationChanged(); });
   membership_.OnChange([this] { OnMembershipChanged(); });
   mesh_.SetListener(&router_);
+  documents_.SetRoomSource([this] { return slots_->free_slots_in_domain(); });
+  documents_.OnRoom([this](const domain_room& r) { slots_->SetRoom(r); });
   documents_.Start();
   config_.StartPolling(kPollInterval);
   membership_.StartPolling(kPollInterval);
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -42,6 +42,7 @@
                              const upstream_table& upstreams,
                              slot_host& host,
                              const order_rule& rule,
+                             uint64_t seed,
                              const grant_settings& settings)
     : clock_(clock),
       upstreams_(upstreams),
@@ -49,6 +50,7 @@
       rule_(rule),
       settings_(settings),
       fallback_(clock, upstreams, host),
+      spill_(clock, upstreams, host, seed),
       report_timer_(clock),
       release_timer_(clock),
       heartbeat_timer_(clock),
@@ -72,7 +74,20 @@
   StartWithoutHome();
 }
 
+void granted_slots::SetRoom(const domain_room& room) {
+  spill_.SetRoom(room);
+  OnWorkChanged();
+}
+
+int granted_slots::free_slots_in_domain() const {
+  if (in_fallback_ || domain_work_.waiting > 0 || host_.waiting_tasks() > 0)
+    return 0;
+  int usable = upstreams_.usable_local_slots(clock_.now());
+  return std::max(0, usable - domain_work_.running);
+}
+
 void granted_slots::OnWorkChanged() {
+  spill_.OnWorkChanged(domain_work_.waiting);
   if (in_fallback_)
     fallback_.OnWorkChanged();
   if (!home_.empty())
@@ -80,6 +95,12 @@
 }
 
 void granted_slots::OnAttemptEnded(const released_slot& slot) {
+  spill_.OnAttemptEnded(slot);
+  const upstream_state* upstream = upstreams_.Find(slot.upstream);
+  if (upstream && !upstream->local) {
+    OnWorkChanged();
+    return;
+  }
   if (in_fallback_)
     fallback_.OnAttemptEnded(slot);
   if (!ReuseSlot(slot))
@@ -166,7 +187,9 @@
 }
 
 void granted_slots::ReportIfNeeded() {
-  if (home_.empty())
+  // What the home would grant can't be reached; heartbeats still ask now and
+  // then, so the return of an upstream is noticed.
+  if (home_.empty() || spill_.OnlyOthersCanServe())
     return;
   std::vector<demand_entry> waiting = host_.Demand(kReportedJobs);
   if (ReportNeeded(waiting))
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -13,6 +13,7 @@
 #include "policy/local_slots.h"
 #include "policy/order_rule.h"
 #include "policy/slot_strategy.h"
+#include "policy/spill_slots.h"
 #include "policy/upstream_table.h"
 
 namespace jasminedyke {
@@ -32,6 +33,7 @@
                 const upstream_table& upstreams,
                 slot_host& host,
                 const order_rule& rule,
+                uint64_t seed,
                 const grant_settings& settings);
 
   // The instance to ask; empty if there is none. To be called again, with the
@@ -54,6 +56,11 @@
   void OnPeerMessage(const instance_id& peer,
                      const slot_message& message) override;
 
+  // News of another failure domain's room.
+  void SetRoom(const domain_room& room);
+  // The own domain's room, as far as the home has told.
+  int free_slots_in_domain() const;
+
   // True while tasks start without grants.
   bool in_fallback() const { return in_fallback_; }
   // What waits and runs in the whole failure domain, as the home last said.
@@ -84,6 +91,7 @@
   const order_rule& rule_;
   grant_settings settings_;
   static_split_slots fallback_;
+  spill_slots spill_;
 
   instance_id home_;
   bool in_fallback_ = false;
--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -4,6 +4,13 @@
 
 namespace jasminedyke {
 
+namespace {
+
+// In seconds: jobs whose ranks differ by less are asked for together.
+constexpr double kSameRank = 0.02;
+
+}  // namespace
+
 void job_queue::Put(local_job job, const queued_job& facts) {
   Remove(job);
   if (facts.waiting_tasks <= 0)
@@ -65,13 +72,22 @@
                                             time_point now) const {
   std::vector<demand_entry> demand;
   for (const auto& [team, jobs] : order_) {
-    size_t taken = 0;
+    size_t first = demand.size();
     for (const ranked_job& ranked : jobs) {
-      if (taken++ == limit)
-        break;
       const queued_job& facts = jobs_.at(ranked.second).facts;
-      demand.push_back({team, RankAt(ranked.first, now), facts.waiting_tasks,
-                        facts.memory_mb});
+      double rank = RankAt(ranked.first, now);
+      // Of many small jobs each would need an entry of its own, and only a few
+      // of them would be known to the home at a time.
+      bool joins = demand.size() > first &&
+                   rank - demand.back().rank < kSameRank &&
+                   facts.memory_mb <= demand.back().memory_mb;
+      if (joins) {
+        demand.back().tasks += facts.waiting_tasks;
+        continue;
+      }
+      if (demand.size() - first == limit)
+        break;
+      demand.push_back({team, rank, facts.waiting_tasks, facts.memory_mb});
     }
   }
   std::ranges::stable_sort(demand, {}, &demand_entry::rank);
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -56,8 +56,8 @@
   std::optional<local_job> BestOfTeam(const team_id& team,
                                       const job_filter& fits) const;
 
-  // The first `limit` jobs of each team, as demand ranked at `now`, best
-  // first.
+  // Up to `limit` entries for each team, ranked at `now`, best first; jobs of
+  // nearly the same rank share one.
   std::vector<demand_entry> Demand(size_t limit, time_point now) const;
 
   // The rank of a job that arrives now.
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -18,6 +18,7 @@
 #include "policy/slot_home.h"
 #include "policy/slot_messages.h"
 #include "policy/slot_strategy.h"
+#include "policy/spill_slots.h"
 #include "policy/team_quotas.h"
 #include "policy/upstream_health.h"
 #include "policy/upstream_table.h"
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -15,7 +15,7 @@
 // again. If it lives after all, the upstreams refuse what is too much.
 constexpr duration kHolderSilence = std::chrono::seconds(3);
 // Even without grants a holder with demand hears from the home this often.
-constexpr duration kIssueGap = std::chrono::milliseconds(4);
+constexpr duration kSendGap = std::chrono::milliseconds(4);
 constexpr duration kTellWorkEvery = std::chrono::milliseconds(100);
 constexpr duration kSignOfLife = std::chrono::milliseconds(400);
 // One slot that others seemed to use is tried again after this.
@@ -31,14 +31,17 @@
 }  // namespace
 
 slot_home::slot_home(scheduler& clock,
+                     instance_id self,
                      failure_domain_id domain,
                      const order_rule& rule,
                      sender send)
     : clock_(clock),
+      self_(std::move(self)),
       domain_(std::move(domain)),
       rule_(rule),
       send_(std::move(send)),
       issue_timer_(clock),
+      send_timer_(clock),
       silence_timer_(clock) {}
 
 void slot_home::SetMembership(const membership_view& view,
@@ -82,6 +85,7 @@
 void slot_home::Stop() {
   active_ = false;
   issue_timer_.Stop();
+  send_timer_.Stop();
   silence_timer_.Stop();
   holders_.clear();
   for (auto& [id, slots] : upstreams_)
@@ -111,7 +115,7 @@
     h.waiting.push_back({entry, entry.rank + rule_.age_weight * now_s});
   // Tasks that grants under way will start still counted as waiting when the
   // holder sent this.
-  for (const auto& [sequence, slot] : h.unacknowledged) {
+  for (const granted_slot& slot : UnderWay(h)) {
     ++h.running[slot.team];
     for (waiting_entry& entry : h.waiting) {
       if (entry.demand.team == slot.team && entry.demand.tasks > 0) {
@@ -165,31 +169,47 @@
   return total;
 }
 
-// A pass soon after the last one waits a little, so that a busy home puts more
-// grants into each message; after a pause it answers at once.
+// All messages that are ready in one pass of the loop are answered together.
 void slot_home::ScheduleIssue() {
-  if (!active_ || !ReadyToGrant())
-    return;
-  time_point when = std::max(clock_.now(), issued_ + kIssueGap);
-  issue_timer_.StartAt(when, [this] { Issue(); });
+  if (active_ && ReadyToGrant())
+    issue_timer_.StartAfter(duration::zero(), [this] { Issue(); });
 }
 
 void slot_home::Issue() {
-  issued_ = clock_.now();
   ForgetOthers();
   while (GrantOne()) {
   }
-  bool work_is_left = false;
+  SendOutgoing();
+  bool work_is_left = std::ranges::any_of(holders_, [](const auto& entry) {
+    return std::ranges::any_of(
+        entry.second.waiting,
+        [](const waiting_entry& e) { return e.demand.tasks > 0; });
+  });
+  if (work_is_left && free_slots() > 0)
+    issue_timer_.StartAfter(kLookAgain, [this] { Issue(); });
+}
+
+void slot_home::SendOutgoing() {
+  time_point next = time_point::max();
   for (auto& [id, h] : holders_) {
-    bool wants = std::ranges::any_of(
-        h.waiting, [](const waiting_entry& e) { return e.demand.tasks > 0; });
-    work_is_left = work_is_left || wants;
     bool sign_of_life_due = clock_.now() - h.last_sent >= kSignOfLife;
-    if (!h.outgoing.empty() || sign_of_life_due)
+    if (h.outgoing.empty() && !sign_of_life_due)
+      continue;
+    time_point when = SendTime(id, h);
+    if (when <= clock_.now())
       Send(id, h);
+    else
+      next = std::min(next, when);
   }
-  if (work_is_left && free_slots() > 0)
-    issue_timer_.StartAfter(kLookAgain, [this] { Issue(); });
+  if (next < time_point::max())
+    send_timer_.StartAt(next, [this] { SendOutgoing(); });
+}
+
+// A message soon after the last one waits a little, so that a busy home puts
+// more grants into each; after a pause it goes at once. To itself a home sends
+// no bytes.
+time_point slot_home::SendTime(const instance_id& to, const holder& h) const {
+  return to == self_ ? clock_.now() : h.last_sent + kSendGap;
 }
 
 bool slot_home::GrantOne() {
@@ -346,11 +366,18 @@
   send_(to, grant);
 }
 
+std::vector<granted_slot> slot_home::UnderWay(const holder& h) {
+  std::vector<granted_slot> slots = h.outgoing;
+  for (const auto& [sequence, slot] : h.unacknowledged)
+    slots.push_back(slot);
+  return slots;
+}
+
 void slot_home::ApplyFullReport(holder& h, const slot_demand& demand) {
   std::map<upstream_id, int> held;
   for (const upstream_count& reported : demand.held)
     held[reported.upstream] += reported.count;
-  for (const auto& [sequence, slot] : h.unacknowledged)
+  for (const granted_slot& slot : UnderWay(h))
     ++held[slot.upstream];
   for (const auto& [upstream, count] : h.held)
     held.try_emplace(upstream, 0);
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -31,7 +31,9 @@
   using sender =
       std::function<void(const instance_id& to, const slot_grant& grant)>;
 
+  // `self` is the instance that this home runs on.
   slot_home(scheduler& clock,
+            instance_id self,
             failure_domain_id domain,
             const order_rule& rule,
             sender send);
@@ -74,7 +76,7 @@
     // When the domain's work was last told.
     time_point work_told;
     bool reported = false;
-    // What the pass under way will send.
+    // Granted and about to be sent.
     std::vector<granted_slot> outgoing;
   };
   struct upstream_slots {
@@ -93,6 +95,8 @@
 
   void ScheduleIssue();
   void Issue();
+  void SendOutgoing();
+  time_point SendTime(const instance_id& to, const holder& h) const;
   bool GrantOne();
   std::optional<choice> BestWaiting(const std::set<const waiting_entry*>& skip);
   upstream_id BestUpstream(const holder& h, int memory_mb) const;
@@ -102,6 +106,8 @@
   void ForgetOthers();
   void ReserveForUnreachable(size_t listed);
   void Send(const instance_id& to, holder& h);
+  // Slots that the holder does not know yet that it has.
+  static std::vector<granted_slot> UnderWay(const holder& h);
   void ApplyFullReport(holder& h, const slot_demand& demand);
   void ChangeHeld(holder& h, const upstream_id& upstream, int change);
   void DropSilentHolders();
@@ -111,6 +117,7 @@
   domain_work Work() const;
 
   scheduler& clock_;
+  instance_id self_;
   failure_domain_id domain_;
   const order_rule& rule_;
   sender send_;
@@ -118,7 +125,6 @@
   upstream_health health_;
   bool active_ = false;
   time_point started_;
-  time_point issued_;
   std::vector<instance_id> live_holders_;
   // Entry instances that are listed as live and can't be reached.
   size_t unreachable_ = 0;
@@ -126,6 +132,7 @@
   // `held` of each is the sum over the holders.
   std::map<upstream_id, upstream_slots> upstreams_;
   scoped_timer issue_timer_;
+  scoped_timer send_timer_;
   scoped_timer silence_timer_;
 };
 
--- /dev/null
+++ b/src/policy/spill_slots.cc
@@ -0,0 +1,102 @@
+#include "policy/spill_slots.h"
+
+#include <algorithm>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr duration kRoomBelieved = std::chrono::seconds(3);
+// All entry instances of all other domains hear of the same room; each takes
+// only this part of it.
+constexpr int kPartOfRoom = 4;
+// This instance's tasks on one upstream of another domain.
+constexpr int kMostOnOne = 2;
+
+}  // namespace
+
+spill_slots::spill_slots(scheduler& clock,
+                         const upstream_table& upstreams,
+                         slot_host& host,
+                         uint64_t seed)
+    : clock_(clock), upstreams_(upstreams), host_(host), random_(seed) {}
+
+void spill_slots::SetRoom(const domain_room& room) {
+  rooms_[room.domain] = {(room.free_slots + kPartOfRoom - 1) / kPartOfRoom,
+                         clock_.now()};
+}
+
+void spill_slots::OnWorkChanged(int domain_waiting) {
+  if (rooms_.empty() || !OwnAreNotEnough(domain_waiting))
+    return;
+  while (host_.waiting_tasks() > 0 && StartInOtherDomain()) {
+  }
+}
+
+void spill_slots::OnAttemptEnded(const released_slot& slot) {
+  const upstream_state* state = upstreams_.Find(slot.upstream);
+  if (!state || state->local)
+    return;
+  known_room& room = rooms_[state->info.failure_domain];
+  if (slot.result == slot_result::kAnswered)
+    ++room.left;
+  else
+    room.left = 0;
+}
+
+bool spill_slots::OnlyOthersCanServe() const {
+  bool room = std::ranges::any_of(rooms_, [&](const auto& entry) {
+    return IsFresh(entry.second) && entry.second.left > 0;
+  });
+  return room && FitOwnSlots() == 0;
+}
+
+bool spill_slots::IsFresh(const known_room& room) const {
+  return clock_.now() - room.heard <= kRoomBelieved;
+}
+
+bool spill_slots::OwnAreNotEnough(int domain_waiting) const {
+  int waiting = std::max(domain_waiting, host_.waiting_tasks());
+  return waiting > FitOwnSlots();
+}
+
+int spill_slots::FitOwnSlots() const {
+  int slots = 0;
+  for (const upstream_id& id : upstreams_.local()) {
+    const upstream_state* state = upstreams_.Find(id);
+    bool fit =
+        state->info.state == instance_state::kLive &&
+        upstreams_.health().verdict(id, clock_.now()) == health_verdict::kFit;
+    slots += fit ? state->info.slots : 0;
+  }
+  return slots;
+}
+
+bool spill_slots::StartInOtherDomain() {
+  for (auto& [domain, room] : rooms_) {
+    if (room.left <= 0 || !IsFresh(room))
+      continue;
+    std::vector<const upstream_state*> open = Open(domain);
+    if (open.empty())
+      continue;
+    std::uniform_int_distribution<size_t> pick(0, open.size() - 1);
+    if (!host_.StartOn({.upstream = open[pick(random_)]->id}))
+      return false;
+    --room.left;
+    return true;
+  }
+  return false;
+}
+
+std::vector<const upstream_state*> spill_slots::Open(
+    const failure_domain_id& domain) const {
+  std::vector<const upstream_state*> open;
+  for (const auto& [id, state] : upstreams_.all()) {
+    if (state.info.failure_domain == domain && state.in_flight < kMostOnOne &&
+        upstreams_.MayStart(id, clock_.now()))
+      open.push_back(&state);
+  }
+  return open;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/policy/spill_slots.h
@@ -0,0 +1,70 @@
+// Use of other failure domains' upstreams when the own ones are not enough.
+
+#ifndef SRC_POLICY_SPILL_SLOTS_H_
+#define SRC_POLICY_SPILL_SLOTS_H_
+
+#include <map>
+#include <random>
+#include <vector>
+
+#include "base/base.h"
+#include "policy/slot_strategy.h"
+#include "policy/upstream_table.h"
+
+namespace jasminedyke {
+
+// Free slots of a failure domain in which nothing waits.
+struct domain_room {
+  failure_domain_id domain;
+  int free_slots = 0;
+
+  bool operator==(const domain_room&) const = default;
+};
+
+// Starts waiting tasks in other failure domains that have said that they have
+// room, if no own upstream is fit or more tasks wait than there are own slots:
+// then a task waits about as long as one runs, which is far more than the trip.
+// A domain's room is used sparingly and forgotten at its first refusal, so a
+// wrong view costs one wasted message for each piece of news.
+class spill_slots {
+ public:
+  spill_slots(scheduler& clock,
+              const upstream_table& upstreams,
+              slot_host& host,
+              uint64_t seed);
+
+  // News of another domain's room.
+  void SetRoom(const domain_room& room);
+
+  // To be called when tasks began to wait; `domain_waiting` are all waiting
+  // tasks of the own failure domain.
+  void OnWorkChanged(int domain_waiting);
+  void OnAttemptEnded(const released_slot& slot);
+
+  // No own upstream is fit while another domain has room: there is no use in
+  // asking for own slots.
+  bool OnlyOthersCanServe() const;
+
+ private:
+  struct known_room {
+    int left = 0;
+    time_point heard;
+  };
+
+  bool IsFresh(const known_room& room) const;
+  bool OwnAreNotEnough(int domain_waiting) const;
+  int FitOwnSlots() const;
+  bool StartInOtherDomain();
+  std::vector<const upstream_state*> Open(
+      const failure_domain_id& domain) const;
+
+  scheduler& clock_;
+  const upstream_table& upstreams_;
+  slot_host& host_;
+  std::mt19937_64 random_;
+  std::map<failure_domain_id, known_room> rooms_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_POLICY_SPILL_SLOTS_H_
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -144,6 +144,14 @@
           return version;
         }));
   }
+  if (!status.rooms.empty()) {
+    wire.__set_rooms(ConvertAll(status.rooms, [](const domain_room& r) {
+      wire::domain_room room;
+      room.failure_domain = r.domain.str();
+      room.free_slots = r.free_slots;
+      return room;
+    }));
+  }
   return wire;
 }
 
@@ -305,6 +313,11 @@
         {instance_id(version.instance),
          config_version(static_cast<uint64_t>(version.config_version))});
   }
+  for (const wire::domain_room& room : wire.rooms) {
+    if (room.free_slots > 0)
+      status.rooms.push_back(
+          {failure_domain_id(room.failure_domain), room.free_slots});
+  }
   return status;
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1517,6 +1517,118 @@
 }
 
 
+domain_room::~domain_room() noexcept {
+}
+
+
+void domain_room::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void domain_room::__set_free_slots(const int32_t val) {
+  this->free_slots = val;
+}
+std::ostream& operator<<(std::ostream& out, const domain_room& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t domain_room::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->free_slots);
+          this->__isset.free_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t domain_room::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("domain_room");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("free_slots", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->free_slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(domain_room &a, domain_room &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.free_slots, b.free_slots);
+  swap(a.__isset, b.__isset);
+}
+
+domain_room::domain_room(const domain_room& other66) {
+  failure_domain = other66.failure_domain;
+  free_slots = other66.free_slots;
+  __isset = other66.__isset;
+}
+domain_room& domain_room::operator=(const domain_room& other67) {
+  failure_domain = other67.failure_domain;
+  free_slots = other67.free_slots;
+  __isset = other67.__isset;
+  return *this;
+}
+void domain_room::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "domain_room(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "free_slots=" << to_string(free_slots);
+  out << ")";
+}
+
+
 status::~status() noexcept {
 }
 
@@ -1538,6 +1650,11 @@
   this->in_force = val;
 __isset.in_force = true;
 }
+
+void status::__set_rooms(const std::vector<domain_room> & val) {
+  this->rooms = val;
+__isset.rooms = true;
+}
 std::ostream& operator<<(std::ostream& out, const status& obj)
 {
   obj.printTo(out);
@@ -1594,14 +1711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->in_force.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->in_force.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->in_force.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->in_force[_i70].read(iprot);
+              xfer += this->in_force[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1610,6 +1727,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rooms.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->rooms.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->rooms[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rooms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1644,10 +1781,23 @@
     xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->in_force.size()));
-      std::vector<instance_version> ::const_iterator _iter71;
-      for (_iter71 = this->in_force.begin(); _iter71 != this->in_force.end(); ++_iter71)
+      std::vector<instance_version> ::const_iterator _iter78;
+      for (_iter78 = this->in_force.begin(); _iter78 != this->in_force.end(); ++_iter78)
       {
-        xfer += (*_iter71).write(oprot);
+        xfer += (*_iter78).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rooms) {
+    xfer += oprot->writeFieldBegin("rooms", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rooms.size()));
+      std::vector<domain_room> ::const_iterator _iter79;
+      for (_iter79 = this->rooms.begin(); _iter79 != this->rooms.end(); ++_iter79)
+      {
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1664,22 +1814,25 @@
   swap(a.membership_version, b.membership_version);
   swap(a.leaving, b.leaving);
   swap(a.in_force, b.in_force);
+  swap(a.rooms, b.rooms);
   swap(a.__isset, b.__isset);
 }
 
-status::status(const status& other72) {
-  config_version = other72.config_version;
-  membership_version = other72.membership_version;
-  leaving = other72.leaving;
-  in_force = other72.in_force;
-  __isset = other72.__isset;
+status::status(const status& other80) {
+  config_version = other80.config_version;
+  membership_version = other80.membership_version;
+  leaving = other80.leaving;
+  in_force = other80.in_force;
+  rooms = other80.rooms;
+  __isset = other80.__isset;
 }
-status& status::operator=(const status& other73) {
-  config_version = other73.config_version;
-  membership_version = other73.membership_version;
-  leaving = other73.leaving;
-  in_force = other73.in_force;
-  __isset = other73.__isset;
+status& status::operator=(const status& other81) {
+  config_version = other81.config_version;
+  membership_version = other81.membership_version;
+  leaving = other81.leaving;
+  in_force = other81.in_force;
+  rooms = other81.rooms;
+  __isset = other81.__isset;
   return *this;
 }
 void status::printTo(std::ostream& out) const {
@@ -1689,6 +1842,7 @@
   out << ", " << "membership_version=" << to_string(membership_version);
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "in_force="; (__isset.in_force ? (out << to_string(in_force)) : (out << "<null>"));
+  out << ", " << "rooms="; (__isset.rooms ? (out << to_string(rooms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1730,9 +1884,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast74;
-          xfer += iprot->readI32(ecast74);
-          this->kind = static_cast<document_kind::type>(ecast74);
+          int32_t ecast82;
+          xfer += iprot->readI32(ecast82);
+          this->kind = static_cast<document_kind::type>(ecast82);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1770,13 +1924,13 @@
   swap(a.__isset, b.__isset);
 }
 
-document_request::document_request(const document_request& other75) noexcept {
-  kind = other75.kind;
-  __isset = other75.__isset;
+document_request::document_request(const document_request& other83) noexcept {
+  kind = other83.kind;
+  __isset = other83.__isset;
 }
-document_request& document_request::operator=(const document_request& other76) noexcept {
-  kind = other76.kind;
-  __isset = other76.__isset;
+document_request& document_request::operator=(const document_request& other84) noexcept {
+  kind = other84.kind;
+  __isset = other84.__isset;
   return *this;
 }
 void document_request::printTo(std::ostream& out) const {
@@ -1832,9 +1986,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast77;
-          xfer += iprot->readI32(ecast77);
-          this->kind = static_cast<document_kind::type>(ecast77);
+          int32_t ecast85;
+          xfer += iprot->readI32(ecast85);
+          this->kind = static_cast<document_kind::type>(ecast85);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1898,17 +2052,17 @@
   swap(a.__isset, b.__isset);
 }
 
-document::document(const document& other78) {
-  kind = other78.kind;
-  version = other78.version;
-  json = other78.json;
-  __isset = other78.__isset;
+document::document(const document& other86) {
+  kind = other86.kind;
+  version = other86.version;
+  json = other86.json;
+  __isset = other86.__isset;
 }
-document& document::operator=(const document& other79) {
-  kind = other79.kind;
-  version = other79.version;
-  json = other79.json;
-  __isset = other79.__isset;
+document& document::operator=(const document& other87) {
+  kind = other87.kind;
+  version = other87.version;
+  json = other87.json;
+  __isset = other87.__isset;
   return *this;
 }
 void document::printTo(std::ostream& out) const {
@@ -2066,21 +2220,21 @@
   swap(a.__isset, b.__isset);
 }
 
-job_request::job_request(const job_request& other80) {
-  number = other80.number;
-  operation = other80.operation;
-  job = other80.job;
-  team = other80.team;
-  body = other80.body;
-  __isset = other80.__isset;
-}
-job_request& job_request::operator=(const job_request& other81) {
-  number = other81.number;
-  operation = other81.operation;
-  job = other81.job;
-  team = other81.team;
-  body = other81.body;
-  __isset = other81.__isset;
+job_request::job_request(const job_request& other88) {
+  number = other88.number;
+  operation = other88.operation;
+  job = other88.job;
+  team = other88.team;
+  body = other88.body;
+  __isset = other88.__isset;
+}
+job_request& job_request::operator=(const job_request& other89) {
+  number = other89.number;
+  operation = other89.operation;
+  job = other89.job;
+  team = other89.team;
+  body = other89.body;
+  __isset = other89.__isset;
   return *this;
 }
 void job_request::printTo(std::ostream& out) const {
@@ -2187,15 +2341,15 @@
   swap(a.__isset, b.__isset);
 }
 
-header::header(const header& other82) {
-  name = other82.name;
-  value = other82.value;
-  __isset = other82.__isset;
+header::header(const header& other90) {
+  name = other90.name;
+  value = other90.value;
+  __isset = other90.__isset;
 }
-header& header::operator=(const header& other83) {
-  name = other83.name;
-  value = other83.value;
-  __isset = other83.__isset;
+header& header::operator=(const header& other91) {
+  name = other91.name;
+  value = other91.value;
+  __isset = other91.__isset;
   return *this;
 }
 void header::printTo(std::ostream& out) const {
@@ -2274,14 +2428,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->headers.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->headers.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->headers[_i88].read(iprot);
+              xfer += this->headers[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2326,10 +2480,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<header> ::const_iterator _iter89;
-    for (_iter89 = this->headers.begin(); _iter89 != this->headers.end(); ++_iter89)
+    std::vector<header> ::const_iterator _iter97;
+    for (_iter97 = this->headers.begin(); _iter97 != this->headers.end(); ++_iter97)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2353,19 +2507,19 @@
   swap(a.__isset, b.__isset);
 }
 
-job_reply::job_reply(const job_reply& other90) {
-  number = other90.number;
-  status = other90.status;
-  headers = other90.headers;
-  body = other90.body;
-  __isset = other90.__isset;
+job_reply::job_reply(const job_reply& other98) {
+  number = other98.number;
+  status = other98.status;
+  headers = other98.headers;
+  body = other98.body;
+  __isset = other98.__isset;
 }
-job_reply& job_reply::operator=(const job_reply& other91) {
-  number = other91.number;
-  status = other91.status;
-  headers = other91.headers;
-  body = other91.body;
-  __isset = other91.__isset;
+job_reply& job_reply::operator=(const job_reply& other99) {
+  number = other99.number;
+  status = other99.status;
+  headers = other99.headers;
+  body = other99.body;
+  __isset = other99.__isset;
   return *this;
 }
 void job_reply::printTo(std::ostream& out) const {
@@ -2627,31 +2781,31 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other92) {
-  hello_message = other92.hello_message;
-  proof_message = other92.proof_message;
-  demand = other92.demand;
-  grant = other92.grant;
-  release = other92.release;
-  status_message = other92.status_message;
-  wanted = other92.wanted;
-  document_message = other92.document_message;
-  request = other92.request;
-  reply = other92.reply;
-  __isset = other92.__isset;
-}
-frame& frame::operator=(const frame& other93) {
-  hello_message = other93.hello_message;
-  proof_message = other93.proof_message;
-  demand = other93.demand;
-  grant = other93.grant;
-  release = other93.release;
-  status_message = other93.status_message;
-  wanted = other93.wanted;
-  document_message = other93.document_message;
-  request = other93.request;
-  reply = other93.reply;
-  __isset = other93.__isset;
+frame::frame(const frame& other100) {
+  hello_message = other100.hello_message;
+  proof_message = other100.proof_message;
+  demand = other100.demand;
+  grant = other100.grant;
+  release = other100.release;
+  status_message = other100.status_message;
+  wanted = other100.wanted;
+  document_message = other100.document_message;
+  request = other100.request;
+  reply = other100.reply;
+  __isset = other100.__isset;
+}
+frame& frame::operator=(const frame& other101) {
+  hello_message = other101.hello_message;
+  proof_message = other101.proof_message;
+  demand = other101.demand;
+  grant = other101.grant;
+  release = other101.release;
+  status_message = other101.status_message;
+  wanted = other101.wanted;
+  document_message = other101.document_message;
+  request = other101.request;
+  reply = other101.reply;
+  __isset = other101.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -52,6 +52,8 @@
 
 class instance_version;
 
+class domain_room;
+
 class status;
 
 class document_request;
@@ -632,12 +634,63 @@
 
 std::ostream& operator<<(std::ostream& out, const instance_version& obj);
 
+typedef struct _domain_room__isset {
+  _domain_room__isset() : failure_domain(false), free_slots(false) {}
+  bool failure_domain :1;
+  bool free_slots :1;
+} _domain_room__isset;
+
+class domain_room : public virtual ::apache::thrift::TBase {
+ public:
+
+  domain_room(const domain_room&);
+  domain_room& operator=(const domain_room&);
+  domain_room() noexcept
+              : failure_domain(),
+                free_slots(0) {
+  }
+
+  virtual ~domain_room() noexcept;
+  std::string failure_domain;
+  int32_t free_slots;
+
+  _domain_room__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_free_slots(const int32_t val);
+
+  bool operator == (const domain_room & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(free_slots == rhs.free_slots))
+      return false;
+    return true;
+  }
+  bool operator != (const domain_room &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const domain_room & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(domain_room &a, domain_room &b);
+
+std::ostream& operator<<(std::ostream& out, const domain_room& obj);
+
 typedef struct _status__isset {
-  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false) {}
+  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false) {}
   bool config_version :1;
   bool membership_version :1;
   bool leaving :1;
   bool in_force :1;
+  bool rooms :1;
 } _status__isset;
 
 class status : public virtual ::apache::thrift::TBase {
@@ -656,6 +709,7 @@
   int64_t membership_version;
   bool leaving;
   std::vector<instance_version>  in_force;
+  std::vector<domain_room>  rooms;
 
   _status__isset __isset;
 
@@ -667,6 +721,8 @@
 
   void __set_in_force(const std::vector<instance_version> & val);
 
+  void __set_rooms(const std::vector<domain_room> & val);
+
   bool operator == (const status & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -681,6 +737,10 @@
       return false;
     else if (__isset.in_force && !(in_force == rhs.in_force))
       return false;
+    if (__isset.rooms != rhs.__isset.rooms)
+      return false;
+    else if (__isset.rooms && !(rooms == rhs.rooms))
+      return false;
     return true;
   }
   bool operator != (const status &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -71,12 +71,18 @@
   2: i64 config_version
 }
 
+struct domain_room {
+  1: string failure_domain
+  2: i32 free_slots
+}
+
 // A heartbeat, and news of what changed.
 struct status {
   1: i64 config_version
   2: i64 membership_version
   3: optional bool leaving
   4: optional list<instance_version> in_force
+  5: optional list<domain_room> rooms
 }
 
 enum document_kind {
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -37,6 +37,8 @@
   // The sender is stopping: it takes no further jobs and is no home.
   bool leaving = false;
   std::vector<instance_version> in_force;
+  // Failure domains that can take others' tasks.
+  std::vector<domain_room> rooms;
 
   bool operator==(const peer_status&) const = default;
 };
--- a/tests/document_sync/document_sync_test.cc
+++ b/tests/document_sync/document_sync_test.cc
@@ -32,7 +32,7 @@
               failure_domain_id("d")}),
         config(network.clock, tables),
         membership(network.clock, directory),
-        sync(network.clock, port, config, membership, port.self.instance) {
+        sync(network.clock, port, config, membership, port.self) {
     port.SetListener(this);
     config.OnChange([this] { sync.OnVersionsChanged(); });
     membership.OnChange([this] { sync.OnVersionsChanged(); });
--- a/tests/slot_home/slot_home_test.cc
+++ b/tests/slot_home/slot_home_test.cc
@@ -20,6 +20,7 @@
 struct fixture {
   explicit fixture(int upstreams = 1, int slots = 2)
       : home(clock,
+             kE1,
              failure_domain_id("d"),
              DefaultOrderRule(),
              [this](const instance_id& to, const slot_grant& grant) {
--- /dev/null
+++ b/tests/spill_slots/spill_slots_test.cc
@@ -0,0 +1,116 @@
+// Tasks in other failure domains.
+
+#include <memory>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "fakes/fake_attempts.h"
+
+namespace jasminedyke {
+namespace {
+
+const failure_domain_id kOther("other");
+
+// Two own upstreams "u0", "u1" and two of another domain, "u2" and "u3".
+struct fixture {
+  fixture()
+      : table(failure_domain_id("d")),
+        jobs(clock, port, usage, table, DefaultOrderRule(), queue_caps()),
+        spill(clock, table, jobs, 1) {
+    membership_list list = MakeMembership(1, 4, 1);
+    list.instances[2].failure_domain = kOther;
+    list.instances[3].failure_domain = kOther;
+    view.Update(list);
+    table.SetMembership(view);
+    // A strategy that starts nothing by itself.
+    auto split = std::make_unique<static_split_slots>(clock, table, jobs);
+    split->SetShare(9, 9);
+    jobs.SetStrategy(std::move(split),
+                     [](const instance_id&, const slot_message&) {});
+  }
+  void Submit(int tasks) {
+    job_spec spec;
+    spec.name = "job";
+    spec.team = team_id("lahore");
+    spec.tasks.resize(tasks);
+    jobs.Submit(std::move(spec), [](const job_outcome&) {});
+  }
+  void QuarantineOwn() {
+    for (const char* id : {"u0", "u1"}) {
+      for (int i = 0; i < 3; ++i)
+        table.health().Record({upstream_id(id), slot_result::kUnreachable},
+                              clock.now());
+    }
+  }
+
+  manual_scheduler clock;
+  fake_attempts port;
+  fake_usage usage;
+  membership_view view;
+  upstream_table table;
+  dispatcher jobs;
+  spill_slots spill;
+};
+
+// Few tasks wait: they get own slots sooner than the trip takes.
+TEST_CASE("spill_slots: not while the own slots are enough") {
+  fixture f;
+  f.spill.SetRoom({kOther, 40});
+  f.Submit(3);
+  f.spill.OnWorkChanged(3);
+  CHECK(f.port.attempts.empty());
+}
+
+TEST_CASE("spill_slots: when more tasks wait than there are own slots") {
+  fixture f;
+  f.spill.SetRoom({kOther, 8});
+  f.Submit(10);
+  f.spill.OnWorkChanged(10);
+  // A quarter of the room: other instances heard of it, too.
+  REQUIRE(f.port.attempts.size() == 2);
+  for (const auto& attempt : f.port.attempts) {
+    upstream_id id = attempt.request.upstream;
+    CHECK((id == upstream_id("u2") || id == upstream_id("u3")));
+  }
+}
+
+// All own upstreams are gone. The other domain serves, and the home of the own
+// one is not asked for slots that can't be reached.
+TEST_CASE("spill_slots: others serve when no own upstream is fit") {
+  fixture f;
+  f.QuarantineOwn();
+  CHECK_FALSE(f.spill.OnlyOthersCanServe());
+  f.spill.SetRoom({kOther, 40});
+  CHECK(f.spill.OnlyOthersCanServe());
+  f.Submit(1);
+  f.spill.OnWorkChanged(0);
+  CHECK(f.port.attempts.size() == 1);
+}
+
+// The news was wrong: the first refusal ends the use of that room until there
+// is news again, so little is wasted.
+TEST_CASE("spill_slots: a refusal ends the use of a room") {
+  fixture f;
+  f.spill.SetRoom({kOther, 40});
+  f.Submit(20);
+  f.spill.OnWorkChanged(20);
+  size_t started = f.port.attempts.size();
+  CHECK(started == 4);
+  f.spill.OnAttemptEnded({upstream_id("u2"), slot_result::kFull});
+  f.port.End(0, AnswerOk("a"));
+  f.spill.OnWorkChanged(20);
+  CHECK(f.port.attempts.size() == started);
+}
+
+TEST_CASE("spill_slots: old news is not believed") {
+  fixture f;
+  f.spill.SetRoom({kOther, 40});
+  f.clock.Advance(std::chrono::seconds(4));
+  f.Submit(20);
+  f.spill.OnWorkChanged(20);
+  CHECK(f.port.attempts.empty());
+}
+
+}  // namespace
+}  // namespace jasminedyke
