Bound retries whoever waits; keep callers that wait for long answers

Cause, found by the experiment in which a failure domain's upstreams die: every task that waited for a retry refilled the budget, 29,530 connection attempts in 15 s; and evhttp's limit for idle callers (60 s) cut callers off that waited for their answer, 192 requests without one. Now the budget is refilled by time, not by waiting tasks, and a caller that waits for its reply is not idle. Tests for both fail before and pass after.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -350,7 +350,7 @@
   ++task.refusals;
   // The first refusal is retried at once on another upstream. Each further one
   // waits longer, so a task can't circle between full upstreams.
-  if (task.refusals == 1 && budget_.TakeRetry()) {
+  if (task.refusals == 1 && budget_.TakeRetry(clock_.now())) {
     ReturnToQueue(number, attempt.task);
     return;
   }
@@ -373,7 +373,7 @@
                            const attempt_state& attempt) {
   if (!job.spec.may_repeat || job.tasks[attempt.task].attempts > kMaxRepeats)
     return false;
-  if (!budget_.TakeRetry()) {
+  if (!budget_.TakeRetry(clock_.now())) {
     ++metrics_.retry_budget_spent;
     return false;
   }
@@ -387,14 +387,11 @@
   clock_.CallAfter(delay, [this, number, task, delay] {
     if (!jobs_.contains(number))
       return;
-    if (budget_.TakeRetry()) {
+    if (budget_.TakeRetry(clock_.now())) {
       ReturnToQueue(number, task);
       return;
     }
     ++metrics_.retry_budget_spent;
-    // Time refills the budget, too; without that the last task of all could
-    // wait for first attempts that never come.
-    budget_.RecordFirstAttempt();
     RetryLater(number, task, std::min(delay * 2, kLongestRetryDelay));
   });
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -75,6 +75,8 @@
   // bytes reach it between a request and the end of its reply.
   bufferevent_disable(bev, EV_READ);
   bufferevent_setwatermark(bev, EV_READ, 0, 0);
+  timeval idle{server_.idle_timeout_.count(), 0};
+  bufferevent_set_timeouts(bev, &idle, &idle);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   for (const http_header& header : reply.headers)
     evhttp_add_header(headers, header.first.c_str(), header.second.c_str());
@@ -113,6 +115,9 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(
       evhttp_request_get_connection(evhttp_request_));
   bufferevent_setwatermark(bev, EV_READ, SIZE_MAX, kMaxPipelinedBytes);
+  // A caller that waits sends nothing. The limit for idle callers would cut it
+  // off from a long job's answer.
+  bufferevent_set_timeouts(bev, nullptr, nullptr);
   bufferevent_enable(bev, EV_READ);
 }
 
@@ -145,7 +150,9 @@
 http_server::http_server(event_loop& loop,
                          const http_server_limits& limits,
                          handler handle)
-    : handle_(std::move(handle)), evhttp_(evhttp_new(loop.base())) {
+    : handle_(std::move(handle)),
+      idle_timeout_(limits.idle_timeout),
+      evhttp_(evhttp_new(loop.base())) {
   if (!evhttp_)
     throw std::runtime_error("evhttp can't be started");
   evhttp_set_allowed_methods(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -116,6 +116,7 @@
   static void OnClose(evhttp_connection* connection, void* self);
 
   handler handle_;
+  std::chrono::seconds idle_timeout_;
   evhttp_bound_socket* socket_ = nullptr;
   bool close_after_replies_ = false;
   size_t open_exchanges_ = 0;
--- a/tests/http_server/http_server_test.cc
+++ b/tests/http_server/http_server_test.cc
@@ -14,8 +14,8 @@
 constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
 struct server {
-  server()
-      : http(loop, http_server_limits(), [this](const http_exchange_ptr& e) {
+  explicit server(const http_server_limits& limits = http_server_limits())
+      : http(loop, limits, [this](const http_exchange_ptr& e) {
           exchanges.push_back(e);
           e->OnHangUp([this] { ++hang_ups; });
         }) {
@@ -86,6 +86,26 @@
   }));
 }
 
+// A caller waits for a job that takes longer than idle callers are kept. Its
+// connection must live until the answer.
+TEST_CASE("http_server: a caller that waits is not idle") {
+  http_server_limits limits;
+  limits.idle_timeout = std::chrono::seconds(1);
+  server s(limits);
+  raw_client caller(s.address);
+  caller.Write(kGet);
+  REQUIRE(s.WaitForExchanges(1));
+  bool later = false;
+  s.loop.CallAfter(std::chrono::milliseconds(1500), [&] { later = true; });
+  REQUIRE(RunUntil(s.loop, [&] { return later; }));
+  CHECK(s.hang_ups == 0);
+  s.exchanges[0]->Reply({200, {}, "long awaited"});
+  REQUIRE(RunUntil(s.loop, [&] {
+    caller.Read();
+    return caller.received.find("long awaited") != std::string::npos;
+  }));
+}
+
 TEST_CASE("http_server: an exchange that nobody answers gets status 500") {
   server s;
   raw_client caller(s.address);
--- /dev/null
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -0,0 +1,31 @@
+// The bound on retries.
+
+#include <doctest/doctest.h>
+
+#include "policy/policy.h"
+
+namespace jasminedyke {
+namespace {
+
+// Thousands of tasks wait to be retried for a minute, while 100 first attempts
+// a second go on. Retries must keep to their share.
+TEST_CASE("retry_budget: retries keep to their share whoever asks") {
+  retry_budget budget;
+  time_point now{std::chrono::hours(1)};
+  int retries = 0;
+  for (int second = 0; second < 60; ++second) {
+    for (int i = 0; i < 100; ++i)
+      budget.RecordFirstAttempt();
+    for (int i = 0; i < 5000; ++i) {
+      retries += budget.TakeRetry(now);
+      now += std::chrono::microseconds(200);
+    }
+  }
+  double bound = 6000 * retry_budget::kShare + 60 * retry_budget::kPerSecond +
+                 2 * retry_budget::kReserve;
+  CHECK(retries <= bound);
+  CHECK(retries > 600);
+}
+
+}  // namespace
+}  // namespace jasminedyke
