Spill to other domains only when several tasks wait for each slot

Cause: the steady experiment on real processes: any moment with more tasks than slots sent tasks to other domains, whose own grants were then refused. Also evhttp's client gave up after 50 s of its own accord, before a longer task's lease; its limit is off, each request has its own timer.

--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr int kNoTimeoutSeconds = 7 * 24 * 3600;
+
 evhttp_cmd_type ToCommand(http_method method) {
   switch (method) {
     case http_method::kPut:
@@ -122,6 +124,9 @@
       connection_.get(), static_cast<ev_ssize_t>(limits_.max_header_bytes));
   evhttp_connection_set_max_body_size(
       connection_.get(), static_cast<ev_ssize_t>(limits_.max_body_bytes));
+  // evhttp's own limit of 50 s would end longer tasks before their lease; the
+  // timer of each request is the only one.
+  evhttp_connection_set_timeout(connection_.get(), kNoTimeoutSeconds);
   evhttp_connection_set_retries(connection_.get(), 0);
   bufferevent* bev = evhttp_connection_get_bufferevent(connection_.get());
   evbuffer_add_cb(bufferevent_get_output(bev),
--- a/src/policy/spill_slots.cc
+++ b/src/policy/spill_slots.cc
@@ -10,6 +10,10 @@
 // All entry instances of all other domains hear of the same room; each takes
 // only this part of it.
 constexpr int kPartOfRoom = 4;
+// So many tasks wait for each own slot. Tasks in another domain take slots
+// that its home does not know of, so its own tasks get refused; a short wait is
+// not worth that.
+constexpr int kManyWaiting = 4;
 // This instance's tasks on one upstream of another domain.
 constexpr int kMostOnOne = 2;
 
@@ -57,7 +61,7 @@
 
 bool spill_slots::OwnAreNotEnough(int domain_waiting) const {
   int waiting = std::max(domain_waiting, host_.waiting_tasks());
-  return waiting > FitOwnSlots();
+  return waiting > kManyWaiting * FitOwnSlots();
 }
 
 int spill_slots::FitOwnSlots() const {
--- a/src/policy/spill_slots.h
+++ b/src/policy/spill_slots.h
@@ -22,8 +22,8 @@
 };
 
 // Starts waiting tasks in other failure domains that have said that they have
-// room, if no own upstream is fit or more tasks wait than there are own slots:
-// then a task waits about as long as one runs, which is far more than the trip.
+// room, if no own upstream is fit or several tasks wait for each own slot: then
+// a task waits as long as several run, which is far more than the trip.
 // A domain's room is used sparingly and forgotten at its first refusal, so a
 // wrong view costs one wasted message for each piece of news.
 class spill_slots {
