Remove the ways of sharing slots that lost the measurement

Cause: two random choices, leases with reuse and forwarding stood in the code after the choice was made.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -18,18 +18,12 @@
 struct named_sharing {
   const char* name;
   sharing strategy;
-  int lease_ms;
 };
 
 const std::vector<named_sharing>& Sharings() {
   static const std::vector<named_sharing> kAll = {
-      {"two-choices", sharing::kTwoChoices, 0},
-      {"static-split", sharing::kStaticSplit, 0},
-      {"forward-to-home", sharing::kForwardToHome, 0},
-      {"leased-1000", sharing::kLeased, 1000},
-      {"leased-200", sharing::kLeased, 200},
-      {"leased-50", sharing::kLeased, 50},
-      {"granted", sharing::kGranted, 0},
+      {"static-split", sharing::kStaticSplit},
+      {"granted", sharing::kGranted},
   };
   return kAll;
 }
@@ -130,7 +124,6 @@
             int entries) {
   replay_options options;
   options.strategy = s.strategy;
-  options.lease = std::chrono::milliseconds(s.lease_ms);
   options.order = order;
   options.entries = entries;
   options.upstreams = d.upstreams / d.failure_domains + 1;
--- a/replay/replay.cc
+++ b/replay/replay.cc
@@ -195,23 +195,11 @@
 
  private:
   std::unique_ptr<slot_strategy> MakeStrategy() {
+    if (world_.options_.strategy == sharing::kStaticSplit)
+      return MakeStaticSplit();
     uint64_t seed = world_.options_.seed * 1000 + number_;
-    grant_settings settings;
-    switch (world_.options_.strategy) {
-      case sharing::kTwoChoices:
-        return std::make_unique<two_choices_slots>(clock_, upstreams_, jobs_,
-                                                   seed);
-      case sharing::kStaticSplit:
-        return MakeStaticSplit();
-      case sharing::kLeased:
-        settings.reuse = world_.options_.lease;
-        break;
-      case sharing::kForwardToHome:
-      case sharing::kGranted:
-        break;
-    }
-    auto granted = std::make_unique<granted_slots>(
-        clock_, upstreams_, jobs_, world_.rule_, seed, settings);
+    auto granted = std::make_unique<granted_slots>(clock_, upstreams_, jobs_,
+                                                   world_.rule_, seed);
     granted_ = granted.get();
     return granted;
   }
@@ -438,11 +426,6 @@
 
 void replay_world::SubmitNow(const trace_job& job, size_t index) {
   int number = job.entry;
-  double detour_ms = 0;
-  if (options_.strategy == sharing::kForwardToHome && home_number() >= 0) {
-    detour_ms = number == home_number() ? 0 : 2 * deployment_.peer_delay_ms;
-    number = home_number();
-  }
   // The balancer sends nothing to an instance that is gone.
   while (!entries_[number]->alive)
     number = (number + 1) % options_.entries;
@@ -456,14 +439,13 @@
     spec.tasks.push_back(
         {std::to_string(task.run_ms), 0, FromMilliseconds(task.declared_ms)});
   auto started = entries_[number]->jobs().Submit(
-      std::move(spec), [this, index, detour_ms](const job_outcome& outcome) {
+      std::move(spec), [this, index](const job_outcome& outcome) {
         replay_job_result& result = result_.jobs[index];
         result.complete = std::holds_alternative<job_complete>(outcome);
         if (!result.complete)
           result.failure = std::get<job_failed>(outcome).reason;
         result.response_ms = ToMilliseconds(clock_.now() - start_) -
-                             result.at_ms + detour_ms +
-                             deployment_.caller_delay_ms;
+                             result.at_ms + deployment_.caller_delay_ms;
         --pending_;
       });
   if (!started.ok()) {
--- a/replay/replay.h
+++ b/replay/replay.h
@@ -21,17 +21,10 @@
 namespace jasminedyke {
 
 // How entry instances share slots in a replay.
-enum class sharing {
-  kTwoChoices,
-  kStaticSplit,
-  kForwardToHome,  // every job goes to the home, which needs no messages
-  kLeased,         // grants may be used again for `lease`
-  kGranted,        // one grant for each task
-};
+enum class sharing { kStaticSplit, kGranted };
 
 struct replay_options {
   sharing strategy = sharing::kGranted;
-  duration lease = std::chrono::milliseconds(200);
   std::string order;  // empty: the default rule
   int entries = 3;
   int upstreams = 17;  // of one failure domain
--- a/src/policy/granted_slots.cc
+++ b/src/policy/granted_slots.cc
@@ -42,13 +42,11 @@
                              const upstream_table& upstreams,
                              slot_host& host,
                              const order_rule& rule,
-                             uint64_t seed,
-                             const grant_settings& settings)
+                             uint64_t seed)
     : clock_(clock),
       upstreams_(upstreams),
       host_(host),
       rule_(rule),
-      settings_(settings),
       fallback_(clock, upstreams, host),
       spill_(clock, upstreams, host, seed),
       report_timer_(clock),
@@ -64,7 +62,6 @@
   full_report_due_ = true;
   reported_.clear();
   releases_.clear();
-  reuse_until_.clear();
   in_fallback_ = home_.empty();
   fallback_.Pause();
   OnWorkChanged();
@@ -103,8 +100,7 @@
   }
   if (in_fallback_)
     fallback_.OnAttemptEnded(slot);
-  if (!ReuseSlot(slot))
-    Release(slot);
+  Release(slot);
 }
 
 void granted_slots::OnMembershipChanged() {
@@ -143,24 +139,8 @@
     }
   }
   start_order order{slot.upstream, slot.team, true, slot.trial};
-  if (!in_time || !host_.StartOn(order)) {
+  if (!in_time || !host_.StartOn(order))
     Release({slot.upstream, slot_result::kUnused});
-    return;
-  }
-  if (settings_.reuse > duration::zero())
-    reuse_until_.emplace(slot.upstream, clock_.now() + settings_.reuse);
-}
-
-bool granted_slots::ReuseSlot(const released_slot& slot) {
-  auto found = reuse_until_.find(slot.upstream);
-  if (found == reuse_until_.end())
-    return false;
-  bool usable =
-      slot.result == slot_result::kAnswered && clock_.now() < found->second;
-  if (usable && host_.StartOn({.upstream = slot.upstream, .granted = true}))
-    return true;
-  reuse_until_.erase(found);
-  return false;
 }
 
 void granted_slots::Release(const released_slot& slot) {
--- a/src/policy/granted_slots.h
+++ b/src/policy/granted_slots.h
@@ -5,7 +5,6 @@
 #define SRC_POLICY_GRANTED_SLOTS_H_
 
 #include <deque>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -18,12 +17,6 @@
 
 namespace jasminedyke {
 
-struct grant_settings {
-  // For so long after a grant its slot may be used for further tasks without
-  // asking again. Zero: each grant is for one task.
-  duration reuse = duration::zero();
-};
-
 // The holder's side of the protocol whose other side is `slot_home`. While the
 // home is silent, tasks start within a fixed share of the slots instead, so a
 // dead home delays work by a bounded time and stops nothing.
@@ -33,8 +26,7 @@
                 const upstream_table& upstreams,
                 slot_host& host,
                 const order_rule& rule,
-                uint64_t seed,
-                const grant_settings& settings);
+                uint64_t seed);
 
   // The instance to ask; empty if there is none. To be called again, with the
   // same one, after the link to it broke.
@@ -69,7 +61,6 @@
  private:
   void OnGrant(const slot_grant& grant);
   void UseSlot(const granted_slot& slot, bool in_time);
-  bool ReuseSlot(const released_slot& slot);
   void Release(const released_slot& slot);
   void FlushReleases();
   void ReportSoon();
@@ -89,7 +80,6 @@
   const upstream_table& upstreams_;
   slot_host& host_;
   const order_rule& rule_;
-  grant_settings settings_;
   static_split_slots fallback_;
   spill_slots spill_;
 
@@ -113,8 +103,6 @@
   bool full_report_due_ = true;
   std::vector<released_slot> releases_;
   time_point released_at_;
-  // When the right to reuse ends, for each slot in use; by upstream.
-  std::multimap<upstream_id, time_point> reuse_until_;
 
   scoped_timer report_timer_;
   scoped_timer release_timer_;
--- a/src/policy/local_slots.cc
+++ b/src/policy/local_slots.cc
@@ -8,48 +8,6 @@
 
 }  // namespace
 
-two_choices_slots::two_choices_slots(scheduler& clock,
-                                     const upstream_table& upstreams,
-                                     slot_host& host,
-                                     uint64_t seed)
-    : clock_(clock),
-      upstreams_(upstreams),
-      host_(host),
-      random_(seed),
-      retry_(clock) {}
-
-void two_choices_slots::OnWorkChanged() {
-  while (host_.waiting_tasks() > 0) {
-    upstream_id chosen = Choose();
-    if (chosen.empty() || !host_.StartOn({.upstream = chosen}))
-      break;
-  }
-  if (host_.waiting_tasks() > 0 && !retry_.active())
-    retry_.StartAfter(kRetryDelay, [this] { OnWorkChanged(); });
-}
-
-void two_choices_slots::OnAttemptEnded(const released_slot&) {
-  OnWorkChanged();
-}
-
-void two_choices_slots::OnMembershipChanged() {
-  OnWorkChanged();
-}
-
-upstream_id two_choices_slots::Choose() {
-  std::vector<const upstream_state*> open;
-  for (const upstream_id& id : upstreams_.local()) {
-    if (upstreams_.MayStart(id, clock_.now()))
-      open.push_back(upstreams_.Find(id));
-  }
-  if (open.empty())
-    return {};
-  std::uniform_int_distribution<size_t> pick(0, open.size() - 1);
-  const upstream_state* a = open[pick(random_)];
-  const upstream_state* b = open[pick(random_)];
-  return a->in_flight <= b->in_flight ? a->id : b->id;
-}
-
 static_split_slots::static_split_slots(scheduler& clock,
                                        const upstream_table& upstreams,
                                        slot_host& host)
--- a/src/policy/local_slots.h
+++ b/src/policy/local_slots.h
@@ -1,42 +1,14 @@
-// Strategies that need no messages: each entry instance goes by what it knows
-// itself, and the upstreams' refusals correct it.
+// A strategy that needs no messages.
 
 #ifndef SRC_POLICY_LOCAL_SLOTS_H_
 #define SRC_POLICY_LOCAL_SLOTS_H_
 
-#include <random>
-
 #include "base/base.h"
 #include "policy/slot_strategy.h"
 #include "policy/upstream_table.h"
 
 namespace jasminedyke {
 
-// Sends each task to the less loaded of two random upstreams. Only a baseline
-// of the measurements; see docs/design/slots.md.
-class two_choices_slots : public slot_strategy {
- public:
-  two_choices_slots(scheduler& clock,
-                    const upstream_table& upstreams,
-                    slot_host& host,
-                    uint64_t seed);
-
-  void OnWorkChanged() override;
-  void OnAttemptEnded(const released_slot& slot) override;
-  void OnMembershipChanged() override;
-  void OnPeerMessage(const instance_id&, const slot_message&) override {}
-
- private:
-  upstream_id Choose();
-
-  scheduler& clock_;
-  const upstream_table& upstreams_;
-  slot_host& host_;
-  std::mt19937_64 random_;
-  // Tries again when every upstream was full or held off.
-  scoped_timer retry_;
-};
-
 // Gives each entry instance a fixed part of each upstream's slots. Without a
 // message no upstream is asked for more than it has; but what one instance
 // does not use, no other can. The fallback when no home can be reached.
