--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -47,7 +47,8 @@
   if (values.empty())
     return 0;
   std::ranges::sort(values);
-  return values[static_cast<size_t>(q * static_cast<double>(values.size() - 1))];
+  return values[static_cast<size_t>(q *
+                                    static_cast<double>(values.size() - 1))];
 }
 
 json Quantiles(const std::vector<double>& values) {
@@ -74,7 +75,8 @@
       groups[name].response.push_back(s.response_ms);
       groups[name].added.push_back(s.response_ms - s.ideal_ms);
     }
-    timeline.push_back({std::round(s.at_ms), std::round(s.response_ms * 10) / 10,
+    timeline.push_back({std::round(s.at_ms),
+                        std::round(s.response_ms * 10) / 10,
                         std::round(s.response_ms / s.ideal_ms * 1000) / 1000});
   }
   json by_group;
@@ -83,14 +85,10 @@
                       {"stretch", Quantiles(values.stretch)},
                       {"response_ms", Quantiles(values.response)},
                       {"added_ms", Quantiles(values.added)}};
-  return {{"jobs", jobs},
-          {"tasks_complete", tasks_complete},
-          {"seconds", seconds},
-          {"groups", by_group},
-          {"refused", refused},
-          {"failed", failed},
-          {"no_answer", no_answer},
-          {"wrong_answers", wrong_answers},
+  return {{"jobs", jobs},           {"tasks_complete", tasks_complete},
+          {"seconds", seconds},     {"groups", by_group},
+          {"refused", refused},     {"failed", failed},
+          {"no_answer", no_answer}, {"wrong_answers", wrong_answers},
           {"timeline", timeline}};
 }
 
@@ -176,9 +174,8 @@
 
 void load_run::OnAnswer(const trace_job& job, const http_result& result) {
   --waiting_;
-  json body = result.ok()
-                  ? json::parse(result.value().body, nullptr, false)
-                  : json();
+  json body =
+      result.ok() ? json::parse(result.value().body, nullptr, false) : json();
   if (!body.is_object()) {
     ++result_.no_answer;
   } else if (body.value("state", "") == "complete") {
@@ -190,8 +187,8 @@
     result_.complete.push_back({job.work_class, job.team, job.at_ms, response,
                                 ideal, job.longest_ms(), job.tasks.size()});
   } else {
-    auto& counts = body.value("state", "") == "refused" ? result_.refused
-                                                        : result_.failed;
+    auto& counts =
+        body.value("state", "") == "refused" ? result_.refused : result_.failed;
     ++counts[body.value("reason", "unknown")];
   }
   if (next_ == jobs_.size() && waiting_ == 0)
@@ -224,10 +221,10 @@
 }
 
 void load_run::PrintProgress() {
-  std::fprintf(stderr, "\r%6.1f s  sent %zu of %zu  complete %zu  waiting %llu ",
-               ToSeconds(loop_.now() - start_), next_, jobs_.size(),
-               result_.complete.size(),
-               static_cast<unsigned long long>(waiting_));
+  std::fprintf(
+      stderr, "\r%6.1f s  sent %zu of %zu  complete %zu  waiting %llu ",
+      ToSeconds(loop_.now() - start_), next_, jobs_.size(),
+      result_.complete.size(), static_cast<unsigned long long>(waiting_));
   progress_timer_.StartAfter(kProgressEvery, [this] { PrintProgress(); });
 }
 
--- a/bench/load/main.cc
+++ b/bench/load/main.cc
@@ -100,7 +100,8 @@
 int main(int argc, char** argv) {
   options opt;
   CLI::App app{
-      "Puts a deployment's mix, or a plain stream of tasks, on entry instances. "
+      "Puts a deployment's mix, or a plain stream of tasks, on entry "
+      "instances. "
       "Teams' tokens are \"token-of-TEAM\". Exit status 0 if every answer was "
       "the right one."};
   app.add_option("--deployment", opt.deployment, "description under conf/");
