Remove a count of waiting tasks by team that nothing called

Cause: found while reading the whole change once more: job_queue had a second waiting_tasks, by team, without a caller since demand is made per team. Conclusion: dead code, removed; behaviour is the same.

--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -104,16 +104,6 @@
   return work;
 }
 
-int job_queue::waiting_tasks(const team_id& team) const {
-  auto found = order_.find(team);
-  if (found == order_.end())
-    return 0;
-  int tasks = 0;
-  for (const ranked_job& ranked : found->second)
-    tasks += jobs_.at(ranked.second).facts.waiting_tasks;
-  return tasks;
-}
-
 double job_queue::RankAtArrival(const queued_job& facts) const {
   order_facts at_arrival;
   at_arrival.target = facts.target;
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -67,7 +67,6 @@
   duration WorkAhead(const queued_job& facts) const;
 
   int waiting_tasks() const { return waiting_tasks_; }
-  int waiting_tasks(const team_id& team) const;
   duration waiting_work() const { return waiting_work_; }
   size_t jobs() const { return jobs_.size(); }
 
