--- a/bench/fuzz/fuzz_targets.cc
+++ b/bench/fuzz/fuzz_targets.cc
@@ -10,7 +10,7 @@
 #include "daemon/daemon.h"
 #include "entry/entry.h"
 #include "fuzz/fuzz_targets.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "protocol/protocol.h"
 
 namespace jasminedyke {
--- a/src/admin/admin_api.h
+++ b/src/admin/admin_api.h
@@ -11,7 +11,7 @@
 #include "base/base.h"
 #include "entry/entry.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 
--- a/src/admin/instance_view.h
+++ b/src/admin/instance_view.h
@@ -10,7 +10,7 @@
 #include "base/base.h"
 #include "cluster/cluster.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "policy/policy.h"
 #include "protocol/protocol.h"
 
--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
+#include <utility>
 
 #include <event2/event.h>
 
@@ -73,6 +74,15 @@
   event_add(interrupt_event_.get(), nullptr);
 }
 
+void event_loop::OnReloadSignal(std::function<void()> handler) {
+  on_reload_signal_ = std::move(handler);
+  auto on_signal = [](evutil_socket_t, short, void* self) {
+    static_cast<event_loop*>(self)->on_reload_signal_();
+  };
+  reload_event_.reset(evsignal_new(base_.get(), SIGHUP, on_signal, this));
+  event_add(reload_event_.get(), nullptr);
+}
+
 void event_loop::Run() {
   event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -30,6 +30,9 @@
   // Calls `handler` on the loop for each SIGTERM and SIGINT.
   void OnStopSignal(std::function<void()> handler);
 
+  // Calls `handler` on the loop for each SIGHUP.
+  void OnReloadSignal(std::function<void()> handler);
+
   // Returns after `Stop`.
   void Run();
   void Stop();
@@ -56,7 +59,9 @@
   event_ptr timer_event_;
   event_ptr terminate_event_;
   event_ptr interrupt_event_;
+  event_ptr reload_event_;
   std::function<void()> on_stop_signal_;
+  std::function<void()> on_reload_signal_;
   // When `timer_event_` fires next; the maximum while it is not armed.
   time_point armed_for_ = time_point::max();
 };
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -4,9 +4,12 @@
 #define SRC_CLUSTER_CLUSTER_H_
 
 #include "cluster/document_sync.h"
+#include "cluster/home_election.h"
 #include "cluster/home_selector.h"
+#include "cluster/member_registry.h"
 #include "cluster/peer_choice.h"
 #include "cluster/peer_router.h"
 #include "cluster/remote_jobs.h"
+#include "cluster/run_cluster.h"
 
 #endif  // SRC_CLUSTER_CLUSTER_H_
--- a/src/cluster/document_sync.h
+++ b/src/cluster/document_sync.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/base.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "protocol/protocol.h"
 
 namespace jasminedyke {
--- /dev/null
+++ b/src/cluster/home_election.cc
@@ -0,0 +1,310 @@
+#include "cluster/home_election.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr char kTable[] = "homes";
+constexpr duration kTick = std::chrono::milliseconds(50);
+// Renewed so often that a successor that only sees the row, because the home
+// went silent, waits little longer than the upstreams' leases last anyway.
+constexpr duration kRenewInterval = std::chrono::milliseconds(500);
+// Three renewals missed: one may be lost, one may be slow.
+constexpr duration kRowExpiry = std::chrono::milliseconds(1500);
+// The next candidates wait for the better ones, a store write each.
+constexpr duration kWaitPerRank = std::chrono::milliseconds(200);
+// New instances first learn who is home already.
+constexpr duration kSettleTime = std::chrono::milliseconds(300);
+// Without the store: after a home whose process is known to be gone, and after
+// one that is only silent.
+constexpr duration kStorelessAfterGone = std::chrono::milliseconds(700);
+constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(3000);
+// A home whose status is older does not count as one.
+constexpr duration kStatusExpiry = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+home_election::home_election(scheduler& clock,
+                             table_service& store,
+                             const home_directory& homes,
+                             const home_group& group,
+                             const entry_member& self,
+                             events told)
+    : clock_(clock),
+      store_(store),
+      homes_(homes),
+      group_(group),
+      self_(self),
+      events_(std::move(told)),
+      tick_timer_(clock) {
+  tick_timer_.StartAfter(kTick, [this] { Tick(); });
+}
+
+void home_election::SetMembers(
+    const std::map<instance_id, entry_member>& members) {
+  members_ = members;
+  members_[self_.instance] = self_;
+}
+
+void home_election::OnPeerUp(const instance_id& peer) {
+  peers_up_.insert(peer);
+  refused_.erase(peer);
+  leaving_peers_.erase(peer);
+}
+
+void home_election::OnPeerDown(const instance_id& peer) {
+  peers_up_.erase(peer);
+}
+
+void home_election::OnPeerRefused(const instance_id& peer) {
+  refused_.insert(peer);
+  if (!holding_)
+    Watch();
+}
+
+void home_election::OnPeerLeaving(const instance_id& peer) {
+  leaving_peers_.insert(peer);
+}
+
+void home_election::OnHomesChanged() {
+  const known_home* home = homes_.Find(group_);
+  bool other = home && home->instance != self_.instance;
+  if (holding_ && other && home->status.token > token_)
+    End("newer_home");
+}
+
+void home_election::OnFenced() {
+  if (!holding_ || call_in_flight_)
+    return;
+  // Either there is a newer home, or one that took over while the store was
+  // away is gone again; the row tells.
+  row_unsure_ = true;
+  CheckRow();
+}
+
+void home_election::Leave() {
+  leaving_ = true;
+  if (holding_ && !row_unsure_) {
+    store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(true)}},
+                 [](const auto&) {});
+  }
+}
+
+std::optional<home_election::home_row> home_election::ParseRow(
+    const nlohmann::json& value) {
+  if (!value.is_object())
+    return std::nullopt;
+  home_row row;
+  row.holder = instance_id(TextField(value, "holder"));
+  row.incarnation = incarnation_id(TextField(value, "incarnation"));
+  row.released = BooleanField(value, "released");
+  return row;
+}
+
+nlohmann::json home_election::OwnRow(bool released) const {
+  return {{"holder", self_.instance.str()},
+          {"incarnation", self_.incarnation.str()},
+          {"released", released}};
+}
+
+void home_election::Tick() {
+  tick_timer_.StartAfter(kTick, [this] { Tick(); });
+  if (holding_)
+    Hold();
+  else
+    Watch();
+}
+
+void home_election::Hold() {
+  if (call_in_flight_ || leaving_ ||
+      clock_.now() - last_renewal_ < kRenewInterval)
+    return;
+  last_renewal_ = clock_.now();
+  if (row_unsure_)
+    CheckRow();
+  else
+    Renew();
+}
+
+void home_election::Renew() {
+  call_in_flight_ = true;
+  store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(false)}},
+               [this](const auto& result) { OnRenewed(result); });
+}
+
+void home_election::OnRenewed(
+    const outcome<std::vector<uint64_t>, store_error>& result) {
+  call_in_flight_ = false;
+  if (!holding_)
+    return;
+  if (result.ok()) {
+    row_version_ = result.value().front();
+    return;
+  }
+  // A lost answer may have changed the row: its version must be read.
+  if (result.error() != store_error::kUnavailable)
+    row_unsure_ = true;
+  if (result.error() == store_error::kConflict)
+    CheckRow();
+}
+
+// While holding, when it is not certain that the row is still ours.
+void home_election::CheckRow() {
+  call_in_flight_ = true;
+  store_.Read(kTable, group_.ToString(), [this](const auto& result) {
+    call_in_flight_ = false;
+    if (!holding_)
+      return;
+    bool missing =
+        !result.ok() && result.error() == store_error::kNotFound;
+    if (!result.ok() && !missing)
+      return;
+    uint64_t version = missing ? 0 : result.value().version;
+    auto row = missing ? std::nullopt : ParseRow(result.value().value);
+    // A home that began without the store finds the row of the one that it
+    // replaced, and takes it. Another holder that renews it still has won.
+    bool ours = row && row->holder == self_.instance &&
+                row->incarnation == self_.incarnation;
+    bool replaced = missing || (row && MayTake(*row, version));
+    if (ours || replaced)
+      TakeOver(version);
+    else if (row_version_ != 0)
+      End("row_taken");
+  });
+}
+
+int home_election::OwnRank() const {
+  auto score = [&](const entry_member& member) {
+    return std::pair(member.weight, StableHash(group_.ToString() + "/" +
+                                               member.instance.str()));
+  };
+  auto own = score(self_);
+  int rank = 0;
+  for (const auto& [id, member] : members_) {
+    bool candidate = member.domain == group_.domain && peers_up_.contains(id) &&
+                     !leaving_peers_.contains(id);
+    if (candidate && score(member) > own)
+      ++rank;
+  }
+  return rank;
+}
+
+bool home_election::SeesHalf() const {
+  return (peers_up_.size() + 1) * 2 >= members_.size();
+}
+
+void home_election::Watch() {
+  const known_home* home = homes_.Find(group_);
+  bool alive = home && clock_.now() - home->heard < kStatusExpiry &&
+               !leaving_peers_.contains(home->instance);
+  if (alive || leaving_) {
+    without_home_since_.reset();
+    store_away_since_.reset();
+    return;
+  }
+  if (!without_home_since_)
+    without_home_since_ = clock_.now();
+  duration wait = kWaitPerRank * OwnRank();
+  if (!home && homes_.HighestToken(group_).value() == 0)
+    wait += kSettleTime;
+  if (call_in_flight_ || clock_.now() - *without_home_since_ < wait)
+    return;
+  call_in_flight_ = true;
+  store_.Read(kTable, group_.ToString(),
+              [this](const auto& row) { OnRowRead(row); });
+}
+
+void home_election::OnRowRead(const outcome<table_row, store_error>& result) {
+  call_in_flight_ = false;
+  if (holding_ || leaving_)
+    return;
+  if (!result.ok() && result.error() != store_error::kNotFound) {
+    if (!store_away_since_)
+      store_away_since_ = clock_.now();
+    TakeOverWithoutStore();
+    return;
+  }
+  store_away_since_.reset();
+  if (!result.ok()) {
+    TakeOver(0);
+    return;
+  }
+  auto row = ParseRow(result.value().value);
+  if (!row || MayTake(*row, result.value().version))
+    TakeOver(result.value().version);
+}
+
+bool home_election::MayTake(const home_row& row, uint64_t version) {
+  bool gone = row.holder == self_.instance || row.released ||
+              refused_.contains(row.holder);
+  if (gone)
+    return true;
+  if (version != seen_version_) {
+    seen_version_ = version;
+    seen_since_ = clock_.now();
+    return false;
+  }
+  return clock_.now() - seen_since_ >= kRowExpiry;
+}
+
+void home_election::TakeOver(uint64_t expected_version) {
+  call_in_flight_ = true;
+  store_.Write({{kTable, group_.ToString(), expected_version, OwnRow(false)}},
+               [this](const auto& result) {
+                 call_in_flight_ = false;
+                 if (!result.ok() || leaving_)
+                   return;
+                 row_unsure_ = false;
+                 row_version_ = result.value().front();
+                 last_renewal_ = clock_.now();
+                 Begin(fencing_token(row_version_), "store");
+               });
+}
+
+// Cut off from the store, a group must go on being served. An instance that
+// sees few of the others is more likely cut off itself; taking the upstreams
+// away from a living home would stop the whole group.
+void home_election::TakeOverWithoutStore() {
+  fencing_token highest = homes_.HighestToken(group_);
+  bool known_gone = std::ranges::any_of(refused_, [&](const auto& id) {
+    auto member = members_.find(id);
+    return member != members_.end() && member->second.domain == group_.domain;
+  });
+  duration wait = known_gone ? kStorelessAfterGone : kStorelessAfterSilence;
+  bool may = SeesHalf() && highest.value() > 0 && OwnRank() == 0 &&
+             clock_.now() - *store_away_since_ >= wait;
+  if (!may)
+    return;
+  row_unsure_ = true;
+  row_version_ = 0;
+  Begin(fencing_token(highest.value() + 1), "without_store");
+}
+
+void home_election::Begin(fencing_token token, const char* how) {
+  bool renewed = holding_;
+  holding_ = true;
+  token_ = token;
+  without_home_since_.reset();
+  store_away_since_.reset();
+  LogEvent(log_level::kInfo, renewed ? "home_token" : "home_begins",
+           {{"group", group_.ToString()},
+            {"token", token.value()},
+            {"how", how}});
+  events_.on_begin(token);
+}
+
+void home_election::End(const char* why) {
+  holding_ = false;
+  row_unsure_ = false;
+  LogEvent(log_level::kWarning, "home_ends",
+           {{"group", group_.ToString()},
+            {"token", token_.value()},
+            {"why", why}});
+  events_.on_end();
+}
+
+}  // namespace jasminedyke
--- a/src/cluster/peer_router.cc
+++ b/src/cluster/peer_router.cc
@@ -2,17 +2,12 @@
 
 #include <variant>
 
+#include "base/overloaded.h"
+
 namespace jasminedyke {
 
 namespace {
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-  using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 peer_message ToPeerMessage(const slot_message& message) {
   return std::visit([](const auto& each) { return peer_message(each); },
                     message);
@@ -77,6 +72,11 @@
           [&](const peer_document& m) { documents_.OnDocument(m); },
           [&](const remote_job_request& m) { jobs_.OnRequest(peer, m); },
           [&](const remote_job_reply& m) { jobs_.OnReply(peer, m); },
+          // Of the runs library, which has its own router.
+          [](const run_request&) {},
+          [](const run_cancel&) {},
+          [](const run_report&) {},
+          [](const home_status&) {},
       },
       message);
 }
--- /dev/null
+++ b/src/cluster/run_cluster.cc
@@ -0,0 +1,229 @@
+#include "cluster/run_cluster.h"
+
+#include <utility>
+
+#include "base/overloaded.h"
+
+namespace jasminedyke {
+
+namespace {
+
+// A link is silent for no longer than this, so its other end can tell a dead
+// peer from a quiet one within four of them.
+constexpr duration kHeartbeatInterval = std::chrono::milliseconds(250);
+// How old a job owner's knowledge of a home's room may be; a task of 60 ms
+// gets room or loses it in about this time.
+constexpr duration kHomeStatusInterval = std::chrono::milliseconds(100);
+constexpr duration kAskAgainAfter = std::chrono::milliseconds(300);
+
+}  // namespace
+
+run_cluster::run_cluster(scheduler& clock,
+                         peer_port& peers,
+                         table_service& store,
+                         upstream_port& upstreams,
+                         const entry_member& self,
+                         const upstream_session::limits& bounds,
+                         config_parser parse_config)
+    : clock_(clock),
+      peers_(peers),
+      self_(self),
+      parse_config_(std::move(parse_config)),
+      homes_(clock),
+      heartbeat_timer_(clock),
+      home_status_timer_(clock) {
+  home_group group{self.domain, 0};
+  home_ = std::make_unique<run_home>(
+      clock, upstreams, group, bounds,
+      [this](const instance_id& to, const run_report& report) {
+        Send(to, report);
+      },
+      // Later: the home's sessions are in the middle of a call.
+      [this] {
+        clock_.CallAfter(duration::zero(), [this] { election_->OnFenced(); });
+      });
+  desk_ = std::make_unique<job_desk>(
+      clock, self.domain, homes_,
+      [this](const instance_id& to, const run_request& request) {
+        return Send(to, request);
+      },
+      [this](const instance_id& to, const run_cancel& cancel) {
+        Send(to, cancel);
+      });
+  election_ = std::make_unique<home_election>(
+      clock, store, homes_, group, self,
+      home_election::events{[this](fencing_token token) {
+                              home_->Begin(token);
+                              TellHomeStatus();
+                            },
+                            [this] {
+                              home_->End();
+                              TellHomeStatus();
+                            }});
+  members_ = std::make_unique<member_registry>(clock, store, self);
+  peers_.SetListener(this);
+  members_->Register();
+  Heartbeat();
+}
+
+run_cluster::~run_cluster() {
+  peers_.SetListener(nullptr);
+}
+
+void run_cluster::SetMembers(
+    const std::map<instance_id, entry_member>& members) {
+  election_->SetMembers(members);
+  std::map<instance_id, socket_address> wanted;
+  for (const auto& [id, member] : members)
+    wanted.emplace(id, member.peers);
+  peers_.SetWanted(wanted);
+}
+
+void run_cluster::SetUpstreams(const upstream_registry& upstreams) {
+  upstreams_ = upstreams;
+  upstream_registry own;
+  for (const auto& [id, info] : upstreams) {
+    if (info.failure_domain == self_.domain)
+      own.emplace(id, info);
+  }
+  home_->SetUpstreams(own);
+}
+
+void run_cluster::OnConfigDocument(const std::string& document) {
+  auto config = parse_config_(document);
+  if (!config) {
+    LogEvent(log_level::kError, "configuration_malformed",
+             {{"bytes", document.size()}});
+    return;
+  }
+  if (!routes_.Update(*config))
+    return;
+  config_document_ = document;
+  LogEvent(log_level::kInfo, "configuration_in_force",
+           {{"version", config->version.value()},
+            {"routes", config->routes.size()}});
+  SendToAll(OwnStatus());
+}
+
+bool run_cluster::ready() const {
+  return !leaving_ && routes_.known() && !homes_.Ranked(self_.domain).empty();
+}
+
+void run_cluster::Leave() {
+  leaving_ = true;
+  SendToAll(OwnStatus());
+  election_->Leave();
+  members_->Unregister();
+}
+
+void run_cluster::OnPeerUp(const peer_identity& peer) {
+  election_->OnPeerUp(peer.instance);
+  home_->OnPeerUp(peer.instance);
+  Send(peer.instance, OwnStatus());
+  if (home_->serving())
+    Send(peer.instance, home_->Status());
+  desk_->OnPeerUp(peer.instance);
+}
+
+void run_cluster::OnPeerDown(const instance_id& peer) {
+  election_->OnPeerDown(peer);
+  home_->OnPeerDown(peer);
+  desk_->OnPeerDown(peer);
+  homes_.OnPeerDown(peer);
+}
+
+void run_cluster::OnPeerRefused(const instance_id& peer) {
+  election_->OnPeerRefused(peer);
+}
+
+void run_cluster::OnPeerMessage(const instance_id& peer,
+                                const peer_message& message) {
+  Take(peer, message);
+}
+
+bool run_cluster::Send(const instance_id& to, const peer_message& message) {
+  if (to != self_.instance)
+    return peers_.Send(to, message);
+  // Later, as over a link: neither side expects an answer within its call.
+  clock_.CallAfter(duration::zero(),
+                   [this, message] { Take(self_.instance, message); });
+  return true;
+}
+
+void run_cluster::SendToAll(const peer_message& message) {
+  for (const instance_id& peer : peers_.peers_up())
+    peers_.Send(peer, message);
+}
+
+void run_cluster::Take(const instance_id& from, const peer_message& message) {
+  std::visit(
+      overloaded{
+          [&](const run_request& m) { home_->OnRequest(from, m); },
+          [&](const run_cancel& m) { home_->OnCancel(from, m); },
+          [&](const run_report& m) { desk_->OnReport(from, m); },
+          [&](const home_status& m) { TakeHomeStatus(from, m); },
+          [&](const peer_status& m) { TakeStatus(from, m); },
+          [&](const document_request&) { SendConfig(from); },
+          [&](const peer_document& m) { OnConfigDocument(m.json); },
+          // Of the slot strategies, which this instance does not use.
+          [](const auto&) {},
+      },
+      message);
+}
+
+void run_cluster::TakeStatus(const instance_id& from,
+                             const peer_status& status) {
+  if (status.leaving)
+    election_->OnPeerLeaving(from);
+  if (status.config <= routes_.config().version)
+    return;
+  // The store may be away for us only, and the bound for a configuration to
+  // be in force is shorter than most outages.
+  auto [asked, is_new] = asked_.try_emplace(from, clock_.now());
+  if (!is_new && clock_.now() - asked->second < kAskAgainAfter)
+    return;
+  asked->second = clock_.now();
+  Send(from, document_request{document_kind::kConfiguration});
+}
+
+void run_cluster::SendConfig(const instance_id& to) {
+  if (routes_.known())
+    Send(to, peer_document{document_kind::kConfiguration,
+                           routes_.config().version.value(), config_document_});
+}
+
+void run_cluster::TakeHomeStatus(const instance_id& from,
+                                 const home_status& status) {
+  if (homes_.Update(from, status))
+    OnHomesChanged();
+}
+
+void run_cluster::OnHomesChanged() {
+  election_->OnHomesChanged();
+  desk_->OnHomesChanged();
+}
+
+peer_status run_cluster::OwnStatus() const {
+  peer_status status;
+  status.config = routes_.config().version;
+  status.leaving = leaving_;
+  return status;
+}
+
+void run_cluster::Heartbeat() {
+  SendToAll(OwnStatus());
+  heartbeat_timer_.StartAfter(kHeartbeatInterval, [this] { Heartbeat(); });
+}
+
+void run_cluster::TellHomeStatus() {
+  home_status status = home_->Status();
+  SendToAll(status);
+  TakeHomeStatus(self_.instance, status);
+  if (home_->serving())
+    home_status_timer_.StartAfter(kHomeStatusInterval,
+                                  [this] { TellHomeStatus(); });
+  else
+    home_status_timer_.Stop();
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/cluster/run_cluster.h
@@ -0,0 +1,99 @@
+// Entry instances that share the upstreams of their failure domains: members,
+// homes, and the messages between jobs' owners and homes.
+
+#ifndef SRC_CLUSTER_RUN_CLUSTER_H_
+#define SRC_CLUSTER_RUN_CLUSTER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+#include "cluster/home_election.h"
+#include "cluster/member_registry.h"
+#include "policy/policy.h"
+#include "protocol/protocol.h"
+#include "runs/runs.h"
+#include "store/store.h"
+
+namespace jasminedyke {
+
+// Puts the parts together for one instance. What it decides on its own is only
+// which message goes where; a message to itself takes no link.
+class run_cluster : public peer_listener {
+ public:
+  // Turns a configuration document into routes; nothing if it makes no sense.
+  using config_parser =
+      std::function<std::optional<routing_config>(const std::string&)>;
+
+  run_cluster(scheduler& clock,
+              peer_port& peers,
+              table_service& store,
+              upstream_port& upstreams,
+              const entry_member& self,
+              const upstream_session::limits& bounds,
+              config_parser parse_config);
+  ~run_cluster() override;
+
+  // From the store.
+  void SetMembers(const std::map<instance_id, entry_member>& members);
+  void SetUpstreams(const upstream_registry& upstreams);
+  // From the store or a peer; older ones change nothing.
+  void OnConfigDocument(const std::string& document);
+
+  // Gives the home back and tells the peers.
+  void Leave();
+
+  const route_table& routes() const { return routes_; }
+  job_desk& desk() { return *desk_; }
+  const job_desk& desk() const { return *desk_; }
+  const run_home& home() const { return *home_; }
+  const home_directory& homes() const { return homes_; }
+  const upstream_registry& upstreams() const { return upstreams_; }
+  bool leaving() const { return leaving_; }
+  // Can take jobs: it has a configuration and knows a home.
+  bool ready() const;
+
+  void OnPeerUp(const peer_identity& peer) override;
+  void OnPeerDown(const instance_id& peer) override;
+  void OnPeerMessage(const instance_id& peer,
+                     const peer_message& message) override;
+  void OnPeerRefused(const instance_id& peer) override;
+
+ private:
+  // False if there is no link.
+  bool Send(const instance_id& to, const peer_message& message);
+  void SendToAll(const peer_message& message);
+  void Take(const instance_id& from, const peer_message& message);
+  void TakeStatus(const instance_id& from, const peer_status& status);
+  void TakeHomeStatus(const instance_id& from, const home_status& status);
+  void SendConfig(const instance_id& to);
+  peer_status OwnStatus() const;
+  void Heartbeat();
+  void TellHomeStatus();
+  void OnHomesChanged();
+
+  scheduler& clock_;
+  peer_port& peers_;
+  entry_member self_;
+  config_parser parse_config_;
+  route_table routes_;
+  // The document behind `routes_`, for peers that lack it.
+  std::string config_document_;
+  upstream_registry upstreams_;
+  home_directory homes_;
+  std::unique_ptr<run_home> home_;
+  std::unique_ptr<job_desk> desk_;
+  std::unique_ptr<home_election> election_;
+  std::unique_ptr<member_registry> members_;
+  bool leaving_ = false;
+  // When each peer was last asked for its configuration.
+  std::map<instance_id, time_point> asked_;
+  scoped_timer heartbeat_timer_;
+  scoped_timer home_status_timer_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_CLUSTER_RUN_CLUSTER_H_
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,5 +5,6 @@
 
 #include "daemon/instance.h"
 #include "daemon/settings.h"
+#include "daemon/settings_rules.h"
 
 #endif  // SRC_DAEMON_DAEMON_H_
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -12,7 +12,7 @@
 #include "daemon/settings.h"
 #include "entry/entry.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "policy/policy.h"
 #include "protocol/protocol.h"
 #include "upstream/upstream.h"
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "daemon/settings_rules.h"
 #include "http/http.h"
 
 namespace jasminedyke {
@@ -24,22 +25,11 @@
   std::string log_level = "info";
 };
 
-// A wrong or missing key, and the line of the file that it concerns (0 if
-// none).
-struct settings_problem {
-  uint32_t line = 0;
-  std::string key;
-  std::string what;
-
-  std::string ToString(const std::string& file) const;
-  bool operator==(const settings_problem&) const = default;
-};
-
 // All problems at once, in the order of the keys.
-outcome<daemon_settings, std::vector<settings_problem>> ParseSettings(
+outcome<daemon_settings, settings_problems> ParseSettings(
     const std::string& text);
 
-outcome<daemon_settings, std::vector<settings_problem>> LoadSettings(
+outcome<daemon_settings, settings_problems> LoadSettings(
     const std::string& file);
 
 }  // namespace jasminedyke
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -16,7 +16,7 @@
 #include "entry/job_registry.h"
 #include "entry/token_directory.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -17,7 +17,7 @@
 #include "base/base.h"
 #include "entry/dispatch_metrics.h"
 #include "entry/job.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "policy/policy.h"
 #include "upstream/upstream.h"
 
--- a/src/entry/job_json.cc
+++ b/src/entry/job_json.cc
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -14,6 +14,7 @@
 #include "policy/order_rule.h"
 #include "policy/rendezvous.h"
 #include "policy/retry_budget.h"
+#include "policy/route_table.h"
 #include "policy/run_time_estimator.h"
 #include "policy/slot_home.h"
 #include "policy/slot_messages.h"
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -11,10 +11,15 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "protocol/run_codec.h"
+
 namespace jasminedyke {
 
 namespace {
 
+// The overloads for single messages below would hide it.
+using jasminedyke::FromWire;
+
 using apache::thrift::TException;
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
@@ -230,6 +235,18 @@
     wire.body = reply.body;
     frame.__set_reply(wire);
   }
+  void operator()(const run_request& request) const {
+    frame.__set_run(ToWire(request));
+  }
+  void operator()(const run_cancel& cancel) const {
+    frame.__set_cancel(ToWire(cancel));
+  }
+  void operator()(const run_report& report) const {
+    frame.__set_report(ToWire(report));
+  }
+  void operator()(const home_status& status) const {
+    frame.__set_home(ToWire(status));
+  }
 };
 
 // Messages from the wire.
@@ -374,6 +391,14 @@
     return peer_frame(peer_message(FromWire(wire.request)));
   if (set.reply)
     return peer_frame(peer_message(FromWire(wire.reply)));
+  if (set.run)
+    return peer_frame(peer_message(FromWire(wire.run)));
+  if (set.cancel)
+    return peer_frame(peer_message(FromWire(wire.cancel)));
+  if (set.report)
+    return peer_frame(peer_message(FromWire(wire.report)));
+  if (set.home)
+    return peer_frame(peer_message(FromWire(wire.home)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -2533,6 +2533,1414 @@
 }
 
 
+amount::~amount() noexcept {
+}
+
+
+void amount::__set_cpu_millis(const int64_t val) {
+  this->cpu_millis = val;
+}
+
+void amount::__set_memory_mb(const int64_t val) {
+  this->memory_mb = val;
+__isset.memory_mb = true;
+}
+
+void amount::__set_accelerators(const int64_t val) {
+  this->accelerators = val;
+__isset.accelerators = true;
+}
+std::ostream& operator<<(std::ostream& out, const amount& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t amount::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cpu_millis);
+          this->__isset.cpu_millis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->memory_mb);
+          this->__isset.memory_mb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->accelerators);
+          this->__isset.accelerators = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t amount::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("amount");
+
+  xfer += oprot->writeFieldBegin("cpu_millis", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->cpu_millis);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.memory_mb) {
+    xfer += oprot->writeFieldBegin("memory_mb", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->memory_mb);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.accelerators) {
+    xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->accelerators);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(amount &a, amount &b) {
+  using ::std::swap;
+  swap(a.cpu_millis, b.cpu_millis);
+  swap(a.memory_mb, b.memory_mb);
+  swap(a.accelerators, b.accelerators);
+  swap(a.__isset, b.__isset);
+}
+
+amount::amount(const amount& other100) noexcept {
+  cpu_millis = other100.cpu_millis;
+  memory_mb = other100.memory_mb;
+  accelerators = other100.accelerators;
+  __isset = other100.__isset;
+}
+amount& amount::operator=(const amount& other101) noexcept {
+  cpu_millis = other101.cpu_millis;
+  memory_mb = other101.memory_mb;
+  accelerators = other101.accelerators;
+  __isset = other101.__isset;
+  return *this;
+}
+void amount::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "amount(";
+  out << "cpu_millis=" << to_string(cpu_millis);
+  out << ", " << "memory_mb="; (__isset.memory_mb ? (out << to_string(memory_mb)) : (out << "<null>"));
+  out << ", " << "accelerators="; (__isset.accelerators ? (out << to_string(accelerators)) : (out << "<null>"));
+  out << ")";
+}
+
+
+task_group::~task_group() noexcept {
+}
+
+
+void task_group::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void task_group::__set_indexes(const std::vector<int32_t> & val) {
+  this->indexes = val;
+}
+
+void task_group::__set_need(const amount& val) {
+  this->need = val;
+}
+
+void task_group::__set_estimate_us(const int32_t val) {
+  this->estimate_us = val;
+}
+
+void task_group::__set_maybe_started(const bool val) {
+  this->maybe_started = val;
+__isset.maybe_started = true;
+}
+std::ostream& operator<<(std::ostream& out, const task_group& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t task_group::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->indexes.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->indexes.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += iprot->readI32(this->indexes[_i106]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.indexes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->need.read(iprot);
+          this->__isset.need = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->estimate_us);
+          this->__isset.estimate_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->maybe_started);
+          this->__isset.maybe_started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t task_group::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("task_group");
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
+    std::vector<int32_t> ::const_iterator _iter107;
+    for (_iter107 = this->indexes.begin(); _iter107 != this->indexes.end(); ++_iter107)
+    {
+      xfer += oprot->writeI32((*_iter107));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("need", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->need.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("estimate_us", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->estimate_us);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.maybe_started) {
+    xfer += oprot->writeFieldBegin("maybe_started", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->maybe_started);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(task_group &a, task_group &b) {
+  using ::std::swap;
+  swap(a.step, b.step);
+  swap(a.indexes, b.indexes);
+  swap(a.need, b.need);
+  swap(a.estimate_us, b.estimate_us);
+  swap(a.maybe_started, b.maybe_started);
+  swap(a.__isset, b.__isset);
+}
+
+task_group::task_group(const task_group& other108) {
+  step = other108.step;
+  indexes = other108.indexes;
+  need = other108.need;
+  estimate_us = other108.estimate_us;
+  maybe_started = other108.maybe_started;
+  __isset = other108.__isset;
+}
+task_group& task_group::operator=(const task_group& other109) {
+  step = other109.step;
+  indexes = other109.indexes;
+  need = other109.need;
+  estimate_us = other109.estimate_us;
+  maybe_started = other109.maybe_started;
+  __isset = other109.__isset;
+  return *this;
+}
+void task_group::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "task_group(";
+  out << "step=" << to_string(step);
+  out << ", " << "indexes=" << to_string(indexes);
+  out << ", " << "need=" << to_string(need);
+  out << ", " << "estimate_us=" << to_string(estimate_us);
+  out << ", " << "maybe_started="; (__isset.maybe_started ? (out << to_string(maybe_started)) : (out << "<null>"));
+  out << ")";
+}
+
+
+run_request::~run_request() noexcept {
+}
+
+
+void run_request::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void run_request::__set_submission(const int64_t val) {
+  this->submission = val;
+}
+
+void run_request::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void run_request::__set_upstream_service(const std::string& val) {
+  this->upstream_service = val;
+}
+
+void run_request::__set_spec(const std::string& val) {
+  this->spec = val;
+}
+
+void run_request::__set_to_objective_us(const int64_t val) {
+  this->to_objective_us = val;
+}
+
+void run_request::__set_to_limit_us(const int64_t val) {
+  this->to_limit_us = val;
+}
+
+void run_request::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+
+void run_request::__set_max_attempts(const int32_t val) {
+  this->max_attempts = val;
+}
+
+void run_request::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
+
+void run_request::__set_rack(const std::string& val) {
+  this->rack = val;
+__isset.rack = true;
+}
+
+void run_request::__set_required_label(const std::string& val) {
+  this->required_label = val;
+__isset.required_label = true;
+}
+
+void run_request::__set_max_per_upstream(const int32_t val) {
+  this->max_per_upstream = val;
+__isset.max_per_upstream = true;
+}
+
+void run_request::__set_tasks(const std::vector<task_group> & val) {
+  this->tasks = val;
+}
+std::ostream& operator<<(std::ostream& out, const run_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t run_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->submission);
+          this->__isset.submission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream_service);
+          this->__isset.upstream_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spec);
+          this->__isset.spec = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_objective_us);
+          this->__isset.to_objective_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_limit_us);
+          this->__isset.to_limit_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_attempts);
+          this->__isset.max_attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->required_label);
+          this->__isset.required_label = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_per_upstream);
+          this->__isset.max_per_upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tasks.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->tasks.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->tasks[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t run_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("run_request");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("submission", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->submission);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream_service", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->upstream_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spec", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->spec);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_objective_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->to_objective_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_limit_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->to_limit_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_attempts", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->max_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 10);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rack) {
+    xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 11);
+    xfer += oprot->writeString(this->rack);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.required_label) {
+    xfer += oprot->writeFieldBegin("required_label", ::apache::thrift::protocol::T_STRING, 12);
+    xfer += oprot->writeString(this->required_label);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.max_per_upstream) {
+    xfer += oprot->writeFieldBegin("max_per_upstream", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->max_per_upstream);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
+    std::vector<task_group> ::const_iterator _iter115;
+    for (_iter115 = this->tasks.begin(); _iter115 != this->tasks.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(run_request &a, run_request &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.submission, b.submission);
+  swap(a.queue, b.queue);
+  swap(a.upstream_service, b.upstream_service);
+  swap(a.spec, b.spec);
+  swap(a.to_objective_us, b.to_objective_us);
+  swap(a.to_limit_us, b.to_limit_us);
+  swap(a.age_us, b.age_us);
+  swap(a.max_attempts, b.max_attempts);
+  swap(a.priority, b.priority);
+  swap(a.rack, b.rack);
+  swap(a.required_label, b.required_label);
+  swap(a.max_per_upstream, b.max_per_upstream);
+  swap(a.tasks, b.tasks);
+  swap(a.__isset, b.__isset);
+}
+
+run_request::run_request(const run_request& other116) {
+  job = other116.job;
+  submission = other116.submission;
+  queue = other116.queue;
+  upstream_service = other116.upstream_service;
+  spec = other116.spec;
+  to_objective_us = other116.to_objective_us;
+  to_limit_us = other116.to_limit_us;
+  age_us = other116.age_us;
+  max_attempts = other116.max_attempts;
+  priority = other116.priority;
+  rack = other116.rack;
+  required_label = other116.required_label;
+  max_per_upstream = other116.max_per_upstream;
+  tasks = other116.tasks;
+  __isset = other116.__isset;
+}
+run_request& run_request::operator=(const run_request& other117) {
+  job = other117.job;
+  submission = other117.submission;
+  queue = other117.queue;
+  upstream_service = other117.upstream_service;
+  spec = other117.spec;
+  to_objective_us = other117.to_objective_us;
+  to_limit_us = other117.to_limit_us;
+  age_us = other117.age_us;
+  max_attempts = other117.max_attempts;
+  priority = other117.priority;
+  rack = other117.rack;
+  required_label = other117.required_label;
+  max_per_upstream = other117.max_per_upstream;
+  tasks = other117.tasks;
+  __isset = other117.__isset;
+  return *this;
+}
+void run_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "run_request(";
+  out << "job=" << to_string(job);
+  out << ", " << "submission=" << to_string(submission);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "upstream_service=" << to_string(upstream_service);
+  out << ", " << "spec=" << to_string(spec);
+  out << ", " << "to_objective_us=" << to_string(to_objective_us);
+  out << ", " << "to_limit_us=" << to_string(to_limit_us);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ", " << "max_attempts=" << to_string(max_attempts);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "rack="; (__isset.rack ? (out << to_string(rack)) : (out << "<null>"));
+  out << ", " << "required_label="; (__isset.required_label ? (out << to_string(required_label)) : (out << "<null>"));
+  out << ", " << "max_per_upstream="; (__isset.max_per_upstream ? (out << to_string(max_per_upstream)) : (out << "<null>"));
+  out << ", " << "tasks=" << to_string(tasks);
+  out << ")";
+}
+
+
+run_cancel::~run_cancel() noexcept {
+}
+
+
+void run_cancel::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void run_cancel::__set_submission(const int64_t val) {
+  this->submission = val;
+}
+std::ostream& operator<<(std::ostream& out, const run_cancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t run_cancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->submission);
+          this->__isset.submission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t run_cancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("run_cancel");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("submission", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->submission);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(run_cancel &a, run_cancel &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.submission, b.submission);
+  swap(a.__isset, b.__isset);
+}
+
+run_cancel::run_cancel(const run_cancel& other118) {
+  job = other118.job;
+  submission = other118.submission;
+  __isset = other118.__isset;
+}
+run_cancel& run_cancel::operator=(const run_cancel& other119) {
+  job = other119.job;
+  submission = other119.submission;
+  __isset = other119.__isset;
+  return *this;
+}
+void run_cancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "run_cancel(";
+  out << "job=" << to_string(job);
+  out << ", " << "submission=" << to_string(submission);
+  out << ")";
+}
+
+
+task_report::~task_report() noexcept {
+}
+
+
+void task_report::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void task_report::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void task_report::__set_verdict(const int8_t val) {
+  this->verdict = val;
+__isset.verdict = true;
+}
+std::ostream& operator<<(std::ostream& out, const task_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t task_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t task_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("task_report");
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.verdict) {
+    xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_BYTE, 3);
+    xfer += oprot->writeByte(this->verdict);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(task_report &a, task_report &b) {
+  using ::std::swap;
+  swap(a.step, b.step);
+  swap(a.index, b.index);
+  swap(a.verdict, b.verdict);
+  swap(a.__isset, b.__isset);
+}
+
+task_report::task_report(const task_report& other120) noexcept {
+  step = other120.step;
+  index = other120.index;
+  verdict = other120.verdict;
+  __isset = other120.__isset;
+}
+task_report& task_report::operator=(const task_report& other121) noexcept {
+  step = other121.step;
+  index = other121.index;
+  verdict = other121.verdict;
+  __isset = other121.__isset;
+  return *this;
+}
+void task_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "task_report(";
+  out << "step=" << to_string(step);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "verdict="; (__isset.verdict ? (out << to_string(verdict)) : (out << "<null>"));
+  out << ")";
+}
+
+
+run_report::~run_report() noexcept {
+}
+
+
+void run_report::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void run_report::__set_submission(const int64_t val) {
+  this->submission = val;
+}
+
+void run_report::__set_tasks(const std::vector<task_report> & val) {
+  this->tasks = val;
+__isset.tasks = true;
+}
+
+void run_report::__set_refusal(const int8_t val) {
+  this->refusal = val;
+__isset.refusal = true;
+}
+
+void run_report::__set_not_run(const bool val) {
+  this->not_run = val;
+__isset.not_run = true;
+}
+
+void run_report::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+__isset.retry_after_us = true;
+}
+std::ostream& operator<<(std::ostream& out, const run_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t run_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->submission);
+          this->__isset.submission = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tasks.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->tasks.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += this->tasks[_i126].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->refusal);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_run);
+          this->__isset.not_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t run_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("run_report");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("submission", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->submission);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.tasks) {
+    xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
+      std::vector<task_report> ::const_iterator _iter127;
+      for (_iter127 = this->tasks.begin(); _iter127 != this->tasks.end(); ++_iter127)
+      {
+        xfer += (*_iter127).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refusal) {
+    xfer += oprot->writeFieldBegin("refusal", ::apache::thrift::protocol::T_BYTE, 4);
+    xfer += oprot->writeByte(this->refusal);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.not_run) {
+    xfer += oprot->writeFieldBegin("not_run", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->not_run);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retry_after_us) {
+    xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->retry_after_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(run_report &a, run_report &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.submission, b.submission);
+  swap(a.tasks, b.tasks);
+  swap(a.refusal, b.refusal);
+  swap(a.not_run, b.not_run);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.__isset, b.__isset);
+}
+
+run_report::run_report(const run_report& other128) {
+  job = other128.job;
+  submission = other128.submission;
+  tasks = other128.tasks;
+  refusal = other128.refusal;
+  not_run = other128.not_run;
+  retry_after_us = other128.retry_after_us;
+  __isset = other128.__isset;
+}
+run_report& run_report::operator=(const run_report& other129) {
+  job = other129.job;
+  submission = other129.submission;
+  tasks = other129.tasks;
+  refusal = other129.refusal;
+  not_run = other129.not_run;
+  retry_after_us = other129.retry_after_us;
+  __isset = other129.__isset;
+  return *this;
+}
+void run_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "run_report(";
+  out << "job=" << to_string(job);
+  out << ", " << "submission=" << to_string(submission);
+  out << ", " << "tasks="; (__isset.tasks ? (out << to_string(tasks)) : (out << "<null>"));
+  out << ", " << "refusal="; (__isset.refusal ? (out << to_string(refusal)) : (out << "<null>"));
+  out << ", " << "not_run="; (__isset.not_run ? (out << to_string(not_run)) : (out << "<null>"));
+  out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
+  out << ")";
+}
+
+
+home_status::~home_status() noexcept {
+}
+
+
+void home_status::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void home_status::__set_group(const int32_t val) {
+  this->group = val;
+}
+
+void home_status::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void home_status::__set_serving(const bool val) {
+  this->serving = val;
+}
+
+void home_status::__set_settled(const bool val) {
+  this->settled = val;
+}
+
+void home_status::__set_free_cpu_millis(const int64_t val) {
+  this->free_cpu_millis = val;
+}
+
+void home_status::__set_total_cpu_millis(const int64_t val) {
+  this->total_cpu_millis = val;
+}
+
+void home_status::__set_wait_us(const int64_t val) {
+  this->wait_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const home_status& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t home_status::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->serving);
+          this->__isset.serving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->free_cpu_millis);
+          this->__isset.free_cpu_millis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total_cpu_millis);
+          this->__isset.total_cpu_millis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_us);
+          this->__isset.wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t home_status::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("home_status");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->serving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("free_cpu_millis", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->free_cpu_millis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total_cpu_millis", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->total_cpu_millis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->wait_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(home_status &a, home_status &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.group, b.group);
+  swap(a.token, b.token);
+  swap(a.serving, b.serving);
+  swap(a.settled, b.settled);
+  swap(a.free_cpu_millis, b.free_cpu_millis);
+  swap(a.total_cpu_millis, b.total_cpu_millis);
+  swap(a.wait_us, b.wait_us);
+  swap(a.__isset, b.__isset);
+}
+
+home_status::home_status(const home_status& other130) {
+  failure_domain = other130.failure_domain;
+  group = other130.group;
+  token = other130.token;
+  serving = other130.serving;
+  settled = other130.settled;
+  free_cpu_millis = other130.free_cpu_millis;
+  total_cpu_millis = other130.total_cpu_millis;
+  wait_us = other130.wait_us;
+  __isset = other130.__isset;
+}
+home_status& home_status::operator=(const home_status& other131) {
+  failure_domain = other131.failure_domain;
+  group = other131.group;
+  token = other131.token;
+  serving = other131.serving;
+  settled = other131.settled;
+  free_cpu_millis = other131.free_cpu_millis;
+  total_cpu_millis = other131.total_cpu_millis;
+  wait_us = other131.wait_us;
+  __isset = other131.__isset;
+  return *this;
+}
+void home_status::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "home_status(";
+  out << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "serving=" << to_string(serving);
+  out << ", " << "settled=" << to_string(settled);
+  out << ", " << "free_cpu_millis=" << to_string(free_cpu_millis);
+  out << ", " << "total_cpu_millis=" << to_string(total_cpu_millis);
+  out << ", " << "wait_us=" << to_string(wait_us);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -2586,6 +3994,26 @@
   this->reply = val;
 __isset.reply = true;
 }
+
+void frame::__set_run(const run_request& val) {
+  this->run = val;
+__isset.run = true;
+}
+
+void frame::__set_cancel(const run_cancel& val) {
+  this->cancel = val;
+__isset.cancel = true;
+}
+
+void frame::__set_report(const run_report& val) {
+  this->report = val;
+__isset.report = true;
+}
+
+void frame::__set_home(const home_status& val) {
+  this->home = val;
+__isset.home = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -2694,6 +4122,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel.read(iprot);
+          this->__isset.cancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->report.read(iprot);
+          this->__isset.report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->home.read(iprot);
+          this->__isset.home = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2761,6 +4221,26 @@
     xfer += this->reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.run) {
+    xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->run.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancel) {
+    xfer += oprot->writeFieldBegin("cancel", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->cancel.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.report) {
+    xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.home) {
+    xfer += oprot->writeFieldBegin("home", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->home.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2778,34 +4258,46 @@
   swap(a.document_message, b.document_message);
   swap(a.request, b.request);
   swap(a.reply, b.reply);
+  swap(a.run, b.run);
+  swap(a.cancel, b.cancel);
+  swap(a.report, b.report);
+  swap(a.home, b.home);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other100) {
-  hello_message = other100.hello_message;
-  proof_message = other100.proof_message;
-  demand = other100.demand;
-  grant = other100.grant;
-  release = other100.release;
-  status_message = other100.status_message;
-  wanted = other100.wanted;
-  document_message = other100.document_message;
-  request = other100.request;
-  reply = other100.reply;
-  __isset = other100.__isset;
-}
-frame& frame::operator=(const frame& other101) {
-  hello_message = other101.hello_message;
-  proof_message = other101.proof_message;
-  demand = other101.demand;
-  grant = other101.grant;
-  release = other101.release;
-  status_message = other101.status_message;
-  wanted = other101.wanted;
-  document_message = other101.document_message;
-  request = other101.request;
-  reply = other101.reply;
-  __isset = other101.__isset;
+frame::frame(const frame& other132) {
+  hello_message = other132.hello_message;
+  proof_message = other132.proof_message;
+  demand = other132.demand;
+  grant = other132.grant;
+  release = other132.release;
+  status_message = other132.status_message;
+  wanted = other132.wanted;
+  document_message = other132.document_message;
+  request = other132.request;
+  reply = other132.reply;
+  run = other132.run;
+  cancel = other132.cancel;
+  report = other132.report;
+  home = other132.home;
+  __isset = other132.__isset;
+}
+frame& frame::operator=(const frame& other133) {
+  hello_message = other133.hello_message;
+  proof_message = other133.proof_message;
+  demand = other133.demand;
+  grant = other133.grant;
+  release = other133.release;
+  status_message = other133.status_message;
+  wanted = other133.wanted;
+  document_message = other133.document_message;
+  request = other133.request;
+  reply = other133.reply;
+  run = other133.run;
+  cancel = other133.cancel;
+  report = other133.report;
+  home = other133.home;
+  __isset = other133.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -2821,6 +4313,10 @@
   out << ", " << "document_message="; (__isset.document_message ? (out << to_string(document_message)) : (out << "<null>"));
   out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
   out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
+  out << ", " << "run="; (__isset.run ? (out << to_string(run)) : (out << "<null>"));
+  out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
+  out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
+  out << ", " << "home="; (__isset.home ? (out << to_string(home)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -66,6 +66,20 @@
 
 class job_reply;
 
+class amount;
+
+class task_group;
+
+class run_request;
+
+class run_cancel;
+
+class task_report;
+
+class run_report;
+
+class home_status;
+
 class frame;
 
 typedef struct _hello__isset {
@@ -1053,8 +1067,567 @@
 
 std::ostream& operator<<(std::ostream& out, const job_reply& obj);
 
+typedef struct _amount__isset {
+  _amount__isset() : cpu_millis(false), memory_mb(false), accelerators(false) {}
+  bool cpu_millis :1;
+  bool memory_mb :1;
+  bool accelerators :1;
+} _amount__isset;
+
+class amount : public virtual ::apache::thrift::TBase {
+ public:
+
+  amount(const amount&) noexcept;
+  amount& operator=(const amount&) noexcept;
+  amount() noexcept
+         : cpu_millis(0),
+           memory_mb(0),
+           accelerators(0) {
+  }
+
+  virtual ~amount() noexcept;
+  int64_t cpu_millis;
+  int64_t memory_mb;
+  int64_t accelerators;
+
+  _amount__isset __isset;
+
+  void __set_cpu_millis(const int64_t val);
+
+  void __set_memory_mb(const int64_t val);
+
+  void __set_accelerators(const int64_t val);
+
+  bool operator == (const amount & rhs) const
+  {
+    if (!(cpu_millis == rhs.cpu_millis))
+      return false;
+    if (__isset.memory_mb != rhs.__isset.memory_mb)
+      return false;
+    else if (__isset.memory_mb && !(memory_mb == rhs.memory_mb))
+      return false;
+    if (__isset.accelerators != rhs.__isset.accelerators)
+      return false;
+    else if (__isset.accelerators && !(accelerators == rhs.accelerators))
+      return false;
+    return true;
+  }
+  bool operator != (const amount &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const amount & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(amount &a, amount &b);
+
+std::ostream& operator<<(std::ostream& out, const amount& obj);
+
+typedef struct _task_group__isset {
+  _task_group__isset() : step(false), indexes(false), need(false), estimate_us(false), maybe_started(false) {}
+  bool step :1;
+  bool indexes :1;
+  bool need :1;
+  bool estimate_us :1;
+  bool maybe_started :1;
+} _task_group__isset;
+
+class task_group : public virtual ::apache::thrift::TBase {
+ public:
+
+  task_group(const task_group&);
+  task_group& operator=(const task_group&);
+  task_group() noexcept
+             : step(0),
+               estimate_us(0),
+               maybe_started(0) {
+  }
+
+  virtual ~task_group() noexcept;
+  int32_t step;
+  std::vector<int32_t>  indexes;
+  amount need;
+  int32_t estimate_us;
+  bool maybe_started;
+
+  _task_group__isset __isset;
+
+  void __set_step(const int32_t val);
+
+  void __set_indexes(const std::vector<int32_t> & val);
+
+  void __set_need(const amount& val);
+
+  void __set_estimate_us(const int32_t val);
+
+  void __set_maybe_started(const bool val);
+
+  bool operator == (const task_group & rhs) const
+  {
+    if (!(step == rhs.step))
+      return false;
+    if (!(indexes == rhs.indexes))
+      return false;
+    if (!(need == rhs.need))
+      return false;
+    if (!(estimate_us == rhs.estimate_us))
+      return false;
+    if (__isset.maybe_started != rhs.__isset.maybe_started)
+      return false;
+    else if (__isset.maybe_started && !(maybe_started == rhs.maybe_started))
+      return false;
+    return true;
+  }
+  bool operator != (const task_group &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const task_group & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(task_group &a, task_group &b);
+
+std::ostream& operator<<(std::ostream& out, const task_group& obj);
+
+typedef struct _run_request__isset {
+  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), rack(false), required_label(false), max_per_upstream(false), tasks(false) {}
+  bool job :1;
+  bool submission :1;
+  bool queue :1;
+  bool upstream_service :1;
+  bool spec :1;
+  bool to_objective_us :1;
+  bool to_limit_us :1;
+  bool age_us :1;
+  bool max_attempts :1;
+  bool priority :1;
+  bool rack :1;
+  bool required_label :1;
+  bool max_per_upstream :1;
+  bool tasks :1;
+} _run_request__isset;
+
+class run_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  run_request(const run_request&);
+  run_request& operator=(const run_request&);
+  run_request() noexcept
+              : job(),
+                submission(0),
+                queue(),
+                upstream_service(),
+                spec(),
+                to_objective_us(0),
+                to_limit_us(0),
+                age_us(0),
+                max_attempts(0),
+                priority(0),
+                rack(),
+                required_label(),
+                max_per_upstream(0) {
+  }
+
+  virtual ~run_request() noexcept;
+  std::string job;
+  int64_t submission;
+  std::string queue;
+  std::string upstream_service;
+  std::string spec;
+  int64_t to_objective_us;
+  int64_t to_limit_us;
+  int64_t age_us;
+  int32_t max_attempts;
+  int32_t priority;
+  std::string rack;
+  std::string required_label;
+  int32_t max_per_upstream;
+  std::vector<task_group>  tasks;
+
+  _run_request__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_submission(const int64_t val);
+
+  void __set_queue(const std::string& val);
+
+  void __set_upstream_service(const std::string& val);
+
+  void __set_spec(const std::string& val);
+
+  void __set_to_objective_us(const int64_t val);
+
+  void __set_to_limit_us(const int64_t val);
+
+  void __set_age_us(const int64_t val);
+
+  void __set_max_attempts(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_rack(const std::string& val);
+
+  void __set_required_label(const std::string& val);
+
+  void __set_max_per_upstream(const int32_t val);
+
+  void __set_tasks(const std::vector<task_group> & val);
+
+  bool operator == (const run_request & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(submission == rhs.submission))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(upstream_service == rhs.upstream_service))
+      return false;
+    if (!(spec == rhs.spec))
+      return false;
+    if (!(to_objective_us == rhs.to_objective_us))
+      return false;
+    if (!(to_limit_us == rhs.to_limit_us))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    if (!(max_attempts == rhs.max_attempts))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (__isset.rack != rhs.__isset.rack)
+      return false;
+    else if (__isset.rack && !(rack == rhs.rack))
+      return false;
+    if (__isset.required_label != rhs.__isset.required_label)
+      return false;
+    else if (__isset.required_label && !(required_label == rhs.required_label))
+      return false;
+    if (__isset.max_per_upstream != rhs.__isset.max_per_upstream)
+      return false;
+    else if (__isset.max_per_upstream && !(max_per_upstream == rhs.max_per_upstream))
+      return false;
+    if (!(tasks == rhs.tasks))
+      return false;
+    return true;
+  }
+  bool operator != (const run_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const run_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(run_request &a, run_request &b);
+
+std::ostream& operator<<(std::ostream& out, const run_request& obj);
+
+typedef struct _run_cancel__isset {
+  _run_cancel__isset() : job(false), submission(false) {}
+  bool job :1;
+  bool submission :1;
+} _run_cancel__isset;
+
+class run_cancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  run_cancel(const run_cancel&);
+  run_cancel& operator=(const run_cancel&);
+  run_cancel() noexcept
+             : job(),
+               submission(0) {
+  }
+
+  virtual ~run_cancel() noexcept;
+  std::string job;
+  int64_t submission;
+
+  _run_cancel__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_submission(const int64_t val);
+
+  bool operator == (const run_cancel & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(submission == rhs.submission))
+      return false;
+    return true;
+  }
+  bool operator != (const run_cancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const run_cancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(run_cancel &a, run_cancel &b);
+
+std::ostream& operator<<(std::ostream& out, const run_cancel& obj);
+
+typedef struct _task_report__isset {
+  _task_report__isset() : step(false), index(false), verdict(false) {}
+  bool step :1;
+  bool index :1;
+  bool verdict :1;
+} _task_report__isset;
+
+class task_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  task_report(const task_report&) noexcept;
+  task_report& operator=(const task_report&) noexcept;
+  task_report() noexcept
+              : step(0),
+                index(0),
+                verdict(0) {
+  }
+
+  virtual ~task_report() noexcept;
+  int32_t step;
+  int32_t index;
+  int8_t verdict;
+
+  _task_report__isset __isset;
+
+  void __set_step(const int32_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_verdict(const int8_t val);
+
+  bool operator == (const task_report & rhs) const
+  {
+    if (!(step == rhs.step))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (__isset.verdict != rhs.__isset.verdict)
+      return false;
+    else if (__isset.verdict && !(verdict == rhs.verdict))
+      return false;
+    return true;
+  }
+  bool operator != (const task_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const task_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(task_report &a, task_report &b);
+
+std::ostream& operator<<(std::ostream& out, const task_report& obj);
+
+typedef struct _run_report__isset {
+  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false) {}
+  bool job :1;
+  bool submission :1;
+  bool tasks :1;
+  bool refusal :1;
+  bool not_run :1;
+  bool retry_after_us :1;
+} _run_report__isset;
+
+class run_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  run_report(const run_report&);
+  run_report& operator=(const run_report&);
+  run_report() noexcept
+             : job(),
+               submission(0),
+               refusal(0),
+               not_run(0),
+               retry_after_us(0) {
+  }
+
+  virtual ~run_report() noexcept;
+  std::string job;
+  int64_t submission;
+  std::vector<task_report>  tasks;
+  int8_t refusal;
+  bool not_run;
+  int64_t retry_after_us;
+
+  _run_report__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_submission(const int64_t val);
+
+  void __set_tasks(const std::vector<task_report> & val);
+
+  void __set_refusal(const int8_t val);
+
+  void __set_not_run(const bool val);
+
+  void __set_retry_after_us(const int64_t val);
+
+  bool operator == (const run_report & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(submission == rhs.submission))
+      return false;
+    if (__isset.tasks != rhs.__isset.tasks)
+      return false;
+    else if (__isset.tasks && !(tasks == rhs.tasks))
+      return false;
+    if (__isset.refusal != rhs.__isset.refusal)
+      return false;
+    else if (__isset.refusal && !(refusal == rhs.refusal))
+      return false;
+    if (__isset.not_run != rhs.__isset.not_run)
+      return false;
+    else if (__isset.not_run && !(not_run == rhs.not_run))
+      return false;
+    if (__isset.retry_after_us != rhs.__isset.retry_after_us)
+      return false;
+    else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
+      return false;
+    return true;
+  }
+  bool operator != (const run_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const run_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(run_report &a, run_report &b);
+
+std::ostream& operator<<(std::ostream& out, const run_report& obj);
+
+typedef struct _home_status__isset {
+  _home_status__isset() : failure_domain(false), group(false), token(false), serving(false), settled(false), free_cpu_millis(false), total_cpu_millis(false), wait_us(false) {}
+  bool failure_domain :1;
+  bool group :1;
+  bool token :1;
+  bool serving :1;
+  bool settled :1;
+  bool free_cpu_millis :1;
+  bool total_cpu_millis :1;
+  bool wait_us :1;
+} _home_status__isset;
+
+class home_status : public virtual ::apache::thrift::TBase {
+ public:
+
+  home_status(const home_status&);
+  home_status& operator=(const home_status&);
+  home_status() noexcept
+              : failure_domain(),
+                group(0),
+                token(0),
+                serving(0),
+                settled(0),
+                free_cpu_millis(0),
+                total_cpu_millis(0),
+                wait_us(0) {
+  }
+
+  virtual ~home_status() noexcept;
+  std::string failure_domain;
+  int32_t group;
+  int64_t token;
+  bool serving;
+  bool settled;
+  int64_t free_cpu_millis;
+  int64_t total_cpu_millis;
+  int64_t wait_us;
+
+  _home_status__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_group(const int32_t val);
+
+  void __set_token(const int64_t val);
+
+  void __set_serving(const bool val);
+
+  void __set_settled(const bool val);
+
+  void __set_free_cpu_millis(const int64_t val);
+
+  void __set_total_cpu_millis(const int64_t val);
+
+  void __set_wait_us(const int64_t val);
+
+  bool operator == (const home_status & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(serving == rhs.serving))
+      return false;
+    if (!(settled == rhs.settled))
+      return false;
+    if (!(free_cpu_millis == rhs.free_cpu_millis))
+      return false;
+    if (!(total_cpu_millis == rhs.total_cpu_millis))
+      return false;
+    if (!(wait_us == rhs.wait_us))
+      return false;
+    return true;
+  }
+  bool operator != (const home_status &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const home_status & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(home_status &a, home_status &b);
+
+std::ostream& operator<<(std::ostream& out, const home_status& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -1065,6 +1638,10 @@
   bool document_message :1;
   bool request :1;
   bool reply :1;
+  bool run :1;
+  bool cancel :1;
+  bool report :1;
+  bool home :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1086,6 +1663,10 @@
   document document_message;
   job_request request;
   job_reply reply;
+  run_request run;
+  run_cancel cancel;
+  run_report report;
+  home_status home;
 
   _frame__isset __isset;
 
@@ -1109,6 +1690,14 @@
 
   void __set_reply(const job_reply& val);
 
+  void __set_run(const run_request& val);
+
+  void __set_cancel(const run_cancel& val);
+
+  void __set_report(const run_report& val);
+
+  void __set_home(const home_status& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -1151,6 +1740,22 @@
       return false;
     else if (__isset.reply && !(reply == rhs.reply))
       return false;
+    if (__isset.run != rhs.__isset.run)
+      return false;
+    else if (__isset.run && !(run == rhs.run))
+      return false;
+    if (__isset.cancel != rhs.__isset.cancel)
+      return false;
+    else if (__isset.cancel && !(cancel == rhs.cancel))
+      return false;
+    if (__isset.report != rhs.__isset.report)
+      return false;
+    else if (__isset.report && !(report == rhs.report))
+      return false;
+    if (__isset.home != rhs.__isset.home)
+      return false;
+    else if (__isset.home && !(home == rhs.home))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -121,6 +121,73 @@
   4: string body
 }
 
+// The resources of tasks: thousandths of a core, megabytes, accelerators.
+struct amount {
+  1: i64 cpu_millis
+  2: optional i64 memory_mb
+  3: optional i64 accelerators
+}
+
+// Tasks of one step that need the same; `maybe_started` holds for all.
+struct task_group {
+  1: i32 step
+  2: list<i32> indexes
+  3: amount need
+  4: i32 estimate_us
+  5: optional bool maybe_started
+}
+
+// Times are durations from the sending.
+struct run_request {
+  1: string job
+  2: i64 submission
+  3: string queue
+  4: string upstream_service
+  5: string spec
+  6: i64 to_objective_us
+  7: i64 to_limit_us
+  8: i64 age_us
+  9: i32 max_attempts
+  10: optional i32 priority
+  11: optional string rack
+  12: optional string required_label
+  13: optional i32 max_per_upstream
+  14: list<task_group> tasks
+}
+
+struct run_cancel {
+  1: string job
+  2: i64 submission
+}
+
+// The verdicts' numbers are those of `task_verdict`; none: done.
+struct task_report {
+  1: i32 step
+  2: i32 index
+  3: optional i8 verdict
+}
+
+// The refusal's number is that of `run_refusal`.
+struct run_report {
+  1: string job
+  2: i64 submission
+  3: optional list<task_report> tasks
+  4: optional i8 refusal
+  5: optional bool not_run
+  6: optional i64 retry_after_us
+}
+
+struct home_status {
+  1: string failure_domain
+  2: i32 group
+  3: i64 token
+  4: bool serving
+  5: bool settled
+  6: i64 free_cpu_millis
+  7: i64 total_cpu_millis
+  8: i64 wait_us
+}
+
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -133,4 +200,8 @@
   8: optional document document_message
   9: optional job_request request
   10: optional job_reply reply
+  11: optional run_request run
+  12: optional run_cancel cancel
+  13: optional run_report report
+  14: optional home_status home
 }
--- a/src/protocol/peer_link.cc
+++ b/src/protocol/peer_link.cc
@@ -1,5 +1,6 @@
 #include "protocol/peer_link.h"
 
+#include <cerrno>
 #include <cstdlib>
 #include <utility>
 
@@ -22,8 +23,6 @@
 constexpr size_t kMaxFrame = 40 * 1024 * 1024;
 constexpr size_t kMaxUnsent = 64 * 1024 * 1024;
 constexpr duration kHandshakeTime = std::chrono::seconds(2);
-// Heartbeats come every second.
-constexpr timeval kSilence = {4, 0};
 
 bool IsForwarded(const peer_message& message) {
   return std::holds_alternative<remote_job_request>(message) ||
@@ -46,6 +45,8 @@
       return "malformed";
     case link_end::kOverflow:
       return "overflow";
+    case link_end::kRefused:
+      return "refused";
   }
   return "closed";
 }
@@ -81,7 +82,10 @@
         static_cast<peer_link*>(self)->OnEvent(what);
       },
       this);
-  bufferevent_set_timeouts(connection, &kSilence, nullptr);
+  timeval silence;
+  silence.tv_sec = own.silence.count() / 1000000;
+  silence.tv_usec = own.silence.count() % 1000000;
+  bufferevent_set_timeouts(connection, &silence, nullptr);
   bufferevent_enable(connection, EV_READ | EV_WRITE);
   end_timer_.StartAfter(kHandshakeTime, [this] { End(link_end::kTimeout); });
   SendFrame(peer_hello{kProtocolVersion, own_.self, nonce_});
@@ -119,7 +123,14 @@
                &on, sizeof(on));
     return;
   }
-  End(what & BEV_EVENT_TIMEOUT ? link_end::kTimeout : link_end::kClosed);
+  if (what & BEV_EVENT_TIMEOUT) {
+    End(link_end::kTimeout);
+    return;
+  }
+  bool refused = (what & BEV_EVENT_ERROR) && outgoing_ && !peer_hello_ &&
+                 evutil_socket_geterror(bufferevent_getfd(
+                     connection_.get())) == ECONNREFUSED;
+  End(refused ? link_end::kRefused : link_end::kClosed);
 }
 
 bool peer_link::TakeFrame(std::string* bytes) {
--- a/src/protocol/peer_link.h
+++ b/src/protocol/peer_link.h
@@ -25,6 +25,7 @@
   kUnauthorized,  // the peer has not the shared key
   kMalformed,     // bytes that are no frame
   kOverflow,      // the peer does not read what is sent to it
+  kRefused,       // nobody listens at the peer's address
 };
 
 const char* ToString(link_end end);
@@ -61,6 +62,8 @@
   struct settings {
     peer_identity self;
     std::string key;
+    // A link that brings nothing for so long has ended. Several heartbeats.
+    duration silence = std::chrono::seconds(4);
   };
 
   // Takes over `connection`, which is connected or connecting; `outgoing` if
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -128,6 +128,7 @@
                                           *this, traffic_);
   peer_link* key = link.get();
   links_.emplace(key, std::move(link));
+  targets_.emplace(key, address);
   bufferevent_socket_connect(connection, reinterpret_cast<sockaddr*>(&to),
                              sizeof(to));
 }
@@ -161,6 +162,7 @@
     return;
   auto doomed = std::make_shared<link_ptr>(std::move(found->second));
   links_.erase(found);
+  targets_.erase(&link);
   loop_.CallAfter(duration::zero(), [doomed] { doomed->reset(); });
 }
 
@@ -200,16 +202,36 @@
   instance_id peer = link.peer().instance;
   auto found = by_peer_.find(peer);
   bool current = found != by_peer_.end() && found->second == &link;
+  if (end == link_end::kRefused)
+    TellRefused(link);
   Discard(link);
-  if (end != link_end::kClosed)
+  if (end != link_end::kClosed && end != link_end::kRefused)
     LogEvent(log_level::kWarning, "peer_link_ended",
              {{"peer", peer.str()}, {"cause", ToString(end)}});
   if (!current)
     return;
   by_peer_.erase(found);
-  LogEvent(log_level::kInfo, "peer_down", {{"peer", peer.str()}});
+  LogEvent(log_level::kInfo, "peer_down",
+           {{"peer", peer.str()}, {"cause", ToString(end)}});
   if (listener_)
     listener_->OnPeerDown(peer);
+  // At once, and from either side: a refused connection shows that the process
+  // is gone, long before a silence would.
+  auto wanted = wanted_.find(peer);
+  if (end == link_end::kClosed && wanted != wanted_.end())
+    Connect(wanted->second);
+}
+
+void peer_mesh::TellRefused(const peer_link& link) {
+  auto target = targets_.find(&link);
+  if (target == targets_.end() || !listener_)
+    return;
+  for (const auto& [peer, address] : wanted_) {
+    if (address == target->second && !by_peer_.contains(peer)) {
+      listener_->OnPeerRefused(peer);
+      return;
+    }
+  }
 }
 
 }  // namespace jasminedyke
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -54,6 +54,7 @@
   void CloseIdle();
   void Discard(peer_link& link);
   bool IsPreferred(const peer_link& link) const;
+  void TellRefused(const peer_link& link);
 
   void OnEstablished(peer_link& link) override;
   void OnMessage(peer_link& link, const peer_message& message) override;
@@ -69,6 +70,8 @@
   // Of addresses that are being connected to, when that began.
   std::map<socket_address, time_point> connecting_;
   std::map<peer_link*, link_ptr> links_;
+  // Where outgoing links lead.
+  std::map<const peer_link*, socket_address> targets_;
   // Established ones; at most one for each peer.
   std::map<instance_id, peer_link*> by_peer_;
   peer_traffic traffic_;
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -11,6 +11,7 @@
 
 #include "base/base.h"
 #include "policy/policy.h"
+#include "runs/runs.h"
 
 namespace jasminedyke {
 
@@ -88,7 +89,11 @@
                                   document_request,
                                   peer_document,
                                   remote_job_request,
-                                  remote_job_reply>;
+                                  remote_job_reply,
+                                  run_request,
+                                  run_cancel,
+                                  run_report,
+                                  home_status>;
 
 }  // namespace jasminedyke
 
--- a/src/protocol/peer_port.h
+++ b/src/protocol/peer_port.h
@@ -23,6 +23,8 @@
   virtual void OnPeerDown(const instance_id& peer) = 0;
   virtual void OnPeerMessage(const instance_id& peer,
                              const peer_message& message) = 0;
+  // Nobody listens at a wanted peer's address: its process is not running.
+  virtual void OnPeerRefused(const instance_id&) {}
 };
 
 // Links to other entry instances. Messages on one link arrive in order or,
--- /dev/null
+++ b/src/protocol/run_codec.cc
@@ -0,0 +1,180 @@
+#include "protocol/run_codec.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <peer_types.h>
+
+namespace jasminedyke {
+
+namespace {
+
+int32_t ToInt32(int64_t value) {
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(value, 0, std::numeric_limits<int32_t>::max()));
+}
+
+wire::amount ToWire(const resource_amount& amount) {
+  wire::amount wire;
+  wire.cpu_millis = amount.cpu_millis;
+  if (amount.memory_mb != 0)
+    wire.__set_memory_mb(amount.memory_mb);
+  if (amount.accelerators != 0)
+    wire.__set_accelerators(amount.accelerators);
+  return wire;
+}
+
+resource_amount FromWire(const wire::amount& wire) {
+  return {wire.cpu_millis, wire.memory_mb, wire.accelerators};
+}
+
+bool SameGroup(const wire::task_group& group, const task_demand& task) {
+  return group.step == static_cast<int32_t>(task.position.step) &&
+         FromWire(group.need) == task.need &&
+         group.estimate_us == ToInt32(task.estimate.count()) &&
+         group.maybe_started == task.maybe_started;
+}
+
+}  // namespace
+
+wire::run_request ToWire(const run_request& request) {
+  wire::run_request wire;
+  wire.job = request.job.str();
+  wire.submission = static_cast<int64_t>(request.submission.value());
+  wire.queue = request.queue.str();
+  wire.upstream_service = request.service.str();
+  wire.spec = request.spec;
+  wire.to_objective_us = request.to_objective.count();
+  wire.to_limit_us = request.to_limit.count();
+  wire.age_us = request.age.count();
+  wire.max_attempts = request.max_attempts;
+  if (request.priority != 0)
+    wire.__set_priority(request.priority);
+  if (!request.rack.empty())
+    wire.__set_rack(request.rack.str());
+  if (!request.required_label.empty())
+    wire.__set_required_label(request.required_label);
+  if (request.max_per_upstream != 0)
+    wire.__set_max_per_upstream(request.max_per_upstream);
+  for (const task_demand& task : request.tasks) {
+    if (wire.tasks.empty() || !SameGroup(wire.tasks.back(), task)) {
+      wire::task_group group;
+      group.step = static_cast<int32_t>(task.position.step);
+      group.need = ToWire(task.need);
+      group.estimate_us = ToInt32(task.estimate.count());
+      if (task.maybe_started)
+        group.__set_maybe_started(true);
+      wire.tasks.push_back(group);
+    }
+    wire.tasks.back().indexes.push_back(
+        static_cast<int32_t>(task.position.index));
+  }
+  return wire;
+}
+
+run_request FromWire(const wire::run_request& wire) {
+  run_request request;
+  request.job = job_key(wire.job);
+  request.submission = submission_id(static_cast<uint64_t>(wire.submission));
+  request.queue = queue_id(wire.queue);
+  request.service = service_id(wire.upstream_service);
+  request.spec = wire.spec;
+  request.to_objective = duration(wire.to_objective_us);
+  request.to_limit = duration(wire.to_limit_us);
+  request.age = duration(wire.age_us);
+  request.max_attempts = wire.max_attempts;
+  request.priority = wire.priority;
+  request.rack = rack_id(wire.rack);
+  request.required_label = wire.required_label;
+  request.max_per_upstream = wire.max_per_upstream;
+  for (const wire::task_group& group : wire.tasks) {
+    for (int32_t index : group.indexes) {
+      request.tasks.push_back({{static_cast<uint32_t>(group.step),
+                                static_cast<uint32_t>(index)},
+                               FromWire(group.need),
+                               duration(group.estimate_us),
+                               group.maybe_started});
+    }
+  }
+  return request;
+}
+
+wire::run_cancel ToWire(const run_cancel& cancel) {
+  wire::run_cancel wire;
+  wire.job = cancel.job.str();
+  wire.submission = static_cast<int64_t>(cancel.submission.value());
+  return wire;
+}
+
+run_cancel FromWire(const wire::run_cancel& wire) {
+  return {job_key(wire.job),
+          submission_id(static_cast<uint64_t>(wire.submission))};
+}
+
+wire::run_report ToWire(const run_report& report) {
+  wire::run_report wire;
+  wire.job = report.job.str();
+  wire.submission = static_cast<int64_t>(report.submission.value());
+  for (const task_report& task : report.tasks) {
+    wire::task_report each;
+    each.step = static_cast<int32_t>(task.position.step);
+    each.index = static_cast<int32_t>(task.position.index);
+    if (task.verdict != task_verdict::kDone)
+      each.__set_verdict(static_cast<int8_t>(task.verdict));
+    wire.tasks.push_back(each);
+  }
+  wire.__isset.tasks = !wire.tasks.empty();
+  if (report.refusal == run_refusal::kNone)
+    return wire;
+  wire.__set_refusal(static_cast<int8_t>(report.refusal));
+  wire.__set_not_run(report.not_run);
+  wire.__set_retry_after_us(report.retry_after.count());
+  return wire;
+}
+
+run_report FromWire(const wire::run_report& wire) {
+  run_report report;
+  report.job = job_key(wire.job);
+  report.submission = submission_id(static_cast<uint64_t>(wire.submission));
+  for (const wire::task_report& task : wire.tasks) {
+    bool failed = task.verdict != static_cast<int8_t>(task_verdict::kDone);
+    report.tasks.push_back(
+        {{static_cast<uint32_t>(task.step), static_cast<uint32_t>(task.index)},
+         failed ? task_verdict::kFailed : task_verdict::kDone});
+  }
+  bool known = wire.refusal >= 0 &&
+               wire.refusal <= static_cast<int8_t>(run_refusal::kSuperseded);
+  report.refusal = known ? static_cast<run_refusal>(wire.refusal)
+                         : run_refusal::kSuperseded;
+  report.not_run = wire.not_run;
+  report.retry_after = duration(wire.retry_after_us);
+  return report;
+}
+
+wire::home_status ToWire(const home_status& status) {
+  wire::home_status wire;
+  wire.failure_domain = status.group.domain.str();
+  wire.group = static_cast<int32_t>(status.group.number);
+  wire.token = static_cast<int64_t>(status.token.value());
+  wire.serving = status.serving;
+  wire.settled = status.settled;
+  wire.free_cpu_millis = status.free_cpu_millis;
+  wire.total_cpu_millis = status.total_cpu_millis;
+  wire.wait_us = status.wait.count();
+  return wire;
+}
+
+home_status FromWire(const wire::home_status& wire) {
+  home_status status;
+  status.group = {failure_domain_id(wire.failure_domain),
+                  static_cast<uint32_t>(wire.group)};
+  status.token = fencing_token(static_cast<uint64_t>(wire.token));
+  status.serving = wire.serving;
+  status.settled = wire.settled;
+  status.free_cpu_millis = wire.free_cpu_millis;
+  status.total_cpu_millis = wire.total_cpu_millis;
+  status.wait = duration(wire.wait_us);
+  return status;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/protocol/run_codec.h
@@ -0,0 +1,30 @@
+// The messages between jobs' owners and homes, to and from their wire form.
+
+#ifndef SRC_PROTOCOL_RUN_CODEC_H_
+#define SRC_PROTOCOL_RUN_CODEC_H_
+
+#include "runs/runs.h"
+
+namespace jasminedyke::wire {
+class run_request;
+class run_cancel;
+class run_report;
+class home_status;
+}  // namespace jasminedyke::wire
+
+namespace jasminedyke {
+
+wire::run_request ToWire(const run_request& request);
+wire::run_cancel ToWire(const run_cancel& cancel);
+wire::run_report ToWire(const run_report& report);
+wire::home_status ToWire(const home_status& status);
+
+// Numbers that make no sense come out as the field's default.
+run_request FromWire(const wire::run_request& wire);
+run_cancel FromWire(const wire::run_cancel& wire);
+run_report FromWire(const wire::run_report& wire);
+home_status FromWire(const wire::home_status& wire);
+
+}  // namespace jasminedyke
+
+#endif  // SRC_PROTOCOL_RUN_CODEC_H_
--- /dev/null
+++ b/src/runs/home_directory.h
@@ -0,0 +1,50 @@
+// Which instance is home to which group of upstreams, as the homes tell.
+
+#ifndef SRC_RUNS_HOME_DIRECTORY_H_
+#define SRC_RUNS_HOME_DIRECTORY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "base/base.h"
+#include "runs/run_messages.h"
+
+namespace jasminedyke {
+
+struct known_home {
+  instance_id instance;
+  home_status status;
+  time_point heard;
+};
+
+// The newest word of each group's home. Of two that claim a group, the higher
+// token counts.
+class home_directory {
+ public:
+  explicit home_directory(scheduler& clock) : clock_(clock) {}
+
+  // True if another instance is the group's home now.
+  bool Update(const instance_id& from, const home_status& status);
+  // Forgets what that instance was home to. True if it was any.
+  bool OnPeerDown(const instance_id& peer);
+
+  // Null if no home is known that serves.
+  const known_home* Find(const home_group& group) const;
+
+  // The homes that serve, best first for a job from `own`: a home elsewhere
+  // goes first only if the wait that it saves pays for the way.
+  std::vector<known_home> Ranked(const failure_domain_id& own) const;
+
+  // The highest token heard of for a group; 0 if none.
+  fencing_token HighestToken(const home_group& group) const;
+
+ private:
+  scheduler& clock_;
+  std::map<home_group, known_home> homes_;
+  std::map<home_group, fencing_token> tokens_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_RUNS_HOME_DIRECTORY_H_
--- /dev/null
+++ b/src/runs/job_desk.cc
@@ -0,0 +1,259 @@
+#include "runs/job_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr duration kSweepInterval = std::chrono::milliseconds(50);
+// A lost home's successor needs a store write, up to 20 ms, after the loss is
+// noticed; a silent loss takes the lease row's expiry. After this time the
+// caller does better to come back than to wait.
+constexpr duration kLongestHomeless = std::chrono::milliseconds(900);
+constexpr duration kRetryAfterNoHome = std::chrono::seconds(1);
+
+// Work of the longest chain of steps, by the caller's own estimates.
+duration LongestChain(const std::vector<job_step>& steps) {
+  std::vector<duration> ends;
+  duration longest = duration::zero();
+  for (const job_step& step : steps) {
+    duration begin = duration::zero();
+    for (uint32_t earlier : step.after)
+      begin = std::max(begin, ends.at(earlier));
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace
+
+job_desk::job_desk(scheduler& clock,
+                   const failure_domain_id& domain,
+                   home_directory& homes,
+                   send_request request,
+                   send_cancel cancel)
+    : clock_(clock),
+      domain_(domain),
+      homes_(homes),
+      request_(std::move(request)),
+      cancel_(std::move(cancel)),
+      last_submission_(static_cast<uint64_t>(
+          clock.now().time_since_epoch().count())),
+      sweep_timer_(clock) {
+  Sweep();
+}
+
+submission_id job_desk::Submit(run_job submission,
+                               answer_callback done) {
+  job_key key = submission.key;
+  if (jobs_.contains(key))
+    Answer(key, {run_outcome::kUnknown, run_refusal::kSuperseded, {}});
+  ++metrics_.accepted;
+  open_job job;
+  job.submission = submission_id(++last_submission_);
+  job.done = std::move(done);
+  job.accepted = clock_.now();
+  duration chain = LongestChain(submission.steps);
+  job.objective =
+      job.accepted + submission.target_latency +
+      std::chrono::duration_cast<duration>(chain * submission.stretch);
+  job.limit = job.accepted + submission.limit;
+  for (const job_step& step : submission.steps)
+    job.left.push_back(step.tasks);
+  job.asked = std::move(submission);
+  submission_id id = job.submission;
+  open_job& open = jobs_.emplace(key, std::move(job)).first->second;
+  ChooseHome(open, kRetryAfterNoHome, run_refusal::kNotHome);
+  return id;
+}
+
+void job_desk::ChooseHome(open_job& job,
+                          duration retry_after,
+                          run_refusal reason) {
+  for (const known_home& home : homes_.Ranked(domain_)) {
+    if (job.refused_by.contains(home.status.group))
+      continue;
+    job.group = home.status.group;
+    job.home = home.instance;
+    SendTasks(job, false);
+    return;
+  }
+  run_answer answer{run_outcome::kNotRun, reason, retry_after};
+  if (job.maybe_started)
+    answer.outcome = run_outcome::kUnknown;
+  // From a timer, as the caller of this may still use the job.
+  clock_.CallAfter(duration::zero(),
+                   [this, key = job.asked.key, id = job.submission, answer] {
+                     auto found = jobs_.find(key);
+                     if (found != jobs_.end() &&
+                         found->second.submission == id)
+                       Answer(key, answer);
+                   });
+}
+
+bool job_desk::StepIsReady(const open_job& job, uint32_t step) const {
+  return std::ranges::all_of(
+      job.asked.steps[step].after,
+      [&](uint32_t earlier) { return job.left[earlier] == 0; });
+}
+
+void job_desk::SendTasks(open_job& job, bool again) {
+  for (uint32_t step = 0; step < job.asked.steps.size(); ++step) {
+    if (job.left[step] == 0 || !StepIsReady(job, step))
+      continue;
+    const job_step& asked = job.asked.steps[step];
+    run_request request;
+    request.job = job.asked.key;
+    request.submission = job.submission;
+    request.queue = job.asked.queue;
+    request.service = job.asked.service;
+    request.spec = job.asked.spec;
+    request.to_objective = job.objective - clock_.now();
+    request.to_limit = job.limit - clock_.now();
+    request.age = clock_.now() - job.accepted;
+    request.max_attempts = job.asked.max_attempts;
+    request.priority = job.asked.priority;
+    request.rack = asked.rack;
+    request.required_label = asked.required_label;
+    request.max_per_upstream = asked.max_per_upstream;
+    for (uint32_t index = 0; index < asked.tasks; ++index) {
+      task_position position{step, index};
+      bool was_sent = job.sent.contains(position);
+      if (job.finished.contains(position) || (was_sent && !again))
+        continue;
+      request.tasks.push_back({position, asked.need, asked.estimate,
+                               was_sent && job.maybe_started});
+      job.sent.insert(position);
+    }
+    if (request.tasks.empty())
+      continue;
+    job.maybe_started = true;
+    if (!request_(job.home, request)) {
+      // The link just broke: the group's next home gets the tasks.
+      job.home = instance_id();
+      job.homeless_since = clock_.now();
+      return;
+    }
+  }
+}
+
+void job_desk::Leave(const job_key& key, submission_id submission) {
+  auto found = jobs_.find(key);
+  if (found == jobs_.end() || found->second.submission != submission)
+    return;
+  ++metrics_.left;
+  CancelAtHome(found->second);
+  jobs_.erase(found);
+}
+
+void job_desk::CancelAtHome(const open_job& job) {
+  if (!job.home.empty() && !job.sent.empty())
+    cancel_(job.home, {job.asked.key, job.submission});
+}
+
+void job_desk::OnReport(const instance_id& from, const run_report& report) {
+  auto found = jobs_.find(report.job);
+  if (found == jobs_.end())
+    return;
+  open_job& job = found->second;
+  if (job.submission != report.submission || job.home != from)
+    return;
+  if (report.refusal != run_refusal::kNone) {
+    OnRefused(job, report);
+    return;
+  }
+  bool step_done = false;
+  for (const task_report& task : report.tasks) {
+    if (task.verdict == task_verdict::kFailed) {
+      CancelAtHome(job);
+      Answer(report.job, {run_outcome::kFailed, run_refusal::kNone, {}});
+      return;
+    }
+    if (task.position.step >= job.left.size() ||
+        !job.finished.insert(task.position).second)
+      continue;
+    step_done = --job.left[task.position.step] == 0 || step_done;
+  }
+  bool all_done =
+      std::ranges::all_of(job.left, [](uint32_t n) { return n == 0; });
+  if (all_done)
+    Answer(report.job, {run_outcome::kSucceeded, run_refusal::kNone, {}});
+  else if (step_done)
+    SendTasks(job, false);
+}
+
+void job_desk::OnRefused(open_job& job, const run_report& report) {
+  if (report.not_run) {
+    // That home is out; another one may have room.
+    job.maybe_started = false;
+    job.sent.clear();
+    job.refused_by.insert(job.group);
+    ChooseHome(job, report.retry_after, report.refusal);
+    return;
+  }
+  if (report.refusal == run_refusal::kNotHome) {
+    // The group's next home gets the tasks.
+    job.home = instance_id();
+    job.homeless_since = clock_.now();
+    OnHomesChanged();
+    return;
+  }
+  Answer(report.job, {run_outcome::kUnknown, report.refusal, {}});
+}
+
+void job_desk::OnHomesChanged() {
+  for (auto& [key, job] : jobs_) {
+    const known_home* home = homes_.Find(job.group);
+    if (!home || home->instance == job.home)
+      continue;
+    ++metrics_.moved;
+    job.home = home->instance;
+    SendTasks(job, true);
+  }
+}
+
+void job_desk::OnPeerDown(const instance_id& peer) {
+  for (auto& [key, job] : jobs_) {
+    if (job.home != peer)
+      continue;
+    job.home = instance_id();
+    job.homeless_since = clock_.now();
+  }
+}
+
+void job_desk::OnPeerUp(const instance_id&) {
+  OnHomesChanged();
+}
+
+void job_desk::Answer(const job_key& key, const run_answer& answer) {
+  auto found = jobs_.find(key);
+  if (found == jobs_.end())
+    return;
+  answer_callback done = std::move(found->second.done);
+  jobs_.erase(found);
+  ++metrics_.outcomes[answer.outcome];
+  if (answer.reason != run_refusal::kNone)
+    ++metrics_.refusals[answer.reason];
+  done(answer);
+}
+
+void job_desk::Sweep() {
+  std::vector<job_key> given_up;
+  for (const auto& [key, job] : jobs_) {
+    bool too_long_homeless =
+        job.home.empty() &&
+        clock_.now() - job.homeless_since > kLongestHomeless;
+    if (clock_.now() >= job.limit || too_long_homeless)
+      given_up.push_back(key);
+  }
+  for (const job_key& key : given_up) {
+    CancelAtHome(jobs_.at(key));
+    Answer(key, {run_outcome::kUnknown, run_refusal::kNone, {}});
+  }
+  sweep_timer_.StartAfter(kSweepInterval, [this] { Sweep(); });
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/runs/job_order.cc
@@ -0,0 +1,17 @@
+#include "runs/job_order.h"
+
+namespace jasminedyke {
+
+job_rank RankJob(const job_outlook& outlook, time_point now) {
+  job_rank rank;
+  rank.work_left = outlook.work_left;
+  rank.priority = outlook.priority;
+  time_point ends = now + outlook.longest_task;
+  if (ends > outlook.limit)
+    rank.chance = job_chance::kLost;
+  else if (ends > outlook.objective)
+    rank.chance = job_chance::kLate;
+  return rank;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/runs/run_home.cc
@@ -0,0 +1,560 @@
+#include "runs/run_home.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "runs/job_order.h"
+#include "runs/placement.h"
+
+namespace jasminedyke {
+
+namespace {
+
+// After a takeover the jobs' owners have so long to claim what runs; they
+// learn of the new home within a message's time, or re-open a link. The
+// leases last 0.6 s or more from the earlier home's last hold.
+constexpr duration kClaimTime = std::chrono::milliseconds(300);
+// A link that broke may be opened again by a living owner, which then sends
+// its jobs again. A caller whose instance died comes back after a second or
+// more, through another instance; by then its runs must be gone.
+constexpr duration kOrphanTime = std::chrono::milliseconds(350);
+constexpr duration kSweepInterval = std::chrono::milliseconds(50);
+// For a job whose queue is long: callers come back no sooner than that.
+constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
+constexpr size_t kMaxEarlyEnds = 20'000;
+
+double CoreSeconds(const task_demand& demand) {
+  return static_cast<double>(demand.need.cpu_millis) / 1000 *
+         ToSeconds(demand.estimate);
+}
+
+}  // namespace
+
+run_home::run_home(scheduler& clock,
+                   upstream_port& port,
+                   const home_group& group,
+                   const upstream_session::limits& bounds,
+                   send_report send,
+                   fenced_handler on_fenced)
+    : clock_(clock),
+      port_(port),
+      group_(group),
+      bounds_(bounds),
+      send_(std::move(send)),
+      on_fenced_(std::move(on_fenced)),
+      dispatch_timer_(clock),
+      sweep_timer_(clock) {}
+
+run_home::~run_home() = default;
+
+void run_home::Begin(fencing_token token) {
+  token_ = token;
+  for (auto& [id, session] : sessions_)
+    session->SetToken(token);
+  if (serving_)
+    return;
+  serving_ = true;
+  begun_ = clock_.now();
+  SetUpstreams(registry_);
+  Sweep();
+}
+
+void run_home::End() {
+  serving_ = false;
+  sessions_.clear();
+  jobs_.clear();
+  unclaimed_.clear();
+  early_ends_.clear();
+  orphaned_at_.clear();
+  sweep_timer_.Stop();
+  dispatch_timer_.Stop();
+  dispatch_due_ = false;
+}
+
+void run_home::SetUpstreams(const upstream_registry& upstreams) {
+  registry_ = upstreams;
+  if (!serving_)
+    return;
+  for (const auto& [id, info] : upstreams) {
+    auto found = sessions_.find(id);
+    if (found != sessions_.end()) {
+      found->second->SetInfo(info);
+      continue;
+    }
+    sessions_.emplace(id, std::make_unique<upstream_session>(
+                              clock_, port_, info, token_, bounds_, *this));
+  }
+  ScheduleDispatch();
+}
+
+void run_home::OnRequest(const instance_id& from, const run_request& request) {
+  if (!serving_) {
+    run_report report{request.job, request.submission, {}};
+    report.refusal = run_refusal::kNotHome;
+    // It may have been home when the job was sent first.
+    report.not_run = std::ranges::none_of(
+        request.tasks, [](const task_demand& t) { return t.maybe_started; });
+    send_(from, report);
+    return;
+  }
+  auto [found, is_new] = jobs_.try_emplace(request.job);
+  home_job& job = found->second;
+  bool other_submission =
+      !is_new &&
+      (job.owner != from || job.request.submission != request.submission);
+  if (other_submission && !job.cancelled) {
+    // The caller lost its first connection and came back elsewhere. Its runs
+    // go on for the new owner.
+    Refuse(job, run_refusal::kSuperseded, duration::zero());
+  }
+  job.key = request.job;
+  job.owner = from;
+  job.cancelled = false;
+  job.request = request;
+  job.request.tasks.clear();
+  job.objective = clock_.now() + request.to_objective;
+  job.limit = clock_.now() + request.to_limit;
+  AddTasks(job, request);
+  DropIfOver(request.job);
+  ScheduleDispatch();
+}
+
+void run_home::AddTasks(home_job& job, const run_request& request) {
+  for (const task_demand& demand : request.tasks) {
+    task_name name{job.key, 0, demand.position};
+    auto [found, is_new] = job.tasks.try_emplace(demand.position);
+    home_task& task = found->second;
+    task.demand = demand;
+    if (auto end = early_ends_.find(name); end != early_ends_.end()) {
+      bool done = end->second == run_end::kDone && demand.maybe_started;
+      early_ends_.erase(end);
+      if (done) {
+        job.untouched = false;
+        OnTaskDone(job, task);
+        continue;
+      }
+    }
+    if (auto claimed = unclaimed_.find(name); claimed != unclaimed_.end()) {
+      task.phase = task_phase::kOrdered;
+      task.upstream = claimed->second;
+      job.untouched = false;
+      ++metrics_.adopted;
+      sessions_.at(claimed->second)->Adopt(name, demand.need);
+      unclaimed_.erase(claimed);
+      continue;
+    }
+    if (task.phase == task_phase::kDone) {
+      // Only a job that came again after its end: it runs anew.
+      task.phase = task_phase::kQueued;
+    }
+    if (task.phase != task_phase::kQueued)
+      continue;
+    if (demand.maybe_started) {
+      job.untouched = false;
+      if (!AllSettled())
+        task.phase = task_phase::kUnclear;
+    }
+  }
+}
+
+void run_home::OnCancel(const instance_id& from, const run_cancel& cancel) {
+  auto found = jobs_.find(cancel.job);
+  if (found == jobs_.end())
+    return;
+  home_job& job = found->second;
+  // A newer submission of the same key is not meant.
+  if (job.owner != from || job.request.submission != cancel.submission)
+    return;
+  CancelJob(job);
+  DropIfOver(cancel.job);
+}
+
+void run_home::CancelJob(home_job& job) {
+  job.cancelled = true;
+  for (auto& [position, task] : job.tasks) {
+    if (task.phase == task_phase::kOrdered) {
+      if (!task.stopping)
+        ++metrics_.stopped;
+      task.stopping = true;
+      auto session = sessions_.find(task.upstream);
+      if (session != sessions_.end())
+        session->second->Stop({job.key, 0, position});
+    } else if (task.phase != task_phase::kDone) {
+      task.phase = task_phase::kDone;
+    }
+  }
+}
+
+void run_home::DropIfOver(const job_key& key) {
+  auto found = jobs_.find(key);
+  if (found == jobs_.end())
+    return;
+  bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
+    return entry.second.phase == task_phase::kDone;
+  });
+  if (over)
+    jobs_.erase(found);
+}
+
+void run_home::OnPeerDown(const instance_id& peer) {
+  if (serving_)
+    orphaned_at_.try_emplace(peer, clock_.now() + kOrphanTime);
+}
+
+void run_home::OnPeerUp(const instance_id& peer) {
+  orphaned_at_.erase(peer);
+}
+
+run_home::home_task* run_home::FindTask(const task_name& task,
+                                        home_job** job) {
+  auto found = jobs_.find(task.job);
+  if (found == jobs_.end())
+    return nullptr;
+  auto entry = found->second.tasks.find(task.position);
+  if (entry == found->second.tasks.end())
+    return nullptr;
+  *job = &found->second;
+  return &entry->second;
+}
+
+void run_home::OnRunEnded(upstream_session& session,
+                          const task_name& name,
+                          run_number run,
+                          run_end how) {
+  unclaimed_.erase(name);
+  home_job* job = nullptr;
+  home_task* task = FindTask(name, &job);
+  if (!task || (task->phase == task_phase::kOrdered &&
+                task->upstream != session.info().id)) {
+    bool early = !task && clock_.now() - begun_ < kClaimTime;
+    if (early && early_ends_.size() < kMaxEarlyEnds)
+      early_ends_[name] = how;
+    return;
+  }
+  if (task->phase == task_phase::kDone)
+    return;
+  bool ordered_here = task->phase == task_phase::kOrdered;
+  if (ordered_here && run.value() < task->last_run)
+    return;
+  task->last_run = std::max(task->last_run, run.value());
+  if (how == run_end::kDone) {
+    ++metrics_.done;
+    OnTaskDone(*job, *task);
+  } else if (ordered_here && how == run_end::kFailed) {
+    ++metrics_.failed;
+    OnTaskFailed(*job, *task);
+  } else if (ordered_here) {
+    if (how == run_end::kLapsed)
+      ++metrics_.lapsed;
+    Requeue(*job, *task);
+  }
+  DropIfOver(name.job);
+}
+
+void run_home::OnTaskDone(home_job& job, home_task& task) {
+  task.phase = task_phase::kDone;
+  if (!job.cancelled)
+    Report(job, task, task_verdict::kDone);
+}
+
+void run_home::OnTaskFailed(home_job& job, home_task& task) {
+  ++task.failures;
+  if (task.failures < job.request.max_attempts) {
+    Requeue(job, task);
+    return;
+  }
+  task.phase = task_phase::kDone;
+  if (!job.cancelled)
+    Report(job, task, task_verdict::kFailed);
+}
+
+void run_home::Requeue(home_job& job, home_task& task) {
+  task.stopping = false;
+  task.phase = job.cancelled ? task_phase::kDone : task_phase::kQueued;
+  ScheduleDispatch();
+}
+
+void run_home::Report(const home_job& job,
+                      const home_task& task,
+                      task_verdict verdict) {
+  run_report report{job.key, job.request.submission, {}};
+  report.tasks.push_back({task.demand.position, verdict});
+  send_(job.owner, report);
+}
+
+void run_home::Refuse(home_job& job,
+                      run_refusal reason,
+                      duration retry_after) {
+  ++metrics_.refused_jobs[reason];
+  run_report report{job.key, job.request.submission, {}};
+  report.refusal = reason;
+  report.not_run = job.untouched;
+  report.retry_after = retry_after;
+  send_(job.owner, report);
+}
+
+void run_home::OnNotStarted(upstream_session& session,
+                            const task_name& name,
+                            run_number run,
+                            start_result why) {
+  ++metrics_.refused_starts[why];
+  home_job* job = nullptr;
+  home_task* task = FindTask(name, &job);
+  bool current = task && task->phase == task_phase::kOrdered &&
+                 task->upstream == session.info().id &&
+                 task->last_run == run.value();
+  if (!current)
+    return;
+  LogEvent(log_level::kInfo, "start_refused",
+           {{"job", name.job.str()},
+            {"task", name.position.index},
+            {"run", run.value()},
+            {"upstream", session.info().id.str()},
+            {"result", static_cast<int>(why)}});
+  if (why == start_result::kNotAccepted) {
+    // No upstream would take it: the order itself is wrong.
+    task->failures = job->request.max_attempts;
+    OnTaskFailed(*job, *task);
+  } else {
+    Requeue(*job, *task);
+  }
+  DropIfOver(name.job);
+}
+
+void run_home::OnFound(upstream_session& session,
+                       const task_name& name,
+                       run_number run) {
+  home_job* job = nullptr;
+  home_task* task = FindTask(name, &job);
+  bool waits = task && (task->phase == task_phase::kUnclear ||
+                        task->phase == task_phase::kQueued);
+  if (waits && !job->cancelled) {
+    task->phase = task_phase::kOrdered;
+    task->upstream = session.info().id;
+    task->last_run = std::max(task->last_run, run.value());
+    job->untouched = false;
+    ++metrics_.adopted;
+    session.Adopt(name, task->demand.need);
+    return;
+  }
+  if (clock_.now() - begun_ < kClaimTime) {
+    unclaimed_[name] = session.info().id;
+    return;
+  }
+  session.Stop(name);
+}
+
+void run_home::OnRoom(upstream_session&) {
+  QueueUnclear();
+  ScheduleDispatch();
+}
+
+void run_home::OnFenced(upstream_session& session) {
+  LogEvent(
+      log_level::kWarning, "fenced",
+      {{"upstream", session.info().id.str()}, {"token", token_.value()}});
+  on_fenced_();
+}
+
+bool run_home::AllSettled() const {
+  return std::ranges::all_of(
+      sessions_, [](const auto& entry) { return entry.second->settled(); });
+}
+
+void run_home::QueueUnclear() {
+  if (!AllSettled())
+    return;
+  for (auto& [key, job] : jobs_) {
+    for (auto& [position, task] : job.tasks) {
+      if (task.phase == task_phase::kUnclear)
+        task.phase = task_phase::kQueued;
+    }
+  }
+}
+
+void run_home::StopUnclaimed() {
+  auto unclaimed = std::exchange(unclaimed_, {});
+  for (const auto& [name, upstream] : unclaimed) {
+    auto session = sessions_.find(upstream);
+    if (session != sessions_.end())
+      session->second->Stop(name);
+  }
+  early_ends_.clear();
+}
+
+// From a timer, so that one answer's many events lead to one pass.
+void run_home::ScheduleDispatch() {
+  if (dispatch_due_ || !serving_)
+    return;
+  dispatch_due_ = true;
+  dispatch_timer_.StartAfter(duration::zero(), [this] {
+    dispatch_due_ = false;
+    Dispatch();
+  });
+}
+
+void run_home::Dispatch() {
+  for (home_job* job : JobsInOrder())
+    PlaceTasks(*job);
+}
+
+std::vector<run_home::home_job*> run_home::JobsInOrder() {
+  std::vector<std::pair<job_rank, home_job*>> ranked;
+  for (auto& [key, job] : jobs_) {
+    bool waits = std::ranges::any_of(job.tasks, [](const auto& entry) {
+      return entry.second.phase == task_phase::kQueued;
+    });
+    if (waits && !job.cancelled)
+      ranked.emplace_back(RankJob(OutlookOf(job), clock_.now()), &job);
+  }
+  std::ranges::sort(ranked, {}, [](const auto& each) { return each.first; });
+  std::vector<home_job*> jobs;
+  for (const auto& [rank, job] : ranked)
+    jobs.push_back(job);
+  return jobs;
+}
+
+job_outlook run_home::OutlookOf(const home_job& job) const {
+  job_outlook outlook;
+  outlook.objective = job.objective;
+  outlook.limit = job.limit;
+  outlook.priority = job.request.priority;
+  for (const auto& [position, task] : job.tasks) {
+    if (task.phase == task_phase::kDone)
+      continue;
+    outlook.longest_task =
+        std::max(outlook.longest_task, task.demand.estimate);
+    outlook.work_left += CoreSeconds(task.demand);
+  }
+  return outlook;
+}
+
+// True if all waiting tasks found room.
+bool run_home::PlaceTasks(home_job& job) {
+  for (auto& [position, task] : job.tasks) {
+    if (task.phase == task_phase::kQueued && !PlaceTask(job, task))
+      return false;
+  }
+  return true;
+}
+
+bool run_home::PlaceTask(home_job& job, home_task& task) {
+  std::vector<placement_candidate> candidates;
+  std::vector<upstream_session*> sessions;
+  for (auto& [id, session] : sessions_) {
+    if (!session->usable() || !MayRun(*session, job, task))
+      continue;
+    candidates.push_back({session->room(), 1});
+    sessions.push_back(session.get());
+  }
+  auto chosen = ChooseUpstream(candidates, task.demand.need);
+  if (!chosen)
+    return false;
+  upstream_session& session = *sessions[*chosen];
+  job.untouched = false;
+  task.phase = task_phase::kOrdered;
+  task.stopping = false;
+  task.upstream = session.info().id;
+  ++task.last_run;
+  ++metrics_.started;
+  session.Start({job.key, 0, task.demand.position}, run_number(task.last_run),
+                job.request.spec, task.demand.need);
+  return true;
+}
+
+bool run_home::MayRun(const upstream_session& session,
+                      const home_job& job,
+                      const home_task&) const {
+  const upstream_info& info = session.info();
+  if (info.service != job.request.service)
+    return false;
+  return job.request.required_label.empty() ||
+         info.labels.contains(job.request.required_label);
+}
+
+// False if no known upstream has the size and labels for each of its tasks.
+bool run_home::CouldEverRun(const home_job& job) const {
+  return std::ranges::all_of(job.tasks, [&](const auto& entry) {
+    const home_task& task = entry.second;
+    return task.phase == task_phase::kDone ||
+           std::ranges::any_of(sessions_, [&](const auto& each) {
+             return MayRun(*each.second, job, task) &&
+                    task.demand.need.Fits(each.second->info().capacity);
+           });
+  });
+}
+
+// Ends claims and grace times that ran out, removes upstreams that are gone,
+// and refuses jobs that can't be answered in time any more.
+void run_home::Sweep() {
+  time_point now = clock_.now();
+  if (now - begun_ >= kClaimTime)
+    StopUnclaimed();
+  for (auto& [peer, until] : orphaned_at_) {
+    if (now < until)
+      continue;
+    for (auto& [key, job] : jobs_) {
+      if (job.owner == peer && !job.cancelled)
+        CancelJob(job);
+    }
+  }
+  std::erase_if(orphaned_at_,
+                [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(sessions_, [&](const auto& entry) {
+    return entry.second->idle() && !registry_.contains(entry.first);
+  });
+  std::vector<job_key> over;
+  for (auto& [key, job] : jobs_) {
+    bool hopeless =
+        !job.cancelled && job.untouched &&
+        RankJob(OutlookOf(job), now).chance == job_chance::kLost;
+    if (hopeless) {
+      Refuse(job, CouldEverRun(job) ? run_refusal::kOverload
+                                    : run_refusal::kNoUpstream,
+             std::max(kLeastRetryAfter, WaitForRoom()));
+      CancelJob(job);
+    }
+    if (job.cancelled)
+      over.push_back(key);
+  }
+  for (const job_key& key : over)
+    DropIfOver(key);
+  QueueUnclear();
+  ScheduleDispatch();
+  sweep_timer_.StartAfter(kSweepInterval, [this] { Sweep(); });
+}
+
+// All waiting work over all usable processors.
+duration run_home::WaitForRoom() const {
+  double waiting = 0;
+  for (const auto& [key, job] : jobs_) {
+    for (const auto& [position, task] : job.tasks) {
+      if (task.phase == task_phase::kQueued)
+        waiting += CoreSeconds(task.demand);
+    }
+  }
+  double cores = 0;
+  for (const auto& [id, session] : sessions_) {
+    if (session->usable())
+      cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000;
+  }
+  return cores > 0 ? FromSeconds(waiting / cores) : std::chrono::seconds(1);
+}
+
+home_status run_home::Status() const {
+  home_status status;
+  status.group = group_;
+  status.token = token_;
+  status.serving = serving_;
+  status.settled = AllSettled();
+  for (const auto& [id, session] : sessions_) {
+    if (!session->usable())
+      continue;
+    status.free_cpu_millis += session->room().cpu_millis;
+    status.total_cpu_millis += session->info().capacity.cpu_millis;
+  }
+  status.wait = WaitForRoom();
+  return status;
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/runs/run_home.h
@@ -0,0 +1,169 @@
+// The home of a group of upstreams: it alone starts, stops, holds and
+// acknowledges there, for the jobs of all entry instances.
+
+#ifndef SRC_RUNS_RUN_HOME_H_
+#define SRC_RUNS_RUN_HOME_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "runs/job_order.h"
+#include "runs/run_messages.h"
+#include "runs/upstream_session.h"
+
+namespace jasminedyke {
+
+struct run_home_metrics {
+  uint64_t started = 0;
+  uint64_t done = 0;
+  uint64_t failed = 0;
+  uint64_t lapsed = 0;
+  uint64_t stopped = 0;
+  uint64_t adopted = 0;
+  std::map<start_result, uint64_t> refused_starts;
+  std::map<run_refusal, uint64_t> refused_jobs;
+};
+
+// Why one home: an upstream keeps one list of ends that anybody's
+// acknowledgement cuts, and one lease that anybody's hold prolongs. Two
+// instances that both hold it lose each other's ends and keep each other's
+// orphans alive.
+class run_home : public upstream_session::owner {
+ public:
+  using send_report =
+      std::function<void(const instance_id&, const run_report&)>;
+  using fenced_handler = std::function<void()>;
+
+  run_home(scheduler& clock,
+           upstream_port& port,
+           const home_group& group,
+           const upstream_session::limits& bounds,
+           send_report send,
+           fenced_handler on_fenced);
+  ~run_home() override;
+
+  // Begins to be home, or goes on under a newer token.
+  void Begin(fencing_token token);
+  // Leaves the upstreams to a successor. What runs goes on there.
+  void End();
+  bool serving() const { return serving_; }
+
+  // The group's upstreams, as registered now.
+  void SetUpstreams(const upstream_registry& upstreams);
+
+  void OnRequest(const instance_id& from, const run_request& request);
+  void OnCancel(const instance_id& from, const run_cancel& cancel);
+  // The link to an entry instance broke, or it has a new incarnation.
+  void OnPeerDown(const instance_id& peer);
+  void OnPeerUp(const instance_id& peer);
+
+  home_status Status() const;
+  const run_home_metrics& metrics() const { return metrics_; }
+  size_t jobs() const { return jobs_.size(); }
+
+ private:
+  enum class task_phase {
+    kQueued,
+    // Asked of an earlier home: it waits until all upstreams are settled.
+    kUnclear,
+    kOrdered,  // on an upstream: starting, running or being stopped
+    kDone,
+  };
+
+  struct home_task {
+    task_demand demand;
+    task_phase phase = task_phase::kQueued;
+    // The last number that was used, 0 if none.
+    uint64_t last_run = 0;
+    int failures = 0;
+    // While `kOrdered`.
+    upstream_id upstream;
+    bool stopping = false;
+  };
+
+  struct home_job {
+    job_key key;
+    instance_id owner;
+    run_request request;
+    time_point objective;
+    time_point limit;
+    std::map<task_position, home_task> tasks;
+    // No task was ordered anywhere since the job came.
+    bool untouched = true;
+    // Nobody waits for it; it goes when its last run has ended.
+    bool cancelled = false;
+  };
+  using job_map = std::map<job_key, home_job>;
+
+  void OnRunEnded(upstream_session& session,
+                  const task_name& task,
+                  run_number run,
+                  run_end how) override;
+  void OnNotStarted(upstream_session& session,
+                    const task_name& task,
+                    run_number run,
+                    start_result why) override;
+  void OnFound(upstream_session& session,
+               const task_name& task,
+               run_number run) override;
+  void OnRoom(upstream_session& session) override;
+  void OnFenced(upstream_session& session) override;
+
+  home_task* FindTask(const task_name& task, home_job** job);
+  void AddTasks(home_job& job, const run_request& request);
+  void CancelJob(home_job& job);
+  void DropIfOver(const job_key& key);
+  void OnTaskDone(home_job& job, home_task& task);
+  void OnTaskFailed(home_job& job, home_task& task);
+  void Requeue(home_job& job, home_task& task);
+  void Report(const home_job& job, const home_task& task, task_verdict verdict);
+  void Refuse(home_job& job, run_refusal reason, duration retry_after);
+  bool AllSettled() const;
+  void QueueUnclear();
+  void StopUnclaimed();
+  void ScheduleDispatch();
+  void Dispatch();
+  std::vector<home_job*> JobsInOrder();
+  bool PlaceTasks(home_job& job);
+  bool PlaceTask(home_job& job, home_task& task);
+  bool MayRun(const upstream_session& session,
+              const home_job& job,
+              const home_task& task) const;
+  bool CouldEverRun(const home_job& job) const;
+  job_outlook OutlookOf(const home_job& job) const;
+  void Sweep();
+  duration WaitForRoom() const;
+
+  scheduler& clock_;
+  upstream_port& port_;
+  home_group group_;
+  upstream_session::limits bounds_;
+  send_report send_;
+  fenced_handler on_fenced_;
+  bool serving_ = false;
+  fencing_token token_;
+  upstream_registry registry_;
+  std::map<upstream_id, std::unique_ptr<upstream_session>> sessions_;
+  job_map jobs_;
+  // Found runs that no job has claimed yet, with where they are.
+  std::map<task_name, upstream_id> unclaimed_;
+  // Ends listed under an earlier home for jobs that have not come yet.
+  std::map<task_name, run_end> early_ends_;
+  // Entry instances whose link broke, until when their jobs are kept.
+  std::map<instance_id, time_point> orphaned_at_;
+  run_home_metrics metrics_;
+  time_point begun_;
+  bool dispatch_due_ = false;
+  scoped_timer dispatch_timer_;
+  scoped_timer sweep_timer_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_RUNS_RUN_HOME_H_
--- /dev/null
+++ b/src/runs/runs.h
@@ -0,0 +1,18 @@
+// Public header of the runs library: tasks that run on upstreams under
+// leases, from a job's owner through a group's home to an upstream.
+
+#ifndef SRC_RUNS_RUNS_H_
+#define SRC_RUNS_RUNS_H_
+
+#include "runs/home_directory.h"
+#include "runs/job_desk.h"
+#include "runs/job_order.h"
+#include "runs/placement.h"
+#include "runs/run_home.h"
+#include "runs/run_messages.h"
+#include "runs/run_types.h"
+#include "runs/upstream_port.h"
+#include "runs/upstream_registry.h"
+#include "runs/upstream_session.h"
+
+#endif  // SRC_RUNS_RUNS_H_
--- /dev/null
+++ b/src/runs/upstream_session.h
@@ -0,0 +1,169 @@
+// One upstream under this instance's ownership: its clock, its lease, and all
+// that runs on it.
+
+#ifndef SRC_RUNS_UPSTREAM_SESSION_H_
+#define SRC_RUNS_UPSTREAM_SESSION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/base.h"
+#include "runs/run_types.h"
+#include "runs/upstream_port.h"
+#include "runs/upstream_registry.h"
+
+namespace jasminedyke {
+
+// Keeps one hold call waiting at the upstream at nearly all times: it prolongs
+// the lease, acknowledges ends and brings new ones as they happen.
+//
+// A run is over for us only when that is proven: the upstream listed its end,
+// or did not list it in answer to a hold sent when it could no longer begin,
+// or has not had its lease prolonged for longer than the lease. Until then its
+// task must not start anywhere else, or it could run twice at one time.
+class upstream_session {
+ public:
+  // Told of the session's runs. Calls of the session from within these
+  // functions are allowed; destroying it is not.
+  class owner {
+   public:
+    virtual ~owner() = default;
+    virtual void OnRunEnded(upstream_session& session,
+                            const task_name& task,
+                            run_number run,
+                            run_end how) = 0;
+    // Proven never to have begun; `why` is what the upstream said.
+    virtual void OnNotStarted(upstream_session& session,
+                              const task_name& task,
+                              run_number run,
+                              start_result why) = 0;
+    // A run of an earlier owner. It must be adopted or stopped; until then
+    // nothing on this upstream is prolonged.
+    virtual void OnFound(upstream_session& session,
+                         const task_name& task,
+                         run_number run) = 0;
+    // Room may have changed, or the session became usable.
+    virtual void OnRoom(upstream_session& session) = 0;
+    // The upstream has seen a higher token than ours.
+    virtual void OnFenced(upstream_session& session) = 0;
+  };
+
+  struct limits {
+    // The longest lease that upstreams grant.
+    duration longest_lease = std::chrono::milliseconds(1000);
+  };
+
+  upstream_session(scheduler& clock,
+                   upstream_port& port,
+                   const upstream_info& info,
+                   fencing_token token,
+                   const limits& bounds,
+                   owner& told);
+  ~upstream_session();
+  upstream_session(const upstream_session&) = delete;
+  upstream_session& operator=(const upstream_session&) = delete;
+
+  const upstream_info& info() const { return info_; }
+  void SetInfo(const upstream_info& info) { info_ = info; }
+  void SetToken(fencing_token token) { token_ = token; }
+
+  // Only if `usable()` and `need` fits into `room()`.
+  void Start(const task_name& task,
+             run_number run,
+             const std::string& spec,
+             const resource_amount& need);
+  // Also of a run that was found, or whose start has no answer yet.
+  void Stop(const task_name& task);
+  // Takes over a found run as if it had been started here.
+  void Adopt(const task_name& task, const resource_amount& need);
+
+  // What runs there is known, or can't be running any more.
+  bool settled() const { return settled_; }
+  // Can be given tasks now.
+  bool usable() const;
+  // Capacity that no run occupies or may occupy.
+  resource_amount room() const { return info_.capacity - occupied_; }
+  bool idle() const { return runs_.empty(); }
+  bool gone() const { return gone_; }
+  // How far a run has come, in per cent, as last listed.
+  std::optional<int> Progress(const task_name& task) const;
+
+ private:
+  enum class run_phase {
+    kFound,     // listed, of an earlier owner, not yet adopted
+    kStarting,  // ordered, no answer yet
+    kUnproven,  // the order was not answered; it may run or may not
+    kRunning,
+  };
+
+  struct run_record {
+    run_number run;
+    resource_amount need;
+    run_phase phase = run_phase::kStarting;
+    // When the phase began, on our clock.
+    time_point since;
+    // An order that was not carried out by then never will be.
+    upstream_time not_after;
+    bool stop_wanted = false;
+    bool stop_in_flight = false;
+    std::optional<int> percent;
+  };
+  using run_map = std::map<task_name, run_record>;
+
+  void SendHold();
+  void OnHeld(time_point sent, const hold_reply& reply);
+  void OnHoldFailed(call_result result);
+  void TakeClock(upstream_time clock, time_point sent);
+  void TakeEnds(const hold_reply& reply);
+  void TakeRunning(time_point sent, const hold_reply& reply);
+  void JudgeUnlisted(time_point sent, const hold_reply& reply);
+  void OnStarted(const task_name& task,
+                 run_number run,
+                 time_point sent,
+                 const start_reply& reply);
+  void SendStop(const task_name& task);
+  void SettleWithoutAnswer();
+  bool HasFoundRuns() const;
+  // Certainly not ahead of, and certainly not behind, the upstream's clock.
+  upstream_time EarliestClock() const;
+  upstream_time LatestClock() const;
+  bool LeaseIsOver() const;
+  void CheckLapse();
+  void EndAll(run_end how);
+  void Remove(run_map::iterator found);
+  void NoteLease(upstream_time until);
+
+  scheduler& clock_;
+  upstream_port& port_;
+  upstream_info info_;
+  fencing_token token_;
+  limits limits_;
+  owner& owner_;
+  // At most one run of a task. `occupied_` is the sum of all needs.
+  run_map runs_;
+  resource_amount occupied_;
+  bool settled_ = false;
+  bool gone_ = false;
+  bool hold_in_flight_ = false;
+  int failed_holds_ = 0;
+  // Until then it gets nothing new, because it refused work.
+  time_point refused_until_;
+  duration refusal_pause_ = duration::zero();
+  time_point begun_;
+  // The upstream's clock was `clock_reading_` at some moment between the two.
+  upstream_time clock_reading_;
+  time_point clock_asked_;
+  time_point clock_heard_;
+  bool clock_known_ = false;
+  // Nothing that we ordered outlives this time on the upstream's clock.
+  upstream_time lease_end_;
+  uint64_t acknowledged_ = 0;
+  scoped_timer hold_timer_;
+  scoped_timer lapse_timer_;
+};
+
+}  // namespace jasminedyke
+
+#endif  // SRC_RUNS_UPSTREAM_SESSION_H_
--- a/src/platform/configuration_json.cc
+++ b/src/store/configuration_json.cc
@@ -1,8 +1,8 @@
-#include "platform/configuration_json.h"
+#include "store/configuration_json.h"
 
 #include <algorithm>
 
-#include "platform/json_reader.h"
+#include "store/json_reader.h"
 
 namespace jasminedyke {
 
--- a/src/platform/configuration_json.h
+++ b/src/store/configuration_json.h
@@ -1,7 +1,7 @@
 // The configuration document of the table service.
 
-#ifndef SRC_PLATFORM_CONFIGURATION_JSON_H_
-#define SRC_PLATFORM_CONFIGURATION_JSON_H_
+#ifndef SRC_STORE_CONFIGURATION_JSON_H_
+#define SRC_STORE_CONFIGURATION_JSON_H_
 
 #include <nlohmann/json.hpp>
 
@@ -33,4 +33,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_CONFIGURATION_JSON_H_
+#endif  // SRC_STORE_CONFIGURATION_JSON_H_
--- a/src/platform/configuration_store.cc
+++ b/src/store/configuration_store.cc
@@ -1,9 +1,9 @@
-#include "platform/configuration_store.h"
+#include "store/configuration_store.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/configuration_json.h"
+#include "store/configuration_json.h"
 
 namespace jasminedyke {
 
--- a/src/platform/configuration_store.h
+++ b/src/store/configuration_store.h
@@ -1,7 +1,7 @@
 // The configuration that is in force on this instance, and changes to it.
 
-#ifndef SRC_PLATFORM_CONFIGURATION_STORE_H_
-#define SRC_PLATFORM_CONFIGURATION_STORE_H_
+#ifndef SRC_STORE_CONFIGURATION_STORE_H_
+#define SRC_STORE_CONFIGURATION_STORE_H_
 
 #include <functional>
 #include <memory>
@@ -11,7 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/base.h"
-#include "platform/table_service.h"
+#include "store/table_service.h"
 #include "policy/policy.h"
 
 namespace jasminedyke {
@@ -100,4 +100,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_CONFIGURATION_STORE_H_
+#endif  // SRC_STORE_CONFIGURATION_STORE_H_
--- a/src/platform/http_platform.cc
+++ b/src/store/http_platform.cc
@@ -1,8 +1,8 @@
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 #include <utility>
 
-#include "platform/membership_json.h"
+#include "store/membership_json.h"
 
 namespace jasminedyke {
 
--- a/src/platform/http_platform.h
+++ b/src/store/http_platform.h
@@ -1,7 +1,7 @@
 // The platform over HTTP/1.1 and JSON.
 
-#ifndef SRC_PLATFORM_HTTP_PLATFORM_H_
-#define SRC_PLATFORM_HTTP_PLATFORM_H_
+#ifndef SRC_STORE_HTTP_PLATFORM_H_
+#define SRC_STORE_HTTP_PLATFORM_H_
 
 #include <deque>
 #include <memory>
@@ -10,7 +10,7 @@
 
 #include "base/base.h"
 #include "http/http.h"
-#include "platform/table_service.h"
+#include "store/table_service.h"
 
 namespace jasminedyke {
 
@@ -45,4 +45,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_HTTP_PLATFORM_H_
+#endif  // SRC_STORE_HTTP_PLATFORM_H_
--- a/src/platform/json_reader.cc
+++ b/src/store/json_reader.cc
@@ -1,4 +1,4 @@
-#include "platform/json_reader.h"
+#include "store/json_reader.h"
 
 #include <algorithm>
 #include <cstring>
--- a/src/platform/json_reader.h
+++ b/src/store/json_reader.h
@@ -1,7 +1,7 @@
 // Reads fields of a JSON object and says which one is wrong.
 
-#ifndef SRC_PLATFORM_JSON_READER_H_
-#define SRC_PLATFORM_JSON_READER_H_
+#ifndef SRC_STORE_JSON_READER_H_
+#define SRC_STORE_JSON_READER_H_
 
 #include <cstdint>
 #include <initializer_list>
@@ -50,4 +50,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_JSON_READER_H_
+#endif  // SRC_STORE_JSON_READER_H_
--- a/src/platform/membership_json.cc
+++ b/src/store/membership_json.cc
@@ -1,11 +1,11 @@
-#include "platform/membership_json.h"
+#include "store/membership_json.h"
 
 #include <optional>
 
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
-#include "platform/json_reader.h"
+#include "store/json_reader.h"
 
 namespace jasminedyke {
 
--- a/src/platform/membership_json.h
+++ b/src/store/membership_json.h
@@ -1,7 +1,7 @@
 // The instance list as the platform writes it.
 
-#ifndef SRC_PLATFORM_MEMBERSHIP_JSON_H_
-#define SRC_PLATFORM_MEMBERSHIP_JSON_H_
+#ifndef SRC_STORE_MEMBERSHIP_JSON_H_
+#define SRC_STORE_MEMBERSHIP_JSON_H_
 
 #include <string>
 
@@ -18,4 +18,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_MEMBERSHIP_JSON_H_
+#endif  // SRC_STORE_MEMBERSHIP_JSON_H_
--- a/src/platform/membership_poller.cc
+++ b/src/store/membership_poller.cc
@@ -1,4 +1,4 @@
-#include "platform/membership_poller.h"
+#include "store/membership_poller.h"
 
 #include <utility>
 
--- a/src/platform/membership_poller.h
+++ b/src/store/membership_poller.h
@@ -1,14 +1,14 @@
 // Keeps the membership view up to date from the platform.
 
-#ifndef SRC_PLATFORM_MEMBERSHIP_POLLER_H_
-#define SRC_PLATFORM_MEMBERSHIP_POLLER_H_
+#ifndef SRC_STORE_MEMBERSHIP_POLLER_H_
+#define SRC_STORE_MEMBERSHIP_POLLER_H_
 
 #include <functional>
 #include <memory>
 #include <optional>
 
 #include "base/base.h"
-#include "platform/table_service.h"
+#include "store/table_service.h"
 #include "policy/policy.h"
 
 namespace jasminedyke {
@@ -43,4 +43,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_MEMBERSHIP_POLLER_H_
+#endif  // SRC_STORE_MEMBERSHIP_POLLER_H_
--- a/src/platform/table_service.h
+++ b/src/store/table_service.h
@@ -1,7 +1,7 @@
 // The platform's services as this project uses them.
 
-#ifndef SRC_PLATFORM_TABLE_SERVICE_H_
-#define SRC_PLATFORM_TABLE_SERVICE_H_
+#ifndef SRC_STORE_TABLE_SERVICE_H_
+#define SRC_STORE_TABLE_SERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -36,6 +36,8 @@
   // The version that must be there; 0: the row must be absent.
   uint64_t expected_version = 0;
   nlohmann::json value;
+  // Removes the row; `value` does not count then.
+  bool remove = false;
 };
 
 // The transactional table service. Each callback comes once, never from
@@ -72,4 +74,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_TABLE_SERVICE_H_
+#endif  // SRC_STORE_TABLE_SERVICE_H_
--- a/src/platform/usage_ledger.cc
+++ b/src/store/usage_ledger.cc
@@ -1,4 +1,4 @@
-#include "platform/usage_ledger.h"
+#include "store/usage_ledger.h"
 
 #include <utility>
 #include <vector>
--- a/src/platform/usage_ledger.h
+++ b/src/store/usage_ledger.h
@@ -1,7 +1,7 @@
 // Books each team's work into the table service.
 
-#ifndef SRC_PLATFORM_USAGE_LEDGER_H_
-#define SRC_PLATFORM_USAGE_LEDGER_H_
+#ifndef SRC_STORE_USAGE_LEDGER_H_
+#define SRC_STORE_USAGE_LEDGER_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,8 +11,8 @@
 #include <string>
 
 #include "base/base.h"
-#include "platform/table_service.h"
-#include "platform/usage_sink.h"
+#include "store/table_service.h"
+#include "store/usage_sink.h"
 
 namespace jasminedyke {
 
@@ -94,4 +94,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_USAGE_LEDGER_H_
+#endif  // SRC_STORE_USAGE_LEDGER_H_
--- a/src/platform/usage_sink.h
+++ b/src/store/usage_sink.h
@@ -1,7 +1,7 @@
 // Where the run times of tasks are booked.
 
-#ifndef SRC_PLATFORM_USAGE_SINK_H_
-#define SRC_PLATFORM_USAGE_SINK_H_
+#ifndef SRC_STORE_USAGE_SINK_H_
+#define SRC_STORE_USAGE_SINK_H_
 
 #include "base/base.h"
 
@@ -16,4 +16,4 @@
 
 }  // namespace jasminedyke
 
-#endif  // SRC_PLATFORM_USAGE_SINK_H_
+#endif  // SRC_STORE_USAGE_SINK_H_
--- a/tests/fakes/fake_tables.h
+++ b/tests/fakes/fake_tables.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/platform.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 
