Test an upstream's session; prove that a cut-off upstream runs nothing

Cause: a new test with an upstream that answers no call: its runs were never told as lapsed, since each repeated hold asked for a new lease, and a lease that may have arrived puts the proof off. A task on a cut-off upstream waited for as long as the cut lasted.

Change: holds ask for leases only within 0.6 s of the last answer, and wait 0.3 s instead of 0.4 s, so that one unanswered hold can be repeated in time.

Ruled out: one lease-less hold after every failure; a single lost hold would then let running tasks lapse.

--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -8,9 +8,14 @@
 
 namespace {
 
-// How long a hold waits at the upstream. A lease of a second then has 0.6 s
-// left when the next hold is due: enough for one call to fail and be repeated.
-constexpr duration kHoldWait = std::chrono::milliseconds(400);
+// How long a hold waits at the upstream. A lease of a second then has 0.7 s
+// left when the next hold is due: enough for one call to go unanswered and to
+// be repeated.
+constexpr duration kHoldWait = std::chrono::milliseconds(300);
+// Holds go on prolonging for so long after the last answer. Without an answer
+// they may still arrive, and every lease that may have arrived puts off the
+// proof that nothing runs there any more.
+constexpr duration kProlongUnanswered = std::chrono::milliseconds(600);
 // An order that takes longer on its way is refused as late. Short, because an
 // unanswered start keeps its task from starting elsewhere for as long; and
 // several times what a loaded instance needs to send it.
@@ -190,12 +195,14 @@
   order.acknowledged = acknowledged_;
   // While runs of an earlier owner are unclaimed, theirs must be allowed to
   // lapse: their job may have been sent again and be running elsewhere.
-  if (settled_ && clock_known_ && !HasFoundRuns()) {
+  bool answers = clock_known_ &&
+                 clock_.now() - clock_heard_ < kProlongUnanswered;
+  if (settled_ && answers && !HasFoundRuns()) {
     order.lease_until = LatestClock();
     order.lease_until->ms += ToMs(limits_.longest_lease);
     NoteLease(*order.lease_until);
     order.wait = kHoldWait;
-  } else if (settled_) {
+  } else if (settled_ && answers) {
     order.wait = kHoldRetry;
   }
   hold_in_flight_ = true;
--- /dev/null
+++ b/tests/fakes/fake_upstreams.cc
@@ -0,0 +1,232 @@
+#include "fakes/fake_upstreams.h"
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr duration kCallTimeout = std::chrono::milliseconds(300);
+constexpr duration kHoldSlack = std::chrono::milliseconds(150);
+constexpr duration kLook = std::chrono::milliseconds(1);
+constexpr int64_t kLongestLeaseMs = 1000;
+constexpr duration kStopTime = std::chrono::milliseconds(20);
+
+}  // namespace
+
+upstream_time fake_upstream::Clock() const {
+  auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.now() - born_);
+  return {1'000'000 + passed.count()};
+}
+
+void fake_upstream::End(const task_name& task, run_end how) {
+  run_number number = running.at(task).number;
+  refused_up_to[task] = std::max(refused_up_to[task], number);
+  running.erase(task);
+  ended.push_back({++last_end_, task, number, how});
+}
+
+void fake_upstream::Settle() {
+  bool lapsed = Clock() > lease_end;
+  std::vector<std::pair<task_name, run_end>> over;
+  for (const auto& [task, each] : running) {
+    if (each.ends <= clock_.now())
+      over.emplace_back(task, each.how);
+    else if (lapsed)
+      over.emplace_back(task, run_end::kLapsed);
+  }
+  for (const auto& [task, how] : over)
+    End(task, how);
+}
+
+start_reply fake_upstream::Start(const run_order& order) {
+  Settle();
+  start_reply reply{start_result::kStarted, Clock()};
+  if (gone)
+    return {start_result::kGone, std::nullopt};
+  if (unwell)
+    return {start_result::kUnwell, Clock()};
+  if (order.token < highest_token)
+    return {start_result::kFenced, Clock()};
+  highest_token = order.token;
+  if (Clock() > order.not_after)
+    return {start_result::kLate, Clock()};
+  lease_end = std::max(lease_end, order.not_after);
+  auto here = running.find(order.task);
+  if (here != running.end() && here->second.number == order.run)
+    return reply;
+  if (here != running.end() || order.run <= refused_up_to[order.task])
+    return {start_result::kOldRun, Clock()};
+  resource_amount used;
+  for (const auto& [task, each] : running)
+    used += each.need;
+  // The tests' specs say the processor need.
+  resource_amount need{std::stoll(order.spec), 0, 0};
+  if (guarded && !need.Fits(capacity - used))
+    return {start_result::kNoRoom, Clock()};
+  auto [length, how] = plan ? plan(order.task)
+                            : std::pair<duration, run_end>(
+                                  std::chrono::milliseconds(50), run_end::kDone);
+  running[order.task] = {order.run, need, clock_.now() + length, how};
+  ++starts[order.task];
+  return reply;
+}
+
+call_result fake_upstream::Stop(const stop_order& order) {
+  Settle();
+  if (gone)
+    return call_result::kGone;
+  if (order.token < highest_token)
+    return call_result::kFenced;
+  highest_token = order.token;
+  refused_up_to[order.task] = std::max(refused_up_to[order.task], order.run);
+  auto here = running.find(order.task);
+  if (here != running.end() && here->second.number <= order.run) {
+    here->second.ends =
+        std::min(here->second.ends, clock_.now() + kStopTime);
+    here->second.how = run_end::kStopped;
+  }
+  return call_result::kOk;
+}
+
+hold_reply fake_upstream::Hold(const hold_order& order) {
+  Settle();
+  hold_reply reply;
+  reply.result = call_result::kOk;
+  if (gone)
+    reply.result = call_result::kGone;
+  else if (order.token < highest_token)
+    reply.result = call_result::kFenced;
+  if (reply.result != call_result::kOk)
+    return reply;
+  highest_token = order.token;
+  if (order.lease_until) {
+    upstream_time until{std::min(order.lease_until->ms,
+                                 Clock().ms + kLongestLeaseMs)};
+    lease_end = std::max(lease_end, until);
+  }
+  std::erase_if(ended, [&](const listed_end& end) {
+    return end.sequence <= order.acknowledged;
+  });
+  reply.clock = Clock();
+  for (const auto& [task, each] : running)
+    reply.running.push_back({task, each.number, std::nullopt});
+  reply.ended = ended;
+  return reply;
+}
+
+void fake_upstream::Crash() {
+  running.clear();
+  ended.clear();
+  gone = true;
+}
+
+fake_upstream& fake_fleet::Add(const std::string& id,
+                               const std::string& domain) {
+  auto upstream = std::make_unique<fake_upstream>(clock);
+  upstream_info info;
+  info.id = upstream_id(id);
+  info.address = "127.0.0.1:1";
+  info.service = service_id("parts");
+  info.failure_domain = failure_domain_id(domain);
+  info.capacity = upstream->capacity;
+  registry[info.id] = info;
+  return *(upstreams[info.id] = std::move(upstream));
+}
+
+bool fake_fleet::AnyTaskRunsTwice() {
+  std::set<task_name> seen;
+  for (auto& [id, upstream] : upstreams) {
+    upstream->Settle();
+    for (const auto& [task, run] : upstream->running) {
+      if (!seen.insert(task).second)
+        return true;
+    }
+  }
+  return false;
+}
+
+template <class Reply>
+void fake_upstream_port::Call(const upstream_id& id,
+                              duration timeout,
+                              std::function<Reply(fake_upstream&)> act,
+                              Reply unanswered,
+                              std::function<void(const Reply&)> done) {
+  uint64_t generation = generations_[id];
+  auto answer = [this, id, generation, done](const Reply& reply) {
+    if (!dead_ && generations_[id] == generation)
+      done(reply);
+  };
+  call_fate fate = fleet_.fate(id, home_);
+  duration way = fate == call_fate::kDelayed ? fleet_.late : fleet_.way;
+  if (fate != call_fate::kRequestLost) {
+    fleet_.clock.CallAfter(way, [this, id, act, answer, fate] {
+      Reply reply = act(*fleet_.upstreams.at(id));
+      if (fate == call_fate::kAnswered)
+        fleet_.clock.CallAfter(fleet_.way,
+                               [answer, reply] { answer(reply); });
+    });
+  }
+  if (fate != call_fate::kAnswered)
+    fleet_.clock.CallAfter(timeout,
+                           [answer, unanswered] { answer(unanswered); });
+}
+
+void fake_upstream_port::Start(const upstream_id& id,
+                               const run_order& order,
+                               start_callback done) {
+  Call<start_reply>(
+      id, kCallTimeout, [order](fake_upstream& u) { return u.Start(order); },
+      {start_result::kUnknown, std::nullopt}, std::move(done));
+}
+
+void fake_upstream_port::Stop(const upstream_id& id,
+                              const stop_order& order,
+                              stop_callback done) {
+  Call<call_result>(
+      id, kCallTimeout, [order](fake_upstream& u) { return u.Stop(order); },
+      call_result::kUnknown, std::move(done));
+}
+
+void fake_upstream_port::Hold(const upstream_id& id,
+                              const hold_order& order,
+                              hold_callback done) {
+  time_point until = fleet_.clock.now() + order.wait;
+  uint64_t generation = generations_[id];
+  Call<hold_reply>(
+      id, order.wait + kHoldSlack,
+      [order](fake_upstream& u) { return u.Hold(order); },
+      hold_reply{call_result::kUnknown, {}, {}, {}},
+      [this, id, order, until, generation, done](const hold_reply& reply) {
+        bool waits = reply.result == call_result::kOk && reply.ended.empty() &&
+                     fleet_.clock.now() < until;
+        if (waits)
+          WaitForEnd(id, order, until, generation, done);
+        else
+          done(reply);
+      });
+}
+
+// Looks again and again until there is an end or the time is over.
+void fake_upstream_port::WaitForEnd(
+    const upstream_id& id,
+    const hold_order& order,
+    time_point until,
+    uint64_t generation,
+    const std::function<void(const hold_reply&)>& done) {
+  fleet_.clock.CallAfter(
+      kLook, [this, id, order, until, generation, done] {
+        if (dead_ || generations_[id] != generation)
+          return;
+        hold_order look = order;
+        look.lease_until.reset();
+        hold_reply reply = fleet_.upstreams.at(id)->Hold(look);
+        bool over = reply.result != call_result::kOk || !reply.ended.empty() ||
+                    fleet_.clock.now() >= until;
+        if (over)
+          done(reply);
+        else
+          WaitForEnd(id, order, until, generation, done);
+      });
+}
+
+}  // namespace jasminedyke
