--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -88,10 +88,10 @@
 
 void home_election::Leave() {
   leaving_ = true;
-  if (holding_ && !row_unsure_) {
-    store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(true)}},
-                 [](const auto&) {});
-  }
+  // Until the release is written, also over a renewal that is on its way.
+  last_renewal_ = time_point();
+  if (holding_)
+    Hold();
 }
 
 std::optional<home_election::home_row> home_election::ParseRow(
@@ -120,7 +120,7 @@
 }
 
 void home_election::Hold() {
-  if (call_in_flight_ || leaving_ ||
+  if (call_in_flight_ || released_ ||
       clock_.now() - last_renewal_ < kRenewInterval)
     return;
   last_renewal_ = clock_.now();
@@ -132,8 +132,11 @@
 
 void home_election::Renew() {
   call_in_flight_ = true;
-  store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(false)}},
-               [this](const auto& result) { OnRenewed(result); });
+  store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(leaving_)}},
+               [this, released = leaving_](const auto& result) {
+                 released_ = released && result.ok();
+                 OnRenewed(result);
+               });
 }
 
 void home_election::OnRenewed(
@@ -143,6 +146,8 @@
     return;
   if (result.ok()) {
     row_version_ = result.value().front();
+    if (leaving_)
+      last_renewal_ = time_point();
     return;
   }
   // A lost answer may have changed the row: its version must be read.
@@ -170,10 +175,14 @@
     bool ours = row && row->holder == self_.instance &&
                 row->incarnation == self_.incarnation;
     bool replaced = missing || (row && MayTake(*row, version));
-    if (ours || replaced)
+    if (ours && leaving_) {
+      row_unsure_ = false;
+      row_version_ = version;
+    } else if (ours || replaced) {
       TakeOver(version);
-    else if (row_version_ != 0)
+    } else if (row_version_ != 0) {
       End("row_taken");
+    }
   });
 }
 
@@ -239,8 +248,10 @@
 }
 
 bool home_election::MayTake(const home_row& row, uint64_t version) {
+  // One that is leaving goes on until it hears of its successor.
   bool gone = row.holder == self_.instance || row.released ||
-              refused_.contains(row.holder);
+              refused_.contains(row.holder) ||
+              leaving_peers_.contains(row.holder);
   if (gone)
     return true;
   if (version != seen_version_) {
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -104,6 +104,8 @@
   std::set<instance_id> leaving_peers_;
   bool holding_ = false;
   bool leaving_ = false;
+  // The row says that it may be taken.
+  bool released_ = false;
   // The row's newest version is unknown; it must be read before a write.
   bool row_unsure_ = false;
   bool call_in_flight_ = false;
--- a/src/cluster/peer_router.cc
+++ b/src/cluster/peer_router.cc
@@ -73,10 +73,7 @@
           [&](const remote_job_request& m) { jobs_.OnRequest(peer, m); },
           [&](const remote_job_reply& m) { jobs_.OnReply(peer, m); },
           // Of the runs library, which has its own router.
-          [](const run_request&) {},
-          [](const run_cancel&) {},
-          [](const run_report&) {},
-          [](const home_status&) {},
+          [](const auto&) {},
       },
       message);
 }
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -52,14 +52,9 @@
       });
   election_ = std::make_unique<home_election>(
       clock, store, homes_, group, self,
-      home_election::events{[this](fencing_token token) {
-                              home_->Begin(token);
-                              TellHomeStatus();
-                            },
-                            [this] {
-                              home_->End();
-                              TellHomeStatus();
-                            }});
+      home_election::events{
+          [this](fencing_token token) { OnHomeBegins(token); },
+          [this] { OnHomeEnds(); }});
   members_ = std::make_unique<member_registry>(clock, store, self);
   peers_.SetListener(this);
   members_->Register();
@@ -79,14 +74,56 @@
   peers_.SetWanted(wanted);
 }
 
+void run_cluster::OnHome(std::function<void(bool)> handler) {
+  on_home_ = std::move(handler);
+}
+
+void run_cluster::OnHomeBegins(fencing_token token) {
+  home_->Begin(token);
+  TellHomeStatus();
+  if (on_home_)
+    on_home_(true);
+}
+
+void run_cluster::OnHomeEnds() {
+  home_->End();
+  TellHomeStatus();
+  if (on_home_)
+    on_home_(false);
+}
+
 void run_cluster::SetUpstreams(const upstream_registry& upstreams) {
-  upstreams_ = upstreams;
   upstream_registry own;
   for (const auto& [id, info] : upstreams) {
     if (info.failure_domain == self_.domain)
       own.emplace(id, info);
   }
-  home_->SetUpstreams(own);
+  upstream_news news = Difference(upstreams_, own);
+  upstreams_ = std::move(own);
+  home_->SetUpstreams(upstreams_);
+  if (news.empty())
+    return;
+  for (const instance_id& peer : peers_.peers_up()) {
+    if (IsOfOwnDomain(peer))
+      peers_.Send(peer, news);
+  }
+}
+
+// The home's list is followed while it lives; after its end the last one
+// counts until the store's comes.
+void run_cluster::TakeUpstreamNews(const instance_id& from,
+                                   upstream_news news) {
+  if (!IsOfOwnDomain(from) || home_->serving())
+    return;
+  for (upstream_info& info : news.rows)
+    info.failure_domain = self_.domain;
+  Apply(news, &upstreams_);
+  home_->SetUpstreams(upstreams_);
+}
+
+bool run_cluster::IsOfOwnDomain(const instance_id& peer) const {
+  auto identity = peers_.Identity(peer);
+  return identity && identity->failure_domain == self_.domain;
 }
 
 void run_cluster::OnConfigDocument(const std::string& document) {
@@ -120,8 +157,11 @@
   election_->OnPeerUp(peer.instance);
   home_->OnPeerUp(peer.instance);
   Send(peer.instance, OwnStatus());
-  if (home_->serving())
+  if (home_->serving()) {
     Send(peer.instance, home_->Status());
+    if (peer.failure_domain == self_.domain)
+      Send(peer.instance, FullNews(upstreams_));
+  }
   desk_->OnPeerUp(peer.instance);
 }
 
@@ -162,6 +202,7 @@
           [&](const run_cancel& m) { home_->OnCancel(from, m); },
           [&](const run_report& m) { desk_->OnReport(from, m); },
           [&](const home_status& m) { TakeHomeStatus(from, m); },
+          [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
           [&](const peer_status& m) { TakeStatus(from, m); },
           [&](const document_request&) { SendConfig(from); },
           [&](const peer_document& m) { OnConfigDocument(m.json); },
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -36,8 +36,13 @@
               config_parser parse_config);
   ~run_cluster() override;
 
+  // Called when this instance begins or ends to be home: only then it needs to
+  // follow the upstreams' registrations itself.
+  void OnHome(std::function<void(bool)> handler);
+
   // From the store.
   void SetMembers(const std::map<instance_id, entry_member>& members);
+  // From the store. Peers of the own failure domain are told what changed.
   void SetUpstreams(const upstream_registry& upstreams);
   // From the store or a peer; older ones change nothing.
   void OnConfigDocument(const std::string& document);
@@ -69,10 +74,14 @@
   void TakeStatus(const instance_id& from, const peer_status& status);
   void TakeHomeStatus(const instance_id& from, const home_status& status);
   void SendConfig(const instance_id& to);
+  void TakeUpstreamNews(const instance_id& from, upstream_news news);
+  void OnHomeBegins(fencing_token token);
+  void OnHomeEnds();
   peer_status OwnStatus() const;
   void Heartbeat();
   void TellHomeStatus();
   void OnHomesChanged();
+  bool IsOfOwnDomain(const instance_id& peer) const;
 
   scheduler& clock_;
   peer_port& peers_;
@@ -87,6 +96,7 @@
   std::unique_ptr<job_desk> desk_;
   std::unique_ptr<home_election> election_;
   std::unique_ptr<member_registry> members_;
+  std::function<void(bool)> on_home_;
   bool leaving_ = false;
   // When each peer was last asked for its configuration.
   std::map<instance_id, time_point> asked_;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -136,6 +136,13 @@
   return request;
 }
 
+void http_exchange::Detach() {
+  replied_ = true;
+  on_hang_up_ = nullptr;
+  evhttp_request_ = nullptr;
+  --server_.open_exchanges_;
+}
+
 void http_exchange::OnClosed() {
   hung_up_ = true;
   auto handler = std::exchange(on_hang_up_, nullptr);
@@ -169,7 +176,15 @@
   evhttp_set_gencb(evhttp_.get(), &http_server::OnRequest, this);
 }
 
-http_server::~http_server() = default;
+// Ending evhttp frees the requests of its connections and then reports them
+// closed. Exchanges that still wait must not free theirs once more.
+http_server::~http_server() {
+  for (auto& [connection, waiting] : connections_) {
+    if (waiting)
+      waiting->Detach();
+  }
+  connections_.clear();
+}
 
 socket_address http_server::Listen(const socket_address& address) {
   socket_ = evhttp_bind_socket_with_handle(evhttp_.get(), address.ip.c_str(),
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -57,6 +57,8 @@
   void WatchForHangUp();
   // Detaches from the connection. Null if the caller is gone already.
   evhttp_request* Finish();
+  // The server ends and frees the request itself.
+  void Detach();
   void OnClosed();
 
   http_server& server_;
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -247,6 +247,9 @@
   void operator()(const home_status& status) const {
     frame.__set_home(ToWire(status));
   }
+  void operator()(const upstream_news& news) const {
+    frame.__set_upstreams(ToWire(news));
+  }
 };
 
 // Messages from the wire.
@@ -399,6 +402,8 @@
     return peer_frame(peer_message(FromWire(wire.report)));
   if (set.home)
     return peer_frame(peer_message(FromWire(wire.home)));
+  if (set.upstreams)
+    return peer_frame(peer_message(FromWire(wire.upstreams)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -3941,6 +3941,418 @@
 }
 
 
+upstream_row::~upstream_row() noexcept {
+}
+
+
+void upstream_row::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void upstream_row::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void upstream_row::__set_upstream_service(const std::string& val) {
+  this->upstream_service = val;
+}
+
+void upstream_row::__set_rack(const std::string& val) {
+  this->rack = val;
+__isset.rack = true;
+}
+
+void upstream_row::__set_labels(const std::vector<std::string> & val) {
+  this->labels = val;
+__isset.labels = true;
+}
+
+void upstream_row::__set_capacity(const amount& val) {
+  this->capacity = val;
+}
+
+void upstream_row::__set_draining(const bool val) {
+  this->draining = val;
+__isset.draining = true;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_row& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_row::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream_service);
+          this->__isset.upstream_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->labels.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->labels.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += iprot->readString(this->labels[_i136]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.labels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->capacity.read(iprot);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_row");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream_service", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->upstream_service);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.rack) {
+    xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->rack);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.labels) {
+    xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+      std::vector<std::string> ::const_iterator _iter137;
+      for (_iter137 = this->labels.begin(); _iter137 != this->labels.end(); ++_iter137)
+      {
+        xfer += oprot->writeString((*_iter137));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->capacity.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.draining) {
+    xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->draining);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_row &a, upstream_row &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.address, b.address);
+  swap(a.upstream_service, b.upstream_service);
+  swap(a.rack, b.rack);
+  swap(a.labels, b.labels);
+  swap(a.capacity, b.capacity);
+  swap(a.draining, b.draining);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_row::upstream_row(const upstream_row& other138) {
+  id = other138.id;
+  address = other138.address;
+  upstream_service = other138.upstream_service;
+  rack = other138.rack;
+  labels = other138.labels;
+  capacity = other138.capacity;
+  draining = other138.draining;
+  __isset = other138.__isset;
+}
+upstream_row& upstream_row::operator=(const upstream_row& other139) {
+  id = other139.id;
+  address = other139.address;
+  upstream_service = other139.upstream_service;
+  rack = other139.rack;
+  labels = other139.labels;
+  capacity = other139.capacity;
+  draining = other139.draining;
+  __isset = other139.__isset;
+  return *this;
+}
+void upstream_row::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_row(";
+  out << "id=" << to_string(id);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "upstream_service=" << to_string(upstream_service);
+  out << ", " << "rack="; (__isset.rack ? (out << to_string(rack)) : (out << "<null>"));
+  out << ", " << "labels="; (__isset.labels ? (out << to_string(labels)) : (out << "<null>"));
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "draining="; (__isset.draining ? (out << to_string(draining)) : (out << "<null>"));
+  out << ")";
+}
+
+
+upstream_news::~upstream_news() noexcept {
+}
+
+
+void upstream_news::__set_full(const bool val) {
+  this->full = val;
+}
+
+void upstream_news::__set_rows(const std::vector<upstream_row> & val) {
+  this->rows = val;
+}
+
+void upstream_news::__set_gone(const std::vector<std::string> & val) {
+  this->gone = val;
+__isset.gone = true;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_news& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_news::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->full);
+          this->__isset.full = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->rows.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += this->rows[_i144].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gone.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->gone.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += iprot->readString(this->gone[_i149]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_news::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_news");
+
+  xfer += oprot->writeFieldBegin("full", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->full);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<upstream_row> ::const_iterator _iter150;
+    for (_iter150 = this->rows.begin(); _iter150 != this->rows.end(); ++_iter150)
+    {
+      xfer += (*_iter150).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.gone) {
+    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->gone.size()));
+      std::vector<std::string> ::const_iterator _iter151;
+      for (_iter151 = this->gone.begin(); _iter151 != this->gone.end(); ++_iter151)
+      {
+        xfer += oprot->writeString((*_iter151));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_news &a, upstream_news &b) {
+  using ::std::swap;
+  swap(a.full, b.full);
+  swap(a.rows, b.rows);
+  swap(a.gone, b.gone);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_news::upstream_news(const upstream_news& other152) {
+  full = other152.full;
+  rows = other152.rows;
+  gone = other152.gone;
+  __isset = other152.__isset;
+}
+upstream_news& upstream_news::operator=(const upstream_news& other153) {
+  full = other153.full;
+  rows = other153.rows;
+  gone = other153.gone;
+  __isset = other153.__isset;
+  return *this;
+}
+void upstream_news::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_news(";
+  out << "full=" << to_string(full);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -4014,6 +4426,11 @@
   this->home = val;
 __isset.home = true;
 }
+
+void frame::__set_upstreams(const upstream_news& val) {
+  this->upstreams = val;
+__isset.upstreams = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -4154,6 +4571,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->upstreams.read(iprot);
+          this->__isset.upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4241,6 +4666,11 @@
     xfer += this->home.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.upstreams) {
+    xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->upstreams.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4262,42 +4692,45 @@
   swap(a.cancel, b.cancel);
   swap(a.report, b.report);
   swap(a.home, b.home);
+  swap(a.upstreams, b.upstreams);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other132) {
-  hello_message = other132.hello_message;
-  proof_message = other132.proof_message;
-  demand = other132.demand;
-  grant = other132.grant;
-  release = other132.release;
-  status_message = other132.status_message;
-  wanted = other132.wanted;
-  document_message = other132.document_message;
-  request = other132.request;
-  reply = other132.reply;
-  run = other132.run;
-  cancel = other132.cancel;
-  report = other132.report;
-  home = other132.home;
-  __isset = other132.__isset;
-}
-frame& frame::operator=(const frame& other133) {
-  hello_message = other133.hello_message;
-  proof_message = other133.proof_message;
-  demand = other133.demand;
-  grant = other133.grant;
-  release = other133.release;
-  status_message = other133.status_message;
-  wanted = other133.wanted;
-  document_message = other133.document_message;
-  request = other133.request;
-  reply = other133.reply;
-  run = other133.run;
-  cancel = other133.cancel;
-  report = other133.report;
-  home = other133.home;
-  __isset = other133.__isset;
+frame::frame(const frame& other154) {
+  hello_message = other154.hello_message;
+  proof_message = other154.proof_message;
+  demand = other154.demand;
+  grant = other154.grant;
+  release = other154.release;
+  status_message = other154.status_message;
+  wanted = other154.wanted;
+  document_message = other154.document_message;
+  request = other154.request;
+  reply = other154.reply;
+  run = other154.run;
+  cancel = other154.cancel;
+  report = other154.report;
+  home = other154.home;
+  upstreams = other154.upstreams;
+  __isset = other154.__isset;
+}
+frame& frame::operator=(const frame& other155) {
+  hello_message = other155.hello_message;
+  proof_message = other155.proof_message;
+  demand = other155.demand;
+  grant = other155.grant;
+  release = other155.release;
+  status_message = other155.status_message;
+  wanted = other155.wanted;
+  document_message = other155.document_message;
+  request = other155.request;
+  reply = other155.reply;
+  run = other155.run;
+  cancel = other155.cancel;
+  report = other155.report;
+  home = other155.home;
+  upstreams = other155.upstreams;
+  __isset = other155.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -4317,6 +4750,7 @@
   out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "home="; (__isset.home ? (out << to_string(home)) : (out << "<null>"));
+  out << ", " << "upstreams="; (__isset.upstreams ? (out << to_string(upstreams)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -80,6 +80,10 @@
 
 class home_status;
 
+class upstream_row;
+
+class upstream_news;
+
 class frame;
 
 typedef struct _hello__isset {
@@ -1626,8 +1630,154 @@
 
 std::ostream& operator<<(std::ostream& out, const home_status& obj);
 
+typedef struct _upstream_row__isset {
+  _upstream_row__isset() : id(false), address(false), upstream_service(false), rack(false), labels(false), capacity(false), draining(false) {}
+  bool id :1;
+  bool address :1;
+  bool upstream_service :1;
+  bool rack :1;
+  bool labels :1;
+  bool capacity :1;
+  bool draining :1;
+} _upstream_row__isset;
+
+class upstream_row : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_row(const upstream_row&);
+  upstream_row& operator=(const upstream_row&);
+  upstream_row() noexcept
+               : id(),
+                 address(),
+                 upstream_service(),
+                 rack(),
+                 draining(0) {
+  }
+
+  virtual ~upstream_row() noexcept;
+  std::string id;
+  std::string address;
+  std::string upstream_service;
+  std::string rack;
+  std::vector<std::string>  labels;
+  amount capacity;
+  bool draining;
+
+  _upstream_row__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_upstream_service(const std::string& val);
+
+  void __set_rack(const std::string& val);
+
+  void __set_labels(const std::vector<std::string> & val);
+
+  void __set_capacity(const amount& val);
+
+  void __set_draining(const bool val);
+
+  bool operator == (const upstream_row & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(upstream_service == rhs.upstream_service))
+      return false;
+    if (__isset.rack != rhs.__isset.rack)
+      return false;
+    else if (__isset.rack && !(rack == rhs.rack))
+      return false;
+    if (__isset.labels != rhs.__isset.labels)
+      return false;
+    else if (__isset.labels && !(labels == rhs.labels))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    if (__isset.draining != rhs.__isset.draining)
+      return false;
+    else if (__isset.draining && !(draining == rhs.draining))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_row &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_row & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_row &a, upstream_row &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_row& obj);
+
+typedef struct _upstream_news__isset {
+  _upstream_news__isset() : full(false), rows(false), gone(false) {}
+  bool full :1;
+  bool rows :1;
+  bool gone :1;
+} _upstream_news__isset;
+
+class upstream_news : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_news(const upstream_news&);
+  upstream_news& operator=(const upstream_news&);
+  upstream_news() noexcept
+                : full(0) {
+  }
+
+  virtual ~upstream_news() noexcept;
+  bool full;
+  std::vector<upstream_row>  rows;
+  std::vector<std::string>  gone;
+
+  _upstream_news__isset __isset;
+
+  void __set_full(const bool val);
+
+  void __set_rows(const std::vector<upstream_row> & val);
+
+  void __set_gone(const std::vector<std::string> & val);
+
+  bool operator == (const upstream_news & rhs) const
+  {
+    if (!(full == rhs.full))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (__isset.gone != rhs.__isset.gone)
+      return false;
+    else if (__isset.gone && !(gone == rhs.gone))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_news &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_news & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_news &a, upstream_news &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_news& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -1642,6 +1792,7 @@
   bool cancel :1;
   bool report :1;
   bool home :1;
+  bool upstreams :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1667,6 +1818,7 @@
   run_cancel cancel;
   run_report report;
   home_status home;
+  upstream_news upstreams;
 
   _frame__isset __isset;
 
@@ -1698,6 +1850,8 @@
 
   void __set_home(const home_status& val);
 
+  void __set_upstreams(const upstream_news& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -1756,6 +1910,10 @@
       return false;
     else if (__isset.home && !(home == rhs.home))
       return false;
+    if (__isset.upstreams != rhs.__isset.upstreams)
+      return false;
+    else if (__isset.upstreams && !(upstreams == rhs.upstreams))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -188,6 +188,24 @@
   8: i64 wait_us
 }
 
+struct upstream_row {
+  1: string id
+  2: string address
+  3: string upstream_service
+  4: optional string rack
+  5: optional list<string> labels
+  6: amount capacity
+  7: optional bool draining
+}
+
+// Upstreams of the sender's failure domain that are new or changed, and those
+// that are gone. A full one replaces all that is known.
+struct upstream_news {
+  1: bool full
+  2: list<upstream_row> rows
+  3: optional list<string> gone
+}
+
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -204,4 +222,5 @@
   12: optional run_cancel cancel
   13: optional run_report report
   14: optional home_status home
+  15: optional upstream_news upstreams
 }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -93,7 +93,8 @@
                                   run_request,
                                   run_cancel,
                                   run_report,
-                                  home_status>;
+                                  home_status,
+                                  upstream_news>;
 
 }  // namespace jasminedyke
 
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -177,4 +177,48 @@
   return status;
 }
 
+wire::upstream_news ToWire(const upstream_news& news) {
+  wire::upstream_news wire;
+  wire.full = news.full;
+  for (const upstream_info& info : news.rows) {
+    wire::upstream_row row;
+    row.id = info.id.str();
+    row.address = info.address;
+    row.upstream_service = info.service.str();
+    if (!info.rack.empty())
+      row.__set_rack(info.rack.str());
+    if (!info.labels.empty())
+      row.__set_labels({info.labels.begin(), info.labels.end()});
+    row.capacity = ToWire(info.capacity);
+    if (info.draining)
+      row.__set_draining(true);
+    wire.rows.push_back(row);
+  }
+  std::vector<std::string> gone;
+  for (const upstream_id& id : news.gone)
+    gone.push_back(id.str());
+  if (!gone.empty())
+    wire.__set_gone(gone);
+  return wire;
+}
+
+upstream_news FromWire(const wire::upstream_news& wire) {
+  upstream_news news;
+  news.full = wire.full;
+  for (const wire::upstream_row& row : wire.rows) {
+    upstream_info info;
+    info.id = upstream_id(row.id);
+    info.address = row.address;
+    info.service = service_id(row.upstream_service);
+    info.rack = rack_id(row.rack);
+    info.labels = {row.labels.begin(), row.labels.end()};
+    info.capacity = FromWire(row.capacity);
+    info.draining = row.draining;
+    news.rows.push_back(info);
+  }
+  for (const std::string& id : wire.gone)
+    news.gone.emplace_back(id);
+  return news;
+}
+
 }  // namespace jasminedyke
--- a/src/protocol/run_codec.h
+++ b/src/protocol/run_codec.h
@@ -10,6 +10,7 @@
 class run_cancel;
 class run_report;
 class home_status;
+class upstream_news;
 }  // namespace jasminedyke::wire
 
 namespace jasminedyke {
@@ -18,12 +19,15 @@
 wire::run_cancel ToWire(const run_cancel& cancel);
 wire::run_report ToWire(const run_report& report);
 wire::home_status ToWire(const home_status& status);
+wire::upstream_news ToWire(const upstream_news& news);
 
 // Numbers that make no sense come out as the field's default.
 run_request FromWire(const wire::run_request& wire);
 run_cancel FromWire(const wire::run_cancel& wire);
 run_report FromWire(const wire::run_report& wire);
 home_status FromWire(const wire::home_status& wire);
+// The sender's failure domain is left to the receiver.
+upstream_news FromWire(const wire::upstream_news& wire);
 
 }  // namespace jasminedyke
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -8,18 +8,24 @@
 
 namespace {
 
-// How long a hold waits at the upstream. A lease of a second then has 0.7 s
-// left when the next hold is due: enough for one call to go unanswered and to
-// be repeated.
-constexpr duration kHoldWait = std::chrono::milliseconds(300);
+// How long a hold waits at the upstream while something runs there. A lease of
+// a second then has 0.4 s left when the next hold is due.
+constexpr duration kHoldWait = std::chrono::milliseconds(600);
+// The same while nothing runs: the longest that upstreams allow.
+constexpr duration kIdleHoldWait = std::chrono::milliseconds(2000);
+// After the last end the acknowledgement may wait for the next start. Ends that
+// are not acknowledged for several seconds count as lost.
+constexpr duration kIdlePause = std::chrono::milliseconds(1000);
+// A lease is prolonged when it has so long to go and no hold is due before.
+constexpr duration kLeaseMargin = std::chrono::milliseconds(250);
 // Holds go on prolonging for so long after the last answer. Without an answer
 // they may still arrive, and every lease that may have arrived puts off the
 // proof that nothing runs there any more.
 constexpr duration kProlongUnanswered = std::chrono::milliseconds(600);
 // An order that takes longer on its way is refused as late. Short, because an
-// unanswered start keeps its task from starting elsewhere for as long; and
-// several times what a loaded instance needs to send it.
-constexpr duration kStartLimit = std::chrono::milliseconds(300);
+// unanswered start keeps its task from starting elsewhere for as long; and long
+// enough that most tasks end under the lease which their start brings.
+constexpr duration kStartLimit = std::chrono::milliseconds(500);
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
 constexpr duration kLongestHoldRetry = std::chrono::milliseconds(1000);
@@ -55,6 +61,7 @@
       refused_until_(clock.now()),
       begun_(clock.now()),
       hold_timer_(clock),
+      lease_timer_(clock),
       lapse_timer_(clock) {
   SendHold();
 }
@@ -84,7 +91,7 @@
                              run_number run,
                              const std::string& spec,
                              const resource_amount& need) {
-  run_order order{task, run, spec, token_, EarliestClock()};
+  run_order order{task, run, spec, token_, LatestClock()};
   order.not_after.ms += ToMs(kStartLimit);
   run_record record;
   record.run = run;
@@ -94,6 +101,9 @@
   runs_[task] = record;
   occupied_ += need;
   NoteLease(order.not_after);
+  // Its end must not wait for an idle upstream's next hold.
+  if (!hold_in_flight_ && failed_holds_ == 0)
+    hold_timer_.StartAfter(duration::zero(), [this] { SendHold(); });
   port_.Start(info_.id, order,
               [this, task, run, sent = clock_.now()](const start_reply& reply) {
                 OnStarted(task, run, sent, reply);
@@ -121,11 +131,16 @@
         SendStop(task);
       return;
     case start_result::kUnknown:
+      Suspect();
       if (was_starting) {
         record.phase = run_phase::kUnproven;
         record.since = clock_.now();
       }
+      SendLease();
       return;
+    case start_result::kNotSent:
+      Suspect();
+      break;
     case start_result::kFenced:
       owner_.OnFenced(*this);
       return;
@@ -134,9 +149,7 @@
       EndAll(run_end::kLapsed);
       return;
     case start_result::kUnwell:
-      refusal_pause_ = std::clamp(refusal_pause_ * 2, kFirstRefusalPause,
-                                  kLongestRefusalPause);
-      refused_until_ = clock_.now() + refusal_pause_;
+      Suspect();
       break;
     case start_result::kNoRoom:
       // Something occupies room that we don't know of yet; the next hold
@@ -152,6 +165,13 @@
   owner_.OnNotStarted(*this, task, run, reply.result);
 }
 
+// One that does not take orders must not be offered each task in turn.
+void upstream_session::Suspect() {
+  refusal_pause_ = std::clamp(refusal_pause_ * 2, kFirstRefusalPause,
+                              kLongestRefusalPause);
+  refused_until_ = clock_.now() + refusal_pause_;
+}
+
 void upstream_session::Stop(const task_name& task) {
   auto found = runs_.find(task);
   if (found == runs_.end())
@@ -187,25 +207,37 @@
     owner_.OnRoom(*this);
 }
 
-void upstream_session::SendHold() {
-  if (hold_in_flight_ || gone_)
-    return;
+bool upstream_session::Answers() const {
+  return clock_known_ && clock_.now() - clock_heard_ < kProlongUnanswered;
+}
+
+// While runs of an earlier owner are unclaimed, theirs must be allowed to
+// lapse: their job may have been sent again and be running elsewhere.
+hold_order upstream_session::MakeHold() const {
   hold_order order;
   order.token = token_;
   order.acknowledged = acknowledged_;
-  // While runs of an earlier owner are unclaimed, theirs must be allowed to
-  // lapse: their job may have been sent again and be running elsewhere.
-  bool answers = clock_known_ &&
-                 clock_.now() - clock_heard_ < kProlongUnanswered;
-  if (settled_ && answers && !HasFoundRuns()) {
+  if (settled_ && clock_known_ && !HasFoundRuns() && !runs_.empty() &&
+      (Answers() || failed_holds_ == 0)) {
     order.lease_until = LatestClock();
     order.lease_until->ms += ToMs(limits_.longest_lease);
-    NoteLease(*order.lease_until);
-    order.wait = kHoldWait;
-  } else if (settled_ && answers) {
-    order.wait = kHoldRetry;
   }
+  return order;
+}
+
+void upstream_session::SendHold() {
+  if (hold_in_flight_ || gone_)
+    return;
+  hold_order order = MakeHold();
+  if (settled_ && failed_holds_ == 0) {
+    order.wait = runs_.empty() ? kIdleHoldWait
+                 : order.lease_until ? kHoldWait
+                                     : kHoldRetry;
+  }
+  if (order.lease_until)
+    NoteLease(*order.lease_until);
   hold_in_flight_ = true;
+  hold_timer_.Stop();
   port_.Hold(info_.id, order,
              [this, sent = clock_.now()](const hold_reply& reply) {
                hold_in_flight_ = false;
@@ -216,20 +248,69 @@
              });
 }
 
+void upstream_session::SendLease() {
+  if (lease_in_flight_ || gone_ || runs_.empty())
+    return;
+  hold_order order = MakeHold();
+  if (order.lease_until)
+    NoteLease(*order.lease_until);
+  lease_in_flight_ = true;
+  port_.Hold(info_.id, order,
+             [this, sent = clock_.now()](const hold_reply& reply) {
+               lease_in_flight_ = false;
+               if (reply.result == call_result::kOk)
+                 TakeHold(sent, reply);
+               else
+                 OnLeaseFailed();
+             });
+}
+
+// The hold that waits may show it only seconds later.
+void upstream_session::OnLeaseFailed() {
+  ++failed_holds_;
+  lease_timer_.StartAfter(RetryPause(), [this] { SendLease(); });
+  CheckLapse();
+}
+
+duration upstream_session::RetryPause() const {
+  int doublings = std::clamp(failed_holds_ - 1, 0, 5);
+  return std::min(kLongestHoldRetry, kHoldRetry * (1 << doublings));
+}
+
+void upstream_session::WatchLease() {
+  if (runs_.empty() || failed_holds_ > 0)
+    return;
+  auto left = std::chrono::milliseconds(lease_end_.ms - LatestClock().ms);
+  lease_timer_.StartAfter(
+      std::max(duration::zero(), duration(left) - kLeaseMargin),
+      [this] { SendLease(); });
+}
+
 void upstream_session::OnHeld(time_point sent, const hold_reply& reply) {
+  settled_ = true;
+  TakeHold(sent, reply);
+  NextHold(!reply.ended.empty());
+}
+
+void upstream_session::TakeHold(time_point sent, const hold_reply& reply) {
   bool was_usable = usable();
   failed_holds_ = 0;
   lapse_timer_.Stop();
   TakeClock(reply.clock, sent);
-  settled_ = true;
   TakeEnds(reply);
   TakeRunning(sent, reply);
   JudgeUnlisted(sent, reply);
-  SendHold();
   if (!reply.ended.empty() || !was_usable)
     owner_.OnRoom(*this);
 }
 
+void upstream_session::NextHold(bool any_end) {
+  if (any_end && runs_.empty())
+    hold_timer_.StartAfter(kIdlePause, [this] { SendHold(); });
+  else
+    SendHold();
+}
+
 void upstream_session::OnHoldFailed(call_result result) {
   if (result == call_result::kFenced) {
     owner_.OnFenced(*this);
@@ -243,9 +324,7 @@
     return;
   }
   ++failed_holds_;
-  duration pause = std::min(
-      kLongestHoldRetry, kHoldRetry * (1 << std::min(failed_holds_ - 1, 5)));
-  hold_timer_.StartAfter(pause, [this] { SendHold(); });
+  hold_timer_.StartAfter(RetryPause(), [this] { SendHold(); });
   CheckLapse();
 }
 
@@ -304,6 +383,7 @@
 
 void upstream_session::NoteLease(upstream_time until) {
   lease_end_ = std::max(lease_end_, until);
+  WatchLease();
 }
 
 void upstream_session::TakeEnds(const hold_reply& reply) {
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -113,7 +113,17 @@
   using run_map = std::map<task_name, run_record>;
 
   void SendHold();
+  // Beside a hold that waits, when the lease would run out before it returns.
+  void SendLease();
+  hold_order MakeHold() const;
+  bool Answers() const;
+  void OnLeaseFailed();
+  duration RetryPause() const;
+  void Suspect();
+  void NextHold(bool any_end);
+  void WatchLease();
   void OnHeld(time_point sent, const hold_reply& reply);
+  void TakeHold(time_point sent, const hold_reply& reply);
   void OnHoldFailed(call_result result);
   void TakeClock(upstream_time clock, time_point sent);
   void TakeEnds(const hold_reply& reply);
@@ -147,6 +157,7 @@
   bool settled_ = false;
   bool gone_ = false;
   bool hold_in_flight_ = false;
+  bool lease_in_flight_ = false;
   int failed_holds_ = 0;
   // Until then it gets nothing new, because it refused work.
   time_point refused_until_;
@@ -161,6 +172,7 @@
   upstream_time lease_end_;
   uint64_t acknowledged_ = 0;
   scoped_timer hold_timer_;
+  scoped_timer lease_timer_;
   scoped_timer lapse_timer_;
 };
 
--- a/src/store/table_feed.h
+++ b/src/store/table_feed.h
@@ -3,6 +3,7 @@
 #ifndef SRC_STORE_TABLE_FEED_H_
 #define SRC_STORE_TABLE_FEED_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -25,6 +26,16 @@
   std::map<std::string, feed_row> rows;
 };
 
+// Calls to the store are paid for, and rates are shared by all instances.
+struct watch_options {
+  // A call for changes returns at the latest after so long. A connection that
+  // went silent is noticed then.
+  duration wait = std::chrono::seconds(1);
+  // After a change the next call waits so long, so that a series of changes
+  // costs few calls.
+  duration pause = duration::zero();
+};
+
 // Brings each change of the watched tables; while the store is away, nothing.
 class table_feed {
  public:
@@ -34,7 +45,10 @@
 
   // Calls `handler` with the whole table at first and after each change,
   // never from within this call.
-  virtual void Watch(const std::string& table, change_handler handler) = 0;
+  virtual void Watch(const std::string& table,
+                     const watch_options& options,
+                     change_handler handler) = 0;
+  virtual void Unwatch(const std::string& table) = 0;
 };
 
 }  // namespace jasminedyke
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -222,10 +222,17 @@
         hold_reply reply = fleet_.upstreams.at(id)->Hold(look);
         bool over = reply.result != call_result::kOk || !reply.ended.empty() ||
                     fleet_.clock.now() >= until;
-        if (over)
+        if (!over) {
+          WaitForEnd(id, order, until, generation, done);
+          return;
+        }
+        // A link that was cut meanwhile carries no answer either.
+        bool arrives = fleet_.fate(id, home_) == call_fate::kAnswered;
+        if (arrives)
           done(reply);
         else
-          WaitForEnd(id, order, until, generation, done);
+          fleet_.clock.CallAfter(kHoldSlack,
+                                 [done] { done(hold_reply()); });
       });
 }
 
