Test whole instances with random faults; give storeless homes tokens of their own

Change: a row's version is multiplied, and a home that begins without the store takes a token in the gap by its position among the members. One that is fenced and can't read the row steps down. A job counts as not run only if no task began or can still begin, also after refused starts.

The fakes' own fault, an answer to a session that had ended, is mended too.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -1,6 +1,7 @@
 #include "cluster/home_election.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,9 @@
 // one that is only silent.
 constexpr duration kStorelessAfterGone = std::chrono::milliseconds(700);
 constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(3000);
+// Tokens of a row's version are so far apart, with room between them for those
+// of homes that began without the store.
+constexpr uint64_t kTokenSpacing = 4096;
 // A home whose status is older does not count as one.
 constexpr duration kStatusExpiry = std::chrono::milliseconds(1500);
 
@@ -83,6 +87,7 @@
   // Either there is a newer home, or one that took over while the store was
   // away is gone again; the row tells.
   row_unsure_ = true;
+  fenced_ = true;
   CheckRow();
 }
 
@@ -166,8 +171,13 @@
       return;
     bool missing =
         !result.ok() && result.error() == store_error::kNotFound;
-    if (!result.ok() && !missing)
+    if (!result.ok() && !missing) {
+      // A higher token is in use, and nothing shows that it is not a newer
+      // home's.
+      if (fenced_)
+        End("fenced");
       return;
+    }
     uint64_t version = missing ? 0 : result.value().version;
     auto row = missing ? std::nullopt : ParseRow(result.value().value);
     // A home that began without the store finds the row of the one that it
@@ -272,7 +282,7 @@
                  row_unsure_ = false;
                  row_version_ = result.value().front();
                  last_renewal_ = clock_.now();
-                 Begin(fencing_token(row_version_), "store");
+                 Begin(fencing_token(row_version_ * kTokenSpacing), "store");
                });
 }
 
@@ -292,12 +302,24 @@
     return;
   row_unsure_ = true;
   row_version_ = 0;
-  Begin(fencing_token(highest.value() + 1), "without_store");
+  Begin(TokenWithoutStore(highest), "without_store");
+}
+
+// Two candidates that are cut off from each other may both begin. With one
+// token, upstreams would serve both, and a task could run twice at one time;
+// so each has a token of its own, by its position among all members.
+fencing_token home_election::TokenWithoutStore(fencing_token highest) const {
+  auto own = members_.find(self_.instance);
+  auto position = static_cast<uint64_t>(std::distance(members_.begin(), own));
+  uint64_t next_row = highest.value() / kTokenSpacing + 1;
+  return fencing_token(next_row * kTokenSpacing + 1 +
+                       position % (kTokenSpacing - 1));
 }
 
 void home_election::Begin(fencing_token token, const char* how) {
   bool renewed = holding_;
   holding_ = true;
+  fenced_ = false;
   token_ = token;
   without_home_since_.reset();
   store_away_since_.reset();
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -86,6 +86,7 @@
   void OnRowRead(const outcome<table_row, store_error>& row);
   void TakeOver(uint64_t expected_version);
   void TakeOverWithoutStore();
+  fencing_token TokenWithoutStore(fencing_token highest) const;
   void Renew();
   void OnRenewed(const outcome<std::vector<uint64_t>, store_error>& result);
   void CheckRow();
@@ -108,6 +109,8 @@
   bool released_ = false;
   // The row's newest version is unknown; it must be read before a write.
   bool row_unsure_ = false;
+  // An upstream has seen a higher token since we began.
+  bool fenced_ = false;
   bool call_in_flight_ = false;
   fencing_token token_;
   // While holding: of the row as last written.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -129,7 +129,7 @@
       bool done = end->second == run_end::kDone && demand.maybe_started;
       early_ends_.erase(end);
       if (done) {
-        job.untouched = false;
+        job.ran = true;
         OnTaskDone(job, task);
         continue;
       }
@@ -137,7 +137,7 @@
     if (auto claimed = unclaimed_.find(name); claimed != unclaimed_.end()) {
       task.phase = task_phase::kOrdered;
       task.upstream = claimed->second;
-      job.untouched = false;
+      job.ran = true;
       ++metrics_.adopted;
       sessions_.at(claimed->second)->Adopt(name, demand.need);
       unclaimed_.erase(claimed);
@@ -150,7 +150,7 @@
     if (task.phase != task_phase::kQueued)
       continue;
     if (demand.maybe_started) {
-      job.untouched = false;
+      job.ran = true;
       if (!AllSettled())
         task.phase = task_phase::kUnclear;
     }
@@ -205,6 +205,12 @@
   orphaned_at_.erase(peer);
 }
 
+bool run_home::IsUntouched(const home_job& job) {
+  return !job.ran && std::ranges::none_of(job.tasks, [](const auto& entry) {
+           return entry.second.phase == task_phase::kOrdered;
+         });
+}
+
 run_home::home_task* run_home::FindTask(const task_name& task,
                                         home_job** job) {
   auto found = jobs_.find(task.job);
@@ -237,6 +243,7 @@
   if (ordered_here && run.value() < task->last_run)
     return;
   task->last_run = std::max(task->last_run, run.value());
+  job->ran = true;
   if (how == run_end::kDone) {
     ++metrics_.done;
     OnTaskDone(*job, *task);
@@ -288,7 +295,7 @@
   ++metrics_.refused_jobs[reason];
   run_report report{job.key, job.request.submission, {}};
   report.refusal = reason;
-  report.not_run = job.untouched;
+  report.not_run = IsUntouched(job);
   report.retry_after = retry_after;
   send_(job.owner, report);
 }
@@ -332,7 +339,7 @@
     task->phase = task_phase::kOrdered;
     task->upstream = session.info().id;
     task->last_run = std::max(task->last_run, run.value());
-    job->untouched = false;
+    job->ran = true;
     ++metrics_.adopted;
     session.Adopt(name, task->demand.need);
     return;
@@ -451,7 +458,6 @@
   if (!chosen)
     return false;
   upstream_session& session = *sessions[*chosen];
-  job.untouched = false;
   task.phase = task_phase::kOrdered;
   task.stopping = false;
   task.upstream = session.info().id;
@@ -506,7 +512,7 @@
   std::vector<job_key> over;
   for (auto& [key, job] : jobs_) {
     bool hopeless =
-        !job.cancelled && job.untouched &&
+        !job.cancelled && IsUntouched(job) &&
         RankJob(OutlookOf(job), now).chance == job_chance::kLost;
     if (hopeless) {
       Refuse(job, CouldEverRun(job) ? run_refusal::kOverload
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -94,8 +94,8 @@
     time_point objective;
     time_point limit;
     std::map<task_position, home_task> tasks;
-    // No task was ordered anywhere since the job came.
-    bool untouched = true;
+    // A task began, or may have begun under an earlier home.
+    bool ran = false;
     // Nobody waits for it; it goes when its last run has ended.
     bool cancelled = false;
   };
@@ -115,6 +115,8 @@
   void OnRoom(upstream_session& session) override;
   void OnFenced(upstream_session& session) override;
 
+  // No task has begun or can still begin.
+  static bool IsUntouched(const home_job& job);
   home_task* FindTask(const task_name& task, home_job** job);
   void AddTasks(home_job& job, const run_request& request);
   void CancelJob(home_job& job);
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -231,8 +231,10 @@
         if (arrives)
           done(reply);
         else
-          fleet_.clock.CallAfter(kHoldSlack,
-                                 [done] { done(hold_reply()); });
+          fleet_.clock.CallAfter(kHoldSlack, [this, id, generation, done] {
+            if (!dead_ && generations_[id] == generation)
+              done(hold_reply());
+          });
       });
 }
 
--- /dev/null
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -0,0 +1,297 @@
+// Whole instances together: homes that die, hand over or are cut off, and jobs
+// that come again through another instance.
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "fakes/run_nodes.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Three instances of one failure domain and four upstreams.
+struct one_domain : run_nodes {
+  explicit one_domain(duration run_time = milliseconds(50)) {
+    for (int i = 0; i < 4; ++i) {
+      fake_upstream& upstream = fleet.Add("u" + std::to_string(i), "north");
+      upstream.plan = [run_time](const task_name&) {
+        return std::pair<duration, run_end>(run_time, run_end::kDone);
+      };
+    }
+    for (int i = 1; i <= 3; ++i)
+      Add("north", i);
+    Run(milliseconds(1500));
+  }
+
+  std::vector<run_node*> Homes() {
+    std::vector<run_node*> homes;
+    for (run_node* node : Live()) {
+      if (node->cluster->home().serving())
+        homes.push_back(node);
+    }
+    return homes;
+  }
+
+  run_node& Home() {
+    auto homes = Homes();
+    REQUIRE(homes.size() == 1);
+    return *homes[0];
+  }
+
+  run_node& Other(const run_node& node) {
+    for (run_node* each : Live()) {
+      if (each != &node)
+        return *each;
+    }
+    throw std::runtime_error("no other instance lives");
+  }
+
+  int Starts(const std::string& key) {
+    int starts = 0;
+    for (auto& [id, upstream] : fleet.upstreams) {
+      for (const auto& [task, count] : upstream->starts)
+        starts += task.job.str() == key ? count : 0;
+    }
+    return starts;
+  }
+};
+
+const std::string kJob = "00000000000000aa";
+
+}  // namespace
+
+TEST_CASE("a job through any instance runs once on the home's upstreams") {
+  one_domain d;
+  for (run_node* node : d.Live()) {
+    std::string key = "job" + node->self.instance.str();
+    d.Submit(*node, key, 6);
+    d.Run(milliseconds(200));
+    REQUIRE(d.answers[key].size() == 1);
+    CHECK(d.answers[key][0].outcome == run_outcome::kSucceeded);
+    CHECK(d.Starts(key) == 6);
+  }
+}
+
+TEST_CASE("the home's process dies while tasks run") {
+  // The caller is with another instance. The home is killed amid its tasks; a
+  // successor takes the row over, finds the runs, and the caller's instance
+  // claims them. They end once, and the caller gets its answer.
+  one_domain d(milliseconds(300));
+  run_node& home = d.Home();
+  d.Submit(d.Other(home), kJob, 6);
+  d.Run(milliseconds(100));
+  d.Kill(home);
+  d.Run(milliseconds(800));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  CHECK(d.Starts(kJob) == 6);
+  CHECK(d.Homes().size() == 1);
+  CHECK(!d.ran_twice);
+}
+
+TEST_CASE("the home hands over while tasks run") {
+  // A planned stop: the home goes on until its successor has the upstreams.
+  one_domain d(milliseconds(300));
+  run_node& home = d.Home();
+  SUBCASE("with the store answering") {}
+  SUBCASE("while its renewal is on the way") {
+    // The release must be written over the renewal, not lose against it.
+    d.store.delay = milliseconds(150);
+  }
+  d.Submit(home, kJob, 6);
+  d.Run(milliseconds(100));
+  home.cluster->Leave();
+  d.Run(milliseconds(900));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  CHECK(!home.cluster->home().serving());
+  CHECK(d.Homes().size() == 1);
+  CHECK(d.Starts(kJob) == 6);
+  CHECK(!d.ran_twice);
+}
+
+TEST_CASE("a caller's instance dies and the job comes again elsewhere") {
+  // The job's owner is killed. The home stops the runs within a moment, so
+  // that a caller who comes back after a second finds nothing running.
+  one_domain d(milliseconds(5000));
+  run_node& home = d.Home();
+  run_node& owner = d.Other(home);
+  d.Submit(owner, kJob, 6);
+  d.Run(milliseconds(100));
+  CHECK(d.Starts(kJob) == 6);
+  d.Kill(owner);
+  d.Run(milliseconds(600));
+  for (auto& [id, upstream] : d.fleet.upstreams)
+    CHECK(upstream->running.empty());
+  d.Submit(home, kJob, 6);
+  d.Run(milliseconds(100));
+  CHECK(d.Starts(kJob) == 12);
+  CHECK(!d.ran_twice);
+}
+
+TEST_CASE("a job comes again while its first runs live") {
+  // The caller's connection broke without a sign, so it came back through
+  // another instance. The runs go on for the new owner; none starts twice.
+  one_domain d(milliseconds(400));
+  run_node& home = d.Home();
+  run_node& first = d.Other(home);
+  d.Submit(first, kJob, 6);
+  d.Run(milliseconds(100));
+  d.Submit(home, kJob, 6);
+  d.Run(milliseconds(600));
+  CHECK(d.Starts(kJob) == 6);
+  REQUIRE(d.answers[kJob].size() == 2);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kUnknown);
+  CHECK(d.answers[kJob][1].outcome == run_outcome::kSucceeded);
+  CHECK(!d.ran_twice);
+}
+
+TEST_CASE("a caller that leaves stops its runs") {
+  one_domain d(milliseconds(5000));
+  run_node& node = d.Other(d.Home());
+  submission_id submission = d.Submit(node, kJob, 6);
+  d.Run(milliseconds(100));
+  node.cluster->desk().Leave(job_key(kJob), submission);
+  d.Run(milliseconds(100));
+  for (auto& [id, upstream] : d.fleet.upstreams)
+    CHECK(upstream->running.empty());
+  CHECK(d.answers[kJob].empty());
+}
+
+TEST_CASE("the home dies while the store is away") {
+  // Nobody can take the row. After a while the first candidate goes on with
+  // the next token; when the store is back, it takes the row too.
+  one_domain d;
+  d.store.outage = true;
+  d.Kill(d.Home());
+  d.Run(milliseconds(3000));
+  REQUIRE(d.Homes().size() == 1);
+  d.Submit(*d.Live()[0], kJob, 3);
+  d.Run(milliseconds(200));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.store.outage = false;
+  d.Run(milliseconds(3000));
+  CHECK(d.Homes().size() == 1);
+}
+
+TEST_CASE("an instance that is cut off does not take the upstreams") {
+  // It sees nobody, but the home's row is renewed: the home lives.
+  one_domain d;
+  run_node& home = d.Home();
+  run_node& lonely = d.Other(home);
+  for (run_node* node : d.Live()) {
+    if (node != &lonely)
+      d.Cut(lonely, *node);
+  }
+  SUBCASE("with the store in reach") {}
+  SUBCASE("and from the store too") { lonely.tables.cut = true; }
+  d.Run(milliseconds(6000));
+  CHECK(!lonely.cluster->home().serving());
+  CHECK(home.cluster->home().serving());
+}
+
+TEST_CASE("a refusal that says not run is true") {
+  // No upstream has room for it; the caller is told so, and nothing starts.
+  one_domain d(milliseconds(5000));
+  run_node& node = d.Other(d.Home());
+  d.Submit(node, "blocker", 12);
+  d.Run(milliseconds(100));
+  d.Submit(node, kJob, 3, milliseconds(500));
+  d.Run(milliseconds(600));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kNotRun);
+  CHECK(d.answers[kJob][0].retry_after > duration::zero());
+  CHECK(d.Starts(kJob) == 0);
+}
+
+TEST_CASE("random faults never let a task run twice at one time") {
+  // Instances die and come back, links break and heal, the store goes and
+  // comes, calls to upstreams are lost, delayed or unanswered; callers come
+  // back 1.3 s after a broken answer. Whatever the order, no task has two runs
+  // at one time, and what was refused as not run did not run.
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    auto chance = [&](double p) {
+      return std::uniform_real_distribution<>(0, 1)(random) < p;
+    };
+    auto pick = [&](size_t n) { return random() % n; };
+    one_domain d(milliseconds(120));
+    double trouble = 0;
+    d.fleet.fate = [&](const upstream_id&, const std::string&) {
+      if (!chance(trouble))
+        return call_fate::kAnswered;
+      constexpr call_fate kFates[] = {
+          call_fate::kRequestLost, call_fate::kReplyLost, call_fate::kDelayed};
+      return kFates[pick(3)];
+    };
+    struct resend {
+      time_point at;
+      std::string key;
+    };
+    std::vector<resend> again;
+    std::vector<run_node*> dead;
+    int jobs = 0;
+    for (int step = 0; step < 120; ++step) {
+      auto live = d.Live();
+      trouble = step % 40 < 20 ? 0.05 : 0;
+      if (!live.empty()) {
+        std::string key = "job" + std::to_string(jobs++);
+        run_node& node = *live[pick(live.size())];
+        d.Submit(node, key, 1 + pick(4));
+        again.push_back({d.clock.now() + milliseconds(1300 + pick(1500)), key});
+      }
+      // A caller whose connection broke comes again through any instance.
+      for (auto it = again.begin(); it != again.end();) {
+        if (it->at > d.clock.now() || live.empty()) {
+          ++it;
+          continue;
+        }
+        bool answered = !d.answers[it->key].empty();
+        if (!answered && chance(0.7))
+          d.Submit(*live[pick(live.size())], it->key, 4);
+        it = again.erase(it);
+      }
+      if (chance(0.04) && live.size() > 1) {
+        run_node* victim = live[pick(live.size())];
+        d.Kill(*victim);
+        dead.push_back(victim);
+      }
+      if (chance(0.08) && !dead.empty()) {
+        d.Restart(*dead.back());
+        dead.pop_back();
+      }
+      if (chance(0.03) && live.size() > 1)
+        d.Cut(*live[0], *live[1]);
+      if (chance(0.1)) {
+        for (run_node* a : d.Live()) {
+          for (run_node* b : d.Live())
+            d.Heal(*a, *b);
+        }
+      }
+      if (chance(0.03))
+        d.store.outage = !d.store.outage;
+      d.Run(milliseconds(20 + pick(60)));
+      REQUIRE(!d.ran_twice);
+    }
+    for (const auto& [key, answers] : d.answers) {
+      bool all_refused = std::ranges::all_of(answers, [](const auto& a) {
+        return a.outcome == run_outcome::kNotRun;
+      });
+      // An attempt that broke off says nothing about what ran.
+      bool all_answered = answers.size() == d.submissions[key];
+      CAPTURE(key);
+      if (all_answered && all_refused)
+        REQUIRE(d.Starts(key) == 0);
+    }
+  }
+}
+
+}  // namespace jasminedyke
