Know what an earlier home started before starting it again; shun bad upstreams

Also: upstreams that are slow, hang or fail all get only trials; overdue runs are stopped and begin elsewhere; jobs that can't end in useful time are refused before they start. Ends told by an earlier home count.

Ruled out: run numbers and tokens (the two homes' starts were in order).

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -100,7 +100,7 @@
   }
   upstream_news news = Difference(upstreams_, own);
   upstreams_ = std::move(own);
-  home_->SetUpstreams(upstreams_);
+  home_->SetUpstreams(upstreams_, true);
   if (news.empty())
     return;
   for (const instance_id& peer : peers_.peers_up()) {
@@ -118,7 +118,7 @@
   for (upstream_info& info : news.rows)
     info.failure_domain = self_.domain;
   Apply(news, &upstreams_);
-  home_->SetUpstreams(upstreams_);
+  home_->SetUpstreams(upstreams_, false);
 }
 
 bool run_cluster::IsOfOwnDomain(const instance_id& peer) const {
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -159,14 +159,19 @@
   if (found == jobs_.end())
     return;
   open_job& job = found->second;
-  if (job.submission != report.submission || job.home != from)
+  if (job.submission != report.submission)
     return;
   if (report.refusal != run_refusal::kNone) {
-    OnRefused(job, report);
+    if (job.home == from)
+      OnRefused(job, report);
     return;
   }
+  // Ends count from whichever home: an earlier one may have told of one just
+  // before its successor took over.
   bool step_done = false;
   for (const task_report& task : report.tasks) {
+    if (task.verdict == task_verdict::kFailed && job.home != from)
+      continue;
     if (task.verdict == task_verdict::kFailed) {
       CancelAtHome(job);
       Answer(report.job, {run_outcome::kFailed, run_refusal::kNone, {}});
@@ -179,6 +184,8 @@
   }
   bool all_done =
       std::ranges::all_of(job.left, [](uint32_t n) { return n == 0; });
+  if (all_done && job.home != from)
+    CancelAtHome(job);
   if (all_done)
     Answer(report.job, {run_outcome::kSucceeded, run_refusal::kNone, {}});
   else if (step_done)
--- a/src/runs/job_order.cc
+++ b/src/runs/job_order.cc
@@ -1,5 +1,7 @@
 #include "runs/job_order.h"
 
+#include <algorithm>
+
 namespace jasminedyke {
 
 job_rank RankJob(const job_outlook& outlook, time_point now) {
@@ -7,7 +9,7 @@
   rank.work_left = outlook.work_left;
   rank.priority = outlook.priority;
   time_point ends = now + outlook.longest_task;
-  if (ends > outlook.limit)
+  if (ends > std::min(outlook.limit, outlook.useful_until))
     rank.chance = job_chance::kLost;
   else if (ends > outlook.objective)
     rank.chance = job_chance::kLate;
--- a/src/runs/job_order.h
+++ b/src/runs/job_order.h
@@ -12,6 +12,9 @@
 // What the order looks at.
 struct job_outlook {
   time_point objective;
+  // An answer after that is of no use any more.
+  time_point useful_until;
+  // The caller leaves.
   time_point limit;
   // The longest of the tasks that are not done yet.
   duration longest_task = duration::zero();
@@ -24,7 +27,7 @@
 enum class job_chance {
   kInTime,  // can still meet its objective
   kLate,    // can only be answered late
-  kLost,    // would not end before its caller leaves
+  kLost,    // would end when its answer is of no use any more
 };
 
 struct job_rank {
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "runs/job_order.h"
 #include "runs/placement.h"
 
 namespace jasminedyke {
@@ -18,9 +17,24 @@
 // its jobs again. A caller whose instance died comes back after a second or
 // more, through another instance; by then its runs must be gone.
 constexpr duration kOrphanTime = std::chrono::milliseconds(350);
+// A predecessor ends as soon as it hears of its successor; its leases last a
+// second more on a clock that is 2 % slow.
+constexpr duration kUnconfirmedTime = std::chrono::milliseconds(1500);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // For a job whose queue is long: callers come back no sooner than that.
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
+// A trial is made only where no good upstream has room.
+constexpr double kTrialCost = 10;
+// Of the objective, counted from the job's arrival.
+constexpr int kUsefulLateness = 3;
+// A run that takes so many times what it should is given up: the upstream hangs
+// or is very slow. With a task of the same job done, the expectation is good to
+// 15 %; without, only the caller's guess is known, which is off by 40 %.
+constexpr double kStuckByPace = 2.5;
+constexpr double kStuckByGuess = 3.5;
+constexpr duration kStuckAtLeast = std::chrono::milliseconds(60);
+// Core-seconds; of a task whose caller has no guess.
+constexpr double kLeastWork = 0.001;
 constexpr size_t kMaxEarlyEnds = 20'000;
 
 double CoreSeconds(const task_demand& demand) {
@@ -55,15 +69,17 @@
     return;
   serving_ = true;
   begun_ = clock_.now();
-  SetUpstreams(registry_);
+  confirmed_ = false;
+  SetUpstreams(registry_, false);
   Sweep();
 }
 
 void run_home::End() {
   serving_ = false;
   sessions_.clear();
+  standings_.clear();
   jobs_.clear();
-  unclaimed_.clear();
+  strays_.clear();
   early_ends_.clear();
   orphaned_at_.clear();
   sweep_timer_.Stop();
@@ -71,10 +87,12 @@
   dispatch_due_ = false;
 }
 
-void run_home::SetUpstreams(const upstream_registry& upstreams) {
+void run_home::SetUpstreams(const upstream_registry& upstreams,
+                            bool confirmed) {
   registry_ = upstreams;
   if (!serving_)
     return;
+  confirmed_ = confirmed_ || confirmed;
   for (const auto& [id, info] : upstreams) {
     auto found = sessions_.find(id);
     if (found != sessions_.end()) {
@@ -113,6 +131,9 @@
   job.request = request;
   job.request.tasks.clear();
   job.objective = clock_.now() + request.to_objective;
+  // Both desks count an answer that comes within three times its objective.
+  job.useful_until = job.objective + (request.age + request.to_objective) *
+                                         (kUsefulLateness - 1);
   job.limit = clock_.now() + request.to_limit;
   AddTasks(job, request);
   DropIfOver(request.job);
@@ -134,13 +155,18 @@
         continue;
       }
     }
-    if (auto claimed = unclaimed_.find(name); claimed != unclaimed_.end()) {
+    if (auto stray = strays_.find(name); stray != strays_.end()) {
       task.phase = task_phase::kOrdered;
-      task.upstream = claimed->second;
+      task.upstream = stray->second.upstream;
+      task.ordered_at = clock_.now();
+      task.stopping = stray->second.stopping;
       job.ran = true;
-      ++metrics_.adopted;
-      sessions_.at(claimed->second)->Adopt(name, demand.need);
-      unclaimed_.erase(claimed);
+      auto session = sessions_.find(task.upstream);
+      if (!task.stopping && session != sessions_.end()) {
+        ++metrics_.adopted;
+        session->second->Adopt(name, demand.need);
+      }
+      strays_.erase(stray);
       continue;
     }
     if (task.phase == task_phase::kDone) {
@@ -227,7 +253,9 @@
                           const task_name& name,
                           run_number run,
                           run_end how) {
-  unclaimed_.erase(name);
+  auto stray = strays_.find(name);
+  if (stray != strays_.end() && stray->second.upstream == session.info().id)
+    strays_.erase(stray);
   home_job* job = nullptr;
   home_task* task = FindTask(name, &job);
   if (!task || (task->phase == task_phase::kOrdered &&
@@ -244,6 +272,8 @@
     return;
   task->last_run = std::max(task->last_run, run.value());
   job->ran = true;
+  if (ordered_here)
+    NoteEnd(*job, *task, how);
   if (how == run_end::kDone) {
     ++metrics_.done;
     OnTaskDone(*job, *task);
@@ -258,6 +288,37 @@
   DropIfOver(name.job);
 }
 
+void run_home::NoteEnd(home_job& job, const home_task& task, run_end how) {
+  time_point now = clock_.now();
+  duration took = now - task.ordered_at;
+  upstream_standing& standing = standings_[task.upstream];
+  if (how == run_end::kFailed)
+    standing.OnFailed(now, job.key);
+  if (how != run_end::kDone || task.demand.estimate <= duration::zero())
+    return;
+  standing.OnDone(now, Expected(job, task), took);
+  double pace = ToSeconds(took) / ToSeconds(task.demand.estimate);
+  // The fastest: others may have run on slow upstreams.
+  job.pace = job.pace == 0 ? pace : std::min(job.pace, pace);
+}
+
+duration run_home::Expected(const home_job& job, const home_task& task) {
+  if (job.pace == 0)
+    return task.demand.estimate;
+  return FromSeconds(ToSeconds(task.demand.estimate) * job.pace);
+}
+
+bool run_home::IsOverdue(const home_job& job,
+                         const home_task& task,
+                         time_point now) {
+  duration expected = Expected(job, task);
+  duration took = now - task.ordered_at;
+  double factor = job.pace == 0 ? kStuckByGuess : kStuckByPace;
+  return expected > duration::zero() &&
+         ToSeconds(took) > ToSeconds(expected) * factor &&
+         took - expected > kStuckAtLeast;
+}
+
 void run_home::OnTaskDone(home_job& job, home_task& task) {
   task.phase = task_phase::kDone;
   if (!job.cancelled)
@@ -266,6 +327,7 @@
 
 void run_home::OnTaskFailed(home_job& job, home_task& task) {
   ++task.failures;
+  task.avoid = task.upstream;
   if (task.failures < job.request.max_attempts) {
     Requeue(job, task);
     return;
@@ -338,17 +400,26 @@
   if (waits && !job->cancelled) {
     task->phase = task_phase::kOrdered;
     task->upstream = session.info().id;
+    task->ordered_at = clock_.now();
     task->last_run = std::max(task->last_run, run.value());
     job->ran = true;
     ++metrics_.adopted;
     session.Adopt(name, task->demand.need);
     return;
   }
-  if (clock_.now() - begun_ < kClaimTime) {
-    unclaimed_[name] = session.info().id;
+  stray_run& stray = strays_[name];
+  stray = {session.info().id, false};
+  if (clock_.now() - begun_ >= kClaimTime)
+    StopStray(name, stray);
+}
+
+void run_home::StopStray(const task_name& name, stray_run& stray) {
+  if (stray.stopping)
     return;
-  }
-  session.Stop(name);
+  stray.stopping = true;
+  auto session = sessions_.find(stray.upstream);
+  if (session != sessions_.end())
+    session->second->Stop(name);
 }
 
 void run_home::OnRoom(upstream_session&) {
@@ -363,9 +434,14 @@
   on_fenced_();
 }
 
+// A home that has just begun may not know all upstreams: without a list from
+// the store it waits until leases given by its predecessor have run out.
 bool run_home::AllSettled() const {
-  return std::ranges::all_of(
-      sessions_, [](const auto& entry) { return entry.second->settled(); });
+  bool all_known = confirmed_ || clock_.now() - begun_ >= kUnconfirmedTime;
+  return all_known &&
+         std::ranges::all_of(sessions_, [](const auto& entry) {
+           return entry.second->settled();
+         });
 }
 
 void run_home::QueueUnclear() {
@@ -379,13 +455,9 @@
   }
 }
 
-void run_home::StopUnclaimed() {
-  auto unclaimed = std::exchange(unclaimed_, {});
-  for (const auto& [name, upstream] : unclaimed) {
-    auto session = sessions_.find(upstream);
-    if (session != sessions_.end())
-      session->second->Stop(name);
-  }
+void run_home::StopStrays() {
+  for (auto& [name, stray] : strays_)
+    StopStray(name, stray);
   early_ends_.clear();
 }
 
@@ -401,36 +473,43 @@
 }
 
 void run_home::Dispatch() {
-  for (home_job* job : JobsInOrder())
-    PlaceTasks(*job);
+  for (const waiting_job& waiting : WaitingInOrder())
+    PlaceTasks(*waiting.job);
 }
 
-std::vector<run_home::home_job*> run_home::JobsInOrder() {
-  std::vector<std::pair<job_rank, home_job*>> ranked;
+std::vector<run_home::waiting_job> run_home::WaitingInOrder() {
+  std::vector<waiting_job> waiting;
   for (auto& [key, job] : jobs_) {
-    bool waits = std::ranges::any_of(job.tasks, [](const auto& entry) {
-      return entry.second.phase == task_phase::kQueued;
-    });
-    if (waits && !job.cancelled)
-      ranked.emplace_back(RankJob(OutlookOf(job), clock_.now()), &job);
+    double work = job.cancelled ? 0 : WaitingWork(job);
+    if (work <= 0)
+      continue;
+    job_outlook outlook = OutlookOf(job);
+    waiting.push_back({RankJob(outlook, clock_.now()), outlook, work, &job});
   }
-  std::ranges::sort(ranked, {}, [](const auto& each) { return each.first; });
-  std::vector<home_job*> jobs;
-  for (const auto& [rank, job] : ranked)
-    jobs.push_back(job);
-  return jobs;
+  std::ranges::sort(waiting, {}, &waiting_job::rank);
+  return waiting;
+}
+
+// A task without a guess of its run time still waits.
+double run_home::WaitingWork(const home_job& job) {
+  double work = 0;
+  for (const auto& [position, task] : job.tasks) {
+    if (task.phase == task_phase::kQueued)
+      work += std::max(CoreSeconds(task.demand), kLeastWork);
+  }
+  return work;
 }
 
 job_outlook run_home::OutlookOf(const home_job& job) const {
   job_outlook outlook;
   outlook.objective = job.objective;
+  outlook.useful_until = job.useful_until;
   outlook.limit = job.limit;
   outlook.priority = job.request.priority;
   for (const auto& [position, task] : job.tasks) {
     if (task.phase == task_phase::kDone)
       continue;
-    outlook.longest_task =
-        std::max(outlook.longest_task, task.demand.estimate);
+    outlook.longest_task = std::max(outlook.longest_task, Expected(job, task));
     outlook.work_left += CoreSeconds(task.demand);
   }
   return outlook;
@@ -449,18 +528,28 @@
   std::vector<placement_candidate> candidates;
   std::vector<upstream_session*> sessions;
   for (auto& [id, session] : sessions_) {
-    if (!session->usable() || !MayRun(*session, job, task))
+    if (!session->usable() || !MayRun(*session, job, task) || id == task.avoid)
+      continue;
+    const upstream_standing& standing = standings_[id];
+    bool trial = !standing.good();
+    if (trial && (!standing.MayTry(clock_.now()) || !session->idle()))
       continue;
-    candidates.push_back({session->room(), 1});
+    candidates.push_back({session->room(), trial ? kTrialCost : 1});
     sessions.push_back(session.get());
   }
   auto chosen = ChooseUpstream(candidates, task.demand.need);
   if (!chosen)
     return false;
   upstream_session& session = *sessions[*chosen];
+  upstream_standing& standing = standings_[session.info().id];
+  if (!standing.good()) {
+    standing.OnTrial(clock_.now());
+    ++metrics_.trials;
+  }
   task.phase = task_phase::kOrdered;
   task.stopping = false;
   task.upstream = session.info().id;
+  task.ordered_at = clock_.now();
   ++task.last_run;
   ++metrics_.started;
   session.Start({job.key, 0, task.demand.position}, run_number(task.last_run),
@@ -495,7 +584,7 @@
 void run_home::Sweep() {
   time_point now = clock_.now();
   if (now - begun_ >= kClaimTime)
-    StopUnclaimed();
+    StopStrays();
   for (auto& [peer, until] : orphaned_at_) {
     if (now < until)
       continue;
@@ -509,42 +598,98 @@
   std::erase_if(sessions_, [&](const auto& entry) {
     return entry.second->idle() && !registry_.contains(entry.first);
   });
-  std::vector<job_key> over;
-  for (auto& [key, job] : jobs_) {
+  std::erase_if(standings_, [&](const auto& entry) {
+    return !sessions_.contains(entry.first);
+  });
+  RefuseHopeless();
+  StopStuck();
+  QueueUnclear();
+  ScheduleDispatch();
+  sweep_timer_.StartAfter(kSweepInterval, [this] { Sweep(); });
+}
+
+// Jobs of which nothing has run are refused as soon as it shows that they can't
+// be answered in useful time: the caller can turn elsewhere at once.
+void run_home::RefuseHopeless() {
+  home_load load;
+  load.cores = UsableCores();
+  std::vector<waiting_job> waiting = WaitingInOrder();
+  for (waiting_job& each : waiting) {
+    home_job& job = *each.job;
     bool hopeless =
-        !job.cancelled && IsUntouched(job) &&
-        RankJob(OutlookOf(job), now).chance == job_chance::kLost;
-    if (hopeless) {
-      Refuse(job, CouldEverRun(job) ? run_refusal::kOverload
-                                    : run_refusal::kNoUpstream,
-             std::max(kLeastRetryAfter, WaitForRoom()));
-      CancelJob(job);
+        IsUntouched(job) &&
+        IsHopeless(each.outlook, EstimateWait(load), clock_.now());
+    if (!hopeless) {
+      load.work_ahead += each.work;
+      continue;
     }
+    Refuse(job,
+           CouldEverRun(job) ? run_refusal::kOverload
+                             : run_refusal::kNoUpstream,
+           std::max(kLeastRetryAfter, WaitForRoom()));
+    CancelJob(job);
+  }
+  DropCancelled();
+}
+
+void run_home::DropCancelled() {
+  std::vector<job_key> over;
+  for (const auto& [key, job] : jobs_) {
     if (job.cancelled)
       over.push_back(key);
   }
   for (const job_key& key : over)
     DropIfOver(key);
-  QueueUnclear();
-  ScheduleDispatch();
-  sweep_timer_.StartAfter(kSweepInterval, [this] { Sweep(); });
 }
 
-// All waiting work over all usable processors.
-duration run_home::WaitForRoom() const {
-  double waiting = 0;
-  for (const auto& [key, job] : jobs_) {
-    for (const auto& [position, task] : job.tasks) {
-      if (task.phase == task_phase::kQueued)
-        waiting += CoreSeconds(task.demand);
+// A run that hangs would hold its job until the caller leaves. It is stopped,
+// and begins again elsewhere once its end is certain.
+void run_home::StopStuck() {
+  time_point now = clock_.now();
+  for (auto& [key, job] : jobs_) {
+    for (auto& [position, task] : job.tasks) {
+      bool overdue = task.phase == task_phase::kOrdered && !task.stopping &&
+                     !job.cancelled && IsOverdue(job, task, now);
+      if (!overdue)
+        continue;
+      standings_[task.upstream].OnStuck(now);
+      // Only if it can still be answered in useful time.
+      bool worth_it =
+          now + Expected(job, task) < std::min(job.useful_until, job.limit);
+      auto session = sessions_.find(task.upstream);
+      if (!worth_it || session == sessions_.end())
+        continue;
+      ++metrics_.stuck;
+      task.stopping = true;
+      task.avoid = task.upstream;
+      LogEvent(log_level::kInfo, "run_stuck",
+               {{"job", key.str()},
+                {"task", position.index},
+                {"upstream", task.upstream.str()},
+                {"ms", ToMilliseconds(now - task.ordered_at)}});
+      session->second->Stop({key, 0, position});
     }
   }
+}
+
+double run_home::UsableCores() const {
   double cores = 0;
   for (const auto& [id, session] : sessions_) {
-    if (session->usable())
+    auto standing = standings_.find(id);
+    bool good = standing == standings_.end() || standing->second.good();
+    if (good && session->usable())
       cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000;
   }
-  return cores > 0 ? FromSeconds(waiting / cores) : std::chrono::seconds(1);
+  return cores;
+}
+
+// What a job that comes last would wait.
+duration run_home::WaitForRoom() const {
+  home_load load;
+  load.cores = UsableCores();
+  for (const auto& [key, job] : jobs_)
+    load.work_ahead += job.cancelled ? 0 : WaitingWork(job);
+  return EstimateWait(load);
 }
 
 home_status run_home::Status() const {
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -13,9 +13,11 @@
 #include <vector>
 
 #include "base/base.h"
+#include "runs/admission_estimate.h"
 #include "runs/job_order.h"
 #include "runs/run_messages.h"
 #include "runs/upstream_session.h"
+#include "runs/upstream_standing.h"
 
 namespace jasminedyke {
 
@@ -26,6 +28,8 @@
   uint64_t lapsed = 0;
   uint64_t stopped = 0;
   uint64_t adopted = 0;
+  uint64_t stuck = 0;
+  uint64_t trials = 0;
   std::map<start_result, uint64_t> refused_starts;
   std::map<run_refusal, uint64_t> refused_jobs;
 };
@@ -54,8 +58,9 @@
   void End();
   bool serving() const { return serving_; }
 
-  // The group's upstreams, as registered now.
-  void SetUpstreams(const upstream_registry& upstreams);
+  // The group's upstreams. `confirmed` if the list comes from the store and not
+  // from an earlier home.
+  void SetUpstreams(const upstream_registry& upstreams, bool confirmed);
 
   void OnRequest(const instance_id& from, const run_request& request);
   void OnCancel(const instance_id& from, const run_cancel& cancel);
@@ -76,6 +81,12 @@
     kDone,
   };
 
+  // A found run that no job has claimed.
+  struct stray_run {
+    upstream_id upstream;
+    bool stopping = false;
+  };
+
   struct home_task {
     task_demand demand;
     task_phase phase = task_phase::kQueued;
@@ -84,7 +95,10 @@
     int failures = 0;
     // While `kOrdered`.
     upstream_id upstream;
+    time_point ordered_at;
     bool stopping = false;
+    // Not to be tried again where it has just failed or got stuck.
+    upstream_id avoid;
   };
 
   struct home_job {
@@ -92,8 +106,11 @@
     instance_id owner;
     run_request request;
     time_point objective;
+    time_point useful_until;
     time_point limit;
     std::map<task_position, home_task> tasks;
+    // How long its tasks take, over the caller's guess; 0 until one is done.
+    double pace = 0;
     // A task began, or may have begun under an earlier home.
     bool ran = false;
     // Nobody waits for it; it goes when its last run has ended.
@@ -126,12 +143,23 @@
   void Requeue(home_job& job, home_task& task);
   void Report(const home_job& job, const home_task& task, task_verdict verdict);
   void Refuse(home_job& job, run_refusal reason, duration retry_after);
+  // All that an earlier home may have started is known or over.
   bool AllSettled() const;
   void QueueUnclear();
-  void StopUnclaimed();
+  void StopStrays();
+  void StopStray(const task_name& name, stray_run& stray);
   void ScheduleDispatch();
   void Dispatch();
-  std::vector<home_job*> JobsInOrder();
+  // A job with tasks that wait for room.
+  struct waiting_job {
+    job_rank rank;
+    job_outlook outlook;
+    // Core-seconds of the tasks that wait.
+    double work = 0;
+    home_job* job = nullptr;
+  };
+  std::vector<waiting_job> WaitingInOrder();
+  static double WaitingWork(const home_job& job);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
   bool MayRun(const upstream_session& session,
@@ -140,6 +168,15 @@
   bool CouldEverRun(const home_job& job) const;
   job_outlook OutlookOf(const home_job& job) const;
   void Sweep();
+  void RefuseHopeless();
+  void DropCancelled();
+  void StopStuck();
+  static duration Expected(const home_job& job, const home_task& task);
+  static bool IsOverdue(const home_job& job,
+                        const home_task& task,
+                        time_point now);
+  void NoteEnd(home_job& job, const home_task& task, run_end how);
+  double UsableCores() const;
   duration WaitForRoom() const;
 
   scheduler& clock_;
@@ -152,15 +189,19 @@
   fencing_token token_;
   upstream_registry registry_;
   std::map<upstream_id, std::unique_ptr<upstream_session>> sessions_;
+  std::map<upstream_id, upstream_standing> standings_;
   job_map jobs_;
-  // Found runs that no job has claimed yet, with where they are.
-  std::map<task_name, upstream_id> unclaimed_;
+  // Until their end is certain: a job that claims one later than allowed must
+  // wait for it, or its task would run twice at one time.
+  std::map<task_name, stray_run> strays_;
   // Ends listed under an earlier home for jobs that have not come yet.
   std::map<task_name, run_end> early_ends_;
   // Entry instances whose link broke, until when their jobs are kept.
   std::map<instance_id, time_point> orphaned_at_;
   run_home_metrics metrics_;
   time_point begun_;
+  // The list of upstreams is as the store had it since this home began.
+  bool confirmed_ = false;
   bool dispatch_due_ = false;
   scoped_timer dispatch_timer_;
   scoped_timer sweep_timer_;
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -4,6 +4,7 @@
 #ifndef SRC_RUNS_RUNS_H_
 #define SRC_RUNS_RUNS_H_
 
+#include "runs/admission_estimate.h"
 #include "runs/home_directory.h"
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
@@ -14,5 +15,6 @@
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
 #include "runs/upstream_session.h"
+#include "runs/upstream_standing.h"
 
 #endif  // SRC_RUNS_RUNS_H_
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -280,13 +280,17 @@
 void upstream_session::WatchLease() {
   if (runs_.empty() || failed_holds_ > 0)
     return;
-  auto left = std::chrono::milliseconds(lease_end_.ms - LatestClock().ms);
+  auto left = std::chrono::milliseconds(given_until_.ms - LatestClock().ms);
   lease_timer_.StartAfter(
       std::max(duration::zero(), duration(left) - kLeaseMargin),
       [this] { SendLease(); });
 }
 
 void upstream_session::OnHeld(time_point sent, const hold_reply& reply) {
+  // An earlier owner may have prolonged its runs up to now.
+  if (!settled_)
+    lease_end_ = std::max(
+        lease_end_, {reply.clock.ms + ToMs(limits_.longest_lease)});
   settled_ = true;
   TakeHold(sent, reply);
   NextHold(!reply.ended.empty());
@@ -383,6 +387,7 @@
 
 void upstream_session::NoteLease(upstream_time until) {
   lease_end_ = std::max(lease_end_, until);
+  given_until_ = std::max(given_until_, until);
   WatchLease();
 }
 
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -168,8 +168,10 @@
   time_point clock_asked_;
   time_point clock_heard_;
   bool clock_known_ = false;
-  // Nothing that we ordered outlives this time on the upstream's clock.
+  // Nothing on the upstream outlives this time on its clock.
   upstream_time lease_end_;
+  // What runs there lives until then, if our orders arrived.
+  upstream_time given_until_;
   uint64_t acknowledged_ = 0;
   scoped_timer hold_timer_;
   scoped_timer lease_timer_;
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -151,7 +151,7 @@
   job_step step;
   step.tasks = tasks;
   step.need = {std::stoll(kNeed), 64, 0};
-  step.estimate = milliseconds(50);
+  step.estimate = estimate;
   job.steps.push_back(step);
   job.max_attempts = 3;
   job.stretch = 1.6;
--- a/tests/fakes/run_nodes.h
+++ b/tests/fakes/run_nodes.h
@@ -84,6 +84,8 @@
   std::map<std::string, std::vector<run_answer>> answers;
   std::map<std::string, size_t> submissions;
   bool ran_twice = false;
+  // The callers' guess of a task's run time.
+  duration estimate = std::chrono::milliseconds(50);
 
  private:
   void Introduce(run_node& node);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -18,6 +18,7 @@
 // Three instances of one failure domain and four upstreams.
 struct one_domain : run_nodes {
   explicit one_domain(duration run_time = milliseconds(50)) {
+    estimate = run_time;
     for (int i = 0; i < 4; ++i) {
       fake_upstream& upstream = fleet.Add("u" + std::to_string(i), "north");
       upstream.plan = [run_time](const task_name&) {
@@ -197,6 +198,131 @@
   CHECK(home.cluster->home().serving());
 }
 
+TEST_CASE("an upstream that hangs is noticed by its runs") {
+  // Its health answers are good and it starts whatever it is told to, but
+  // nothing ends. The run is stopped and begins again elsewhere in time; the
+  // next jobs don't touch that upstream.
+  one_domain d;
+  fake_upstream& hanging = *d.fleet.upstreams.begin()->second;
+  hanging.plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(60'000), run_end::kDone);
+  };
+  run_node& node = *d.Live()[0];
+  d.Submit(node, kJob, 12);
+  d.Run(milliseconds(600));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  size_t touched = hanging.starts.size();
+  for (int i = 0; i < 5; ++i)
+    d.Submit(node, "next" + std::to_string(i), 2);
+  d.Run(milliseconds(300));
+  CHECK(hanging.starts.size() == touched);
+  CHECK(!d.ran_twice);
+}
+
+TEST_CASE("an upstream that fails everything does not draw the work") {
+  // It is free at once after each failure, so best fit alone would feed it job
+  // after job. After two jobs' failures it gets a trial now and then only.
+  one_domain d;
+  fake_upstream& failing = *d.fleet.upstreams.begin()->second;
+  failing.plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(1), run_end::kFailed);
+  };
+  run_node& node = *d.Live()[0];
+  for (int i = 0; i < 30; ++i) {
+    d.Submit(node, "job" + std::to_string(i), 2);
+    d.Run(milliseconds(60));
+  }
+  d.Run(milliseconds(500));
+  int succeeded = 0;
+  for (const auto& [key, answers] : d.answers)
+    succeeded += answers.size() == 1 &&
+                 answers[0].outcome == run_outcome::kSucceeded;
+  CHECK(succeeded == 30);
+  CHECK(failing.starts.size() <= 5);
+}
+
+TEST_CASE("a poisoned job does not discredit upstreams") {
+  // All tasks of one job fail wherever they run. It is answered as failed, and
+  // the upstreams that it touched go on taking work.
+  one_domain d;
+  for (auto& [id, upstream] : d.fleet.upstreams) {
+    upstream->plan = [](const task_name& task) {
+      bool poisoned = task.job == job_key("poisoned");
+      return std::pair<duration, run_end>(
+          milliseconds(50), poisoned ? run_end::kFailed : run_end::kDone);
+    };
+  }
+  run_node& node = *d.Live()[0];
+  d.Submit(node, "poisoned", 4);
+  d.Run(milliseconds(400));
+  REQUIRE(d.answers["poisoned"].size() == 1);
+  CHECK(d.answers["poisoned"][0].outcome == run_outcome::kFailed);
+  d.Submit(node, kJob, 12);
+  d.Run(milliseconds(80));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+}
+
+TEST_CASE("a home that does not know all upstreams yet") {
+  // The successor has just started; its list of upstreams is not whole.
+  // The job's tasks run on upstreams that it has not heard of. It must not
+  // start them elsewhere before it has the whole list or their leases are over.
+  one_domain d(milliseconds(900));
+  run_node& home = d.Home();
+  run_node& owner = d.Other(home);
+  d.Submit(owner, kJob, 6);
+  d.Run(milliseconds(100));
+  upstream_registry whole = d.fleet.registry;
+  upstream_registry part;
+  part.insert(*whole.rbegin());
+  for (run_node* node : d.Live()) {
+    if (node != &home)
+      node->cluster->SetUpstreams(part);
+  }
+  d.Kill(home);
+  d.Run(milliseconds(250));
+  run_node& next = d.Home();
+  CHECK(!d.ran_twice);
+  next.cluster->SetUpstreams(whole);
+  d.Run(milliseconds(1200));
+  CHECK(!d.ran_twice);
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+}
+
+TEST_CASE("a job's owner claims its runs too late") {
+  // The owner's link to the new home comes up only after the time for claims.
+  // The home is stopping the runs; their tasks must not start elsewhere before
+  // they have ended.
+  one_domain d(milliseconds(900));
+  run_node& home = d.Home();
+  run_node& owner = d.Other(home);
+  d.Submit(owner, kJob, 6);
+  d.Run(milliseconds(100));
+  run_node* next = nullptr;
+  for (run_node* node : d.Live()) {
+    if (node != &home && node != &owner)
+      next = node;
+  }
+  d.Cut(owner, *next);
+  d.fleet.fate = [](const upstream_id&, const std::string&) {
+    return call_fate::kAnswered;
+  };
+  d.Kill(home);
+  owner.tables.cut = true;
+  d.Run(milliseconds(320));
+  REQUIRE(next->cluster->home().serving());
+  // The stops are lost, so the runs live on under what lease they have.
+  d.fleet.fate = [&, stops = 0](const upstream_id&,
+                                const std::string&) mutable {
+    return ++stops < 30 ? call_fate::kRequestLost : call_fate::kAnswered;
+  };
+  d.Heal(owner, *next);
+  d.Run(milliseconds(1500));
+  CHECK(!d.ran_twice);
+}
+
 TEST_CASE("a weak home yields to a strong instance") {
   // The strong one was away when the home was chosen. Once it has been back
   // for a while the group is handed to it, and nothing is lost on the way.
--- a/tests/upstream_session/upstream_session_test.cc
+++ b/tests/upstream_session/upstream_session_test.cc
@@ -198,6 +198,29 @@
   }
 }
 
+TEST_CASE("a run of an earlier owner on an upstream that is then cut off") {
+  // The successor has seen the run and given no lease itself, but the earlier
+  // owner's last lease may have begun just before. The run counts as over only
+  // when that one is over too.
+  session_fixture f;
+  f.upstream->plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(60'000), run_end::kDone);
+  };
+  f.Open(1);
+  f.Start(kTask);
+  f.clock.Advance(milliseconds(300));
+  f.session.reset();
+  f.Open(2);
+  REQUIRE(f.log.found.size() == 1);
+  f.fleet.fate = [](const upstream_id&, const std::string&) {
+    return call_fate::kRequestLost;
+  };
+  while (f.log.ends.empty())
+    f.clock.Advance(milliseconds(5));
+  f.upstream->Settle();
+  CHECK(f.upstream->running.empty());
+}
+
 TEST_CASE("an owner that was replaced can do nothing") {
   // A paused home wakes up after its successor has held the upstream: every
   // call of its own is refused, and it is told so.
