Log each job's way and serve its metrics

One line for each answered job names its outcome, objective, home, token and how old the knowledge of the home is; the home logs what went wrong with the inputs that decided. Lines go to standard output, at most 200 a second and never waiting; what is dropped is counted and told. Metrics of jobs, homes and runs, with quantiles by queue, are on the metrics address.

--- a/src/admin/metrics_report.cc
+++ b/src/admin/metrics_report.cc
@@ -7,50 +7,12 @@
 
 #include <sys/resource.h>
 
+#include "admin/prometheus_writer.h"
+
 namespace jasminedyke {
 
 namespace {
 
-using label = std::pair<const char*, std::string>;
-
-// Writes samples; a metric's type is written before its first sample.
-class prometheus_writer {
- public:
-  void Counter(const std::string& name,
-               double value,
-               std::initializer_list<label> labels = {}) {
-    Sample(name, "counter", value, labels);
-  }
-
-  void Gauge(const std::string& name,
-             double value,
-             std::initializer_list<label> labels = {}) {
-    Sample(name, "gauge", value, labels);
-  }
-
-  std::string Text() const { return text_.str(); }
-
- private:
-  void Sample(const std::string& name,
-              const char* type,
-              double value,
-              std::initializer_list<label> labels) {
-    std::string full_name = "jasminedyke_" + name;
-    if (typed_.insert(full_name).second)
-      text_ << "# TYPE " << full_name << ' ' << type << '\n';
-    text_ << full_name;
-    const char* separator = "{";
-    for (const label& each : labels) {
-      text_ << separator << each.first << "=\"" << each.second << '"';
-      separator = ",";
-    }
-    text_ << (labels.size() > 0 ? "} " : " ") << value << '\n';
-  }
-
-  std::ostringstream text_;
-  std::set<std::string> typed_;
-};
-
 void WriteDispatch(prometheus_writer& out, const dispatch_metrics& metrics) {
   out.Counter("jobs_admitted_total", metrics.jobs_admitted);
   out.Counter("jobs_complete_total", metrics.jobs_complete);
--- /dev/null
+++ b/src/admin/run_metrics_report.cc
@@ -0,0 +1,86 @@
+#include "admin/run_metrics_report.h"
+
+#include <sys/resource.h>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr double kMicrosecondsInSecond = 1e6;
+constexpr double kBytesInKilobyte = 1024;
+
+double Seconds(const timeval& time) {
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) / kMicrosecondsInSecond;
+}
+
+void WriteDesk(prometheus_writer& out, const job_desk& desk) {
+  const job_desk_metrics& metrics = desk.metrics();
+  out.Counter("jobs_accepted_total", static_cast<double>(metrics.accepted));
+  out.Counter("jobs_left_total", static_cast<double>(metrics.left));
+  out.Counter("jobs_moved_total", static_cast<double>(metrics.moved));
+  out.Gauge("jobs_open", static_cast<double>(desk.open_jobs()));
+  for (const auto& [outcome, count] : metrics.outcomes)
+    out.Counter("jobs_answered_total", static_cast<double>(count),
+                {{"outcome", ToString(outcome)}});
+  for (const auto& [reason, count] : metrics.refusals)
+    out.Counter("job_refusals_total", static_cast<double>(count),
+                {{"reason", ToString(reason)}});
+  for (const auto& [queue, values] : metrics.answer_time)
+    out.Summary("job_answer_seconds", values, queue.str());
+}
+
+void WriteHome(prometheus_writer& out, const run_home& home) {
+  const run_home_metrics& metrics = home.metrics();
+  home_status status = home.Status();
+  out.Gauge("home_serving", status.serving ? 1 : 0);
+  out.Gauge("home_settled", status.settled ? 1 : 0);
+  out.Gauge("home_token", static_cast<double>(status.token.value()));
+  out.Gauge("home_jobs", static_cast<double>(home.jobs()));
+  out.Gauge("home_free_cpu_millis",
+            static_cast<double>(status.free_cpu_millis));
+  out.Gauge("home_total_cpu_millis",
+            static_cast<double>(status.total_cpu_millis));
+  out.Gauge("home_wait_seconds", ToSeconds(status.wait));
+  out.Counter("runs_started_total", static_cast<double>(metrics.started));
+  out.Counter("runs_done_total", static_cast<double>(metrics.done));
+  out.Counter("runs_failed_total", static_cast<double>(metrics.failed));
+  out.Counter("runs_lapsed_total", static_cast<double>(metrics.lapsed));
+  out.Counter("runs_stopped_total", static_cast<double>(metrics.stopped));
+  out.Counter("runs_adopted_total", static_cast<double>(metrics.adopted));
+  out.Counter("runs_stuck_total", static_cast<double>(metrics.stuck));
+  out.Counter("upstream_trials_total", static_cast<double>(metrics.trials));
+  for (const auto& [why, count] : metrics.refused_starts)
+    out.Counter("starts_refused_total", static_cast<double>(count),
+                {{"reason", ToString(why)}});
+  for (const auto& [why, count] : metrics.refused_jobs)
+    out.Counter("home_refusals_total", static_cast<double>(count),
+                {{"reason", ToString(why)}});
+  for (const auto& [queue, values] : metrics.room_wait)
+    out.Summary("task_room_wait_seconds", values, queue.str());
+  for (const auto& [queue, values] : metrics.run_time)
+    out.Summary("task_run_seconds", values, queue.str());
+}
+
+}  // namespace
+
+void WriteRunMetrics(prometheus_writer& out, const run_cluster& cluster) {
+  out.Gauge("ready", cluster.ready() ? 1 : 0);
+  out.Gauge("config_version",
+            static_cast<double>(cluster.routes().config().version.value()));
+  WriteDesk(out, cluster.desk());
+  WriteHome(out, cluster.home());
+}
+
+void WriteProcessMetrics(prometheus_writer& out) {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  out.Counter("process_cpu_seconds_total",
+              Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  out.Gauge("process_peak_resident_bytes",
+            static_cast<double>(usage.ru_maxrss) * kBytesInKilobyte);
+  out.Counter("log_lines_dropped_total",
+              static_cast<double>(DroppedLogLines()));
+}
+
+}  // namespace jasminedyke
--- /dev/null
+++ b/src/admin/run_metrics_report.h
@@ -0,0 +1,17 @@
+// The metrics of an instance that shares upstreams through homes.
+
+#ifndef SRC_ADMIN_RUN_METRICS_REPORT_H_
+#define SRC_ADMIN_RUN_METRICS_REPORT_H_
+
+#include "admin/prometheus_writer.h"
+#include "cluster/cluster.h"
+
+namespace jasminedyke {
+
+void WriteRunMetrics(prometheus_writer& out, const run_cluster& cluster);
+// Of the process itself, and of its log.
+void WriteProcessMetrics(prometheus_writer& out);
+
+}  // namespace jasminedyke
+
+#endif  // SRC_ADMIN_RUN_METRICS_REPORT_H_
--- /dev/null
+++ b/src/base/bounded_sink.cc
@@ -0,0 +1,56 @@
+#include "base/bounded_sink.h"
+
+#include <algorithm>
+#include <string>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace jasminedyke {
+
+namespace {
+
+// A line costs about 20 us; 200 a second keep logging under half a percent of
+// a core. A burst holds what a takeover with its jobs writes.
+constexpr double kLinesPerSecond = 200;
+constexpr double kBurst = 600;
+
+}  // namespace
+
+void bounded_sink::sink_it_(const spdlog::details::log_msg& message) {
+  if (!MayWrite()) {
+    ++dropped_;
+    return;
+  }
+  spdlog::memory_buf_t line;
+  formatter_->format(message, line);
+  if (told_ != dropped_) {
+    std::string note =
+        "event=log_dropped lines=" + std::to_string(dropped_ - told_) + "\n";
+    told_ = dropped_;
+    Write(note.data(), note.size());
+  }
+  Write(line.data(), line.size());
+}
+
+bool bounded_sink::MayWrite() {
+  auto now = log_clock::now();
+  std::chrono::duration<double> passed = now - refilled_;
+  refilled_ = now;
+  allowance_ = std::min(kBurst, allowance_ + passed.count() * kLinesPerSecond);
+  if (allowance_ < 1)
+    return false;
+  // A pipe that is ready takes a line of its atomic size without waiting.
+  pollfd ready{descriptor_, POLLOUT, 0};
+  if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+    return false;
+  allowance_ -= 1;
+  return true;
+}
+
+void bounded_sink::Write(const char* data, size_t size) {
+  if (write(descriptor_, data, size) != static_cast<ssize_t>(size))
+    ++dropped_;
+}
+
+}  // namespace jasminedyke
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -2,8 +2,10 @@
 
 #include <memory>
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include "base/bounded_sink.h"
 
 namespace jasminedyke {
 
@@ -23,16 +25,22 @@
   return spdlog::level::info;
 }
 
+// Null until logging has been started.
+std::shared_ptr<bounded_sink> g_sink;
+
 }  // namespace
 
+uint64_t DroppedLogLines() {
+  return g_sink ? g_sink->dropped() : 0;
+}
+
 void StartLogging(const std::string& level) {
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-  auto logger = std::make_shared<spdlog::logger>("jasminedyke", sink);
+  g_sink = std::make_shared<bounded_sink>(STDOUT_FILENO);
+  auto logger = std::make_shared<spdlog::logger>("jasminedyke", g_sink);
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
   auto parsed = spdlog::level::from_str(level);
   bool unknown = parsed == spdlog::level::off && level != "off";
   logger->set_level(unknown ? spdlog::level::info : parsed);
-  logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(logger);
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,6 +4,7 @@
 #define SRC_BASE_LOG_H_
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -26,10 +27,13 @@
       : key(k), value(std::to_string(v)) {}
 };
 
-// Sends the lines to standard error. `level` is debug, info, warning, error
-// or off; anything else is taken as info.
+// Sends the lines to standard output, at most some hundreds a second and none
+// that would have to wait for the reader; what is dropped is counted. `level`
+// is debug, info, warning, error or off; anything else is taken as info.
 void StartLogging(const std::string& level);
 
+uint64_t DroppedLogLines();
+
 bool LogEnabled(log_level level);
 
 void LogEvent(log_level level,
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -30,6 +30,20 @@
 
 }  // namespace
 
+const char* ToString(run_outcome outcome) {
+  switch (outcome) {
+    case run_outcome::kSucceeded:
+      return "succeeded";
+    case run_outcome::kFailed:
+      return "failed";
+    case run_outcome::kNotRun:
+      return "not_run";
+    case run_outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 job_desk::job_desk(scheduler& clock,
                    const failure_domain_id& domain,
                    home_directory& homes,
@@ -143,6 +157,10 @@
   if (found == jobs_.end() || found->second.submission != submission)
     return;
   ++metrics_.left;
+  LogEvent(log_level::kInfo, "caller_left",
+           {{"job", key.str()},
+            {"ms", ToMilliseconds(clock_.now() - found->second.accepted)},
+            {"home", found->second.home.str()}});
   CancelAtHome(found->second);
   jobs_.erase(found);
 }
@@ -237,6 +255,9 @@
   auto found = jobs_.find(key);
   if (found == jobs_.end())
     return;
+  LogAnswer(found->second, answer);
+  NoteLatency(metrics_.answer_time, found->second.asked.queue,
+              clock_.now() - found->second.accepted, clock_.now());
   answer_callback done = std::move(found->second.done);
   jobs_.erase(found);
   ++metrics_.outcomes[answer.outcome];
@@ -245,6 +266,26 @@
   done(answer);
 }
 
+// One line for each job tells where to look next: the home's log has the job's
+// id with what went wrong there.
+void job_desk::LogAnswer(const open_job& job, const run_answer& answer) const {
+  const known_home* home = homes_.Find(job.group);
+  duration age = home ? clock_.now() - home->heard : duration::zero();
+  LogEvent(log_level::kInfo, "job_answered",
+           {{"job", job.asked.key.str()},
+            {"queue", job.asked.queue.str()},
+            {"outcome", ToString(answer.outcome)},
+            {"reason", ToString(answer.reason)},
+            {"ms", ToMilliseconds(clock_.now() - job.accepted)},
+            {"objective_ms", ToMilliseconds(job.objective - job.accepted)},
+            {"group", job.group.ToString()},
+            {"home", job.home.str()},
+            {"token", home ? home->status.token.value() : 0},
+            {"home_heard_ms_ago", ToMilliseconds(age)},
+            {"done", job.finished.size()},
+            {"sent", job.sent.size()}});
+}
+
 void job_desk::Sweep() {
   std::vector<job_key> given_up;
   for (const auto& [key, job] : jobs_) {
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -13,6 +13,7 @@
 
 #include "base/base.h"
 #include "runs/home_directory.h"
+#include "runs/queue_latency.h"
 #include "runs/run_messages.h"
 
 namespace jasminedyke {
@@ -50,6 +51,8 @@
   kUnknown,  // given up; parts may have run
 };
 
+const char* ToString(run_outcome outcome);
+
 struct run_answer {
   run_outcome outcome = run_outcome::kUnknown;
   run_refusal reason = run_refusal::kNone;
@@ -63,6 +66,8 @@
   std::map<run_outcome, uint64_t> outcomes;
   std::map<run_refusal, uint64_t> refusals;
   uint64_t moved = 0;
+  // From acceptance to answer.
+  latency_by_queue answer_time;
 };
 
 // Sends each job to one home and keeps what it needs to go on without it: when
@@ -125,6 +130,7 @@
   void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
   void OnRefused(open_job& job, const run_report& report);
   void Answer(const job_key& key, const run_answer& answer);
+  void LogAnswer(const open_job& job, const run_answer& answer) const;
   void CancelAtHome(const open_job& job);
   void Sweep();
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -146,6 +146,8 @@
     auto [found, is_new] = job.tasks.try_emplace(demand.position);
     home_task& task = found->second;
     task.demand = demand;
+    if (is_new)
+      task.queued_at = clock_.now();
     if (auto end = early_ends_.find(name); end != early_ends_.end()) {
       bool done = end->second == run_end::kDone && demand.maybe_started;
       early_ends_.erase(end);
@@ -273,6 +275,17 @@
   job->ran = true;
   if (ordered_here)
     NoteEnd(*job, *task, how);
+  if (how != run_end::kDone && !task->stopping) {
+    LogEvent(log_level::kInfo, "run_ended",
+             {{"job", name.job.str()},
+              {"task", name.position.index},
+              {"run", run.value()},
+              {"upstream", session.info().id.str()},
+              {"how", ToString(how)},
+              {"ms", ToMilliseconds(clock_.now() - task->ordered_at)},
+              {"failures", task->failures},
+              {"max_attempts", job->request.max_attempts}});
+  }
   if (how == run_end::kDone) {
     ++metrics_.done;
     OnTaskDone(*job, *task);
@@ -295,6 +308,7 @@
     standing.OnFailed(now, job.key);
   if (how != run_end::kDone || task.demand.estimate <= duration::zero())
     return;
+  NoteLatency(metrics_.run_time, job.request.queue, took, now);
   standing.OnDone(now, Expected(job, task), took);
   double pace = ToSeconds(took) / ToSeconds(task.demand.estimate);
   // The fastest: others may have run on slow upstreams.
@@ -352,6 +366,15 @@
 
 void run_home::Refuse(home_job& job, run_refusal reason, duration retry_after) {
   ++metrics_.refused_jobs[reason];
+  LogEvent(log_level::kInfo, "home_refuses",
+           {{"job", job.key.str()},
+            {"owner", job.owner.str()},
+            {"reason", ToString(reason)},
+            {"not_run", IsUntouched(job) ? 1 : 0},
+            {"wait_ms", ToMilliseconds(WaitForRoom())},
+            {"cores", UsableCores()},
+            {"to_objective_ms", ToMilliseconds(job.objective - clock_.now())},
+            {"token", token_.value()}});
   run_report report{job.key, job.request.submission, {}};
   report.refusal = reason;
   report.not_run = IsUntouched(job);
@@ -376,7 +399,7 @@
             {"task", name.position.index},
             {"run", run.value()},
             {"upstream", session.info().id.str()},
-            {"result", static_cast<int>(why)}});
+            {"result", ToString(why)}});
   if (why == start_result::kNotAccepted) {
     // No upstream would take it: the order itself is wrong.
     task->failures = job->request.max_attempts;
@@ -545,6 +568,8 @@
   task.stopping = false;
   task.upstream = session.info().id;
   task.ordered_at = clock_.now();
+  NoteLatency(metrics_.room_wait, job.request.queue,
+              task.ordered_at - task.queued_at, task.ordered_at);
   ++task.last_run;
   ++metrics_.started;
   session.Start({job.key, 0, task.demand.position}, run_number(task.last_run),
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -15,6 +15,7 @@
 #include "base/base.h"
 #include "runs/admission_estimate.h"
 #include "runs/job_order.h"
+#include "runs/queue_latency.h"
 #include "runs/run_messages.h"
 #include "runs/upstream_session.h"
 #include "runs/upstream_standing.h"
@@ -32,6 +33,9 @@
   uint64_t trials = 0;
   std::map<start_result, uint64_t> refused_starts;
   std::map<run_refusal, uint64_t> refused_jobs;
+  // From a task's arrival until it is ordered, and from then until it is done.
+  latency_by_queue room_wait;
+  latency_by_queue run_time;
 };
 
 // Why one home: an upstream keeps one list of ends that anybody's
@@ -90,6 +94,7 @@
   struct home_task {
     task_demand demand;
     task_phase phase = task_phase::kQueued;
+    time_point queued_at;
     // The last number that was used, 0 if none.
     uint64_t last_run = 0;
     int failures = 0;
--- a/src/runs/upstream_port.h
+++ b/src/runs/upstream_port.h
@@ -37,6 +37,8 @@
   kUnknown,      // it may have started, or may start before its time is over
 };
 
+const char* ToString(start_result result);
+
 struct start_reply {
   start_result result = start_result::kUnknown;
   std::optional<upstream_time> clock;
