--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,6 +23,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 
@@ -266,6 +267,22 @@
             proxy.server.close()
 
 
+def free_base(instances):
+    """A base whose ports are all free now."""
+    for base in random.sample(range(20000, 60000, 200), 100):
+        wanted = [base + i for i in range(10)] + [base + ADVERTISE_OFFSET + i for i in range(10)]
+        wanted += [base + 100 + i for i in range(4 * instances)]
+        try:
+            for port in wanted:
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    sys.exit("no free ports")
+
+
 async def soak(args, seed):
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     run = Soak(args, seed, folder)
@@ -286,9 +303,10 @@
     parser.add_argument("--seeds", default="1", help="N, or FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--instances", type=int, default=4)
-    parser.add_argument("--port", type=int, default=24000)
+    parser.add_argument("--port", type=int, default=0, help="0: any free ones")
     parser.add_argument("--build", default="build")
     args = parser.parse_args()
+    args.port = args.port or free_base(args.instances)
     first, _, last = args.seeds.partition("-")
     good = [asyncio.run(soak(args, seed)) for seed in range(int(first), int(last or first) + 1)]
     print(f"{sum(good)} passed, {len(good) - sum(good)} failed")
