Place tasks by their step's label, spread and data's rack

Cause: a job's wish for at most so many tasks of a step on one upstream was decoded and not kept, and its data's rack was ignored; other installations use both. A request now carries them with each task.

Away from its data a task takes up to three times as long; it goes there only if it still ends in time, or is late anyway.

--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -2693,6 +2693,21 @@
   this->maybe_started = val;
 __isset.maybe_started = true;
 }
+
+void task_group::__set_rack(const std::string& val) {
+  this->rack = val;
+__isset.rack = true;
+}
+
+void task_group::__set_required_label(const std::string& val) {
+  this->required_label = val;
+__isset.required_label = true;
+}
+
+void task_group::__set_max_per_upstream(const int32_t val) {
+  this->max_per_upstream = val;
+__isset.max_per_upstream = true;
+}
 std::ostream& operator<<(std::ostream& out, const task_group& obj)
 {
   obj.printTo(out);
@@ -2773,6 +2788,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->required_label);
+          this->__isset.required_label = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_per_upstream);
+          this->__isset.max_per_upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2819,6 +2858,21 @@
     xfer += oprot->writeBool(this->maybe_started);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rack) {
+    xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->rack);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.required_label) {
+    xfer += oprot->writeFieldBegin("required_label", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->required_label);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.max_per_upstream) {
+    xfer += oprot->writeFieldBegin("max_per_upstream", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->max_per_upstream);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2831,6 +2885,9 @@
   swap(a.need, b.need);
   swap(a.estimate_us, b.estimate_us);
   swap(a.maybe_started, b.maybe_started);
+  swap(a.rack, b.rack);
+  swap(a.required_label, b.required_label);
+  swap(a.max_per_upstream, b.max_per_upstream);
   swap(a.__isset, b.__isset);
 }
 
@@ -2840,6 +2897,9 @@
   need = other108.need;
   estimate_us = other108.estimate_us;
   maybe_started = other108.maybe_started;
+  rack = other108.rack;
+  required_label = other108.required_label;
+  max_per_upstream = other108.max_per_upstream;
   __isset = other108.__isset;
 }
 task_group& task_group::operator=(const task_group& other109) {
@@ -2848,6 +2908,9 @@
   need = other109.need;
   estimate_us = other109.estimate_us;
   maybe_started = other109.maybe_started;
+  rack = other109.rack;
+  required_label = other109.required_label;
+  max_per_upstream = other109.max_per_upstream;
   __isset = other109.__isset;
   return *this;
 }
@@ -2859,6 +2922,9 @@
   out << ", " << "need=" << to_string(need);
   out << ", " << "estimate_us=" << to_string(estimate_us);
   out << ", " << "maybe_started="; (__isset.maybe_started ? (out << to_string(maybe_started)) : (out << "<null>"));
+  out << ", " << "rack="; (__isset.rack ? (out << to_string(rack)) : (out << "<null>"));
+  out << ", " << "required_label="; (__isset.required_label ? (out << to_string(required_label)) : (out << "<null>"));
+  out << ", " << "max_per_upstream="; (__isset.max_per_upstream ? (out << to_string(max_per_upstream)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2908,21 +2974,6 @@
 __isset.priority = true;
 }
 
-void run_request::__set_rack(const std::string& val) {
-  this->rack = val;
-__isset.rack = true;
-}
-
-void run_request::__set_required_label(const std::string& val) {
-  this->required_label = val;
-__isset.required_label = true;
-}
-
-void run_request::__set_max_per_upstream(const int32_t val) {
-  this->max_per_upstream = val;
-__isset.max_per_upstream = true;
-}
-
 void run_request::__set_tasks(const std::vector<task_group> & val) {
   this->tasks = val;
 }
@@ -3035,30 +3086,6 @@
         }
         break;
       case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->rack);
-          this->__isset.rack = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->required_label);
-          this->__isset.required_label = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->max_per_upstream);
-          this->__isset.max_per_upstream = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
@@ -3136,22 +3163,7 @@
     xfer += oprot->writeI32(this->priority);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.rack) {
-    xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 11);
-    xfer += oprot->writeString(this->rack);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.required_label) {
-    xfer += oprot->writeFieldBegin("required_label", ::apache::thrift::protocol::T_STRING, 12);
-    xfer += oprot->writeString(this->required_label);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.max_per_upstream) {
-    xfer += oprot->writeFieldBegin("max_per_upstream", ::apache::thrift::protocol::T_I32, 13);
-    xfer += oprot->writeI32(this->max_per_upstream);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 14);
+  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
     std::vector<task_group> ::const_iterator _iter115;
@@ -3180,9 +3192,6 @@
   swap(a.age_us, b.age_us);
   swap(a.max_attempts, b.max_attempts);
   swap(a.priority, b.priority);
-  swap(a.rack, b.rack);
-  swap(a.required_label, b.required_label);
-  swap(a.max_per_upstream, b.max_per_upstream);
   swap(a.tasks, b.tasks);
   swap(a.__isset, b.__isset);
 }
@@ -3198,9 +3207,6 @@
   age_us = other116.age_us;
   max_attempts = other116.max_attempts;
   priority = other116.priority;
-  rack = other116.rack;
-  required_label = other116.required_label;
-  max_per_upstream = other116.max_per_upstream;
   tasks = other116.tasks;
   __isset = other116.__isset;
 }
@@ -3215,9 +3221,6 @@
   age_us = other117.age_us;
   max_attempts = other117.max_attempts;
   priority = other117.priority;
-  rack = other117.rack;
-  required_label = other117.required_label;
-  max_per_upstream = other117.max_per_upstream;
   tasks = other117.tasks;
   __isset = other117.__isset;
   return *this;
@@ -3235,9 +3238,6 @@
   out << ", " << "age_us=" << to_string(age_us);
   out << ", " << "max_attempts=" << to_string(max_attempts);
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
-  out << ", " << "rack="; (__isset.rack ? (out << to_string(rack)) : (out << "<null>"));
-  out << ", " << "required_label="; (__isset.required_label ? (out << to_string(required_label)) : (out << "<null>"));
-  out << ", " << "max_per_upstream="; (__isset.max_per_upstream ? (out << to_string(max_per_upstream)) : (out << "<null>"));
   out << ", " << "tasks=" << to_string(tasks);
   out << ")";
 }
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -1133,12 +1133,15 @@
 std::ostream& operator<<(std::ostream& out, const amount& obj);
 
 typedef struct _task_group__isset {
-  _task_group__isset() : step(false), indexes(false), need(false), estimate_us(false), maybe_started(false) {}
+  _task_group__isset() : step(false), indexes(false), need(false), estimate_us(false), maybe_started(false), rack(false), required_label(false), max_per_upstream(false) {}
   bool step :1;
   bool indexes :1;
   bool need :1;
   bool estimate_us :1;
   bool maybe_started :1;
+  bool rack :1;
+  bool required_label :1;
+  bool max_per_upstream :1;
 } _task_group__isset;
 
 class task_group : public virtual ::apache::thrift::TBase {
@@ -1149,7 +1152,10 @@
   task_group() noexcept
              : step(0),
                estimate_us(0),
-               maybe_started(0) {
+               maybe_started(0),
+               rack(),
+               required_label(),
+               max_per_upstream(0) {
   }
 
   virtual ~task_group() noexcept;
@@ -1158,6 +1164,9 @@
   amount need;
   int32_t estimate_us;
   bool maybe_started;
+  std::string rack;
+  std::string required_label;
+  int32_t max_per_upstream;
 
   _task_group__isset __isset;
 
@@ -1171,6 +1180,12 @@
 
   void __set_maybe_started(const bool val);
 
+  void __set_rack(const std::string& val);
+
+  void __set_required_label(const std::string& val);
+
+  void __set_max_per_upstream(const int32_t val);
+
   bool operator == (const task_group & rhs) const
   {
     if (!(step == rhs.step))
@@ -1185,6 +1200,18 @@
       return false;
     else if (__isset.maybe_started && !(maybe_started == rhs.maybe_started))
       return false;
+    if (__isset.rack != rhs.__isset.rack)
+      return false;
+    else if (__isset.rack && !(rack == rhs.rack))
+      return false;
+    if (__isset.required_label != rhs.__isset.required_label)
+      return false;
+    else if (__isset.required_label && !(required_label == rhs.required_label))
+      return false;
+    if (__isset.max_per_upstream != rhs.__isset.max_per_upstream)
+      return false;
+    else if (__isset.max_per_upstream && !(max_per_upstream == rhs.max_per_upstream))
+      return false;
     return true;
   }
   bool operator != (const task_group &rhs) const {
@@ -1204,7 +1231,7 @@
 std::ostream& operator<<(std::ostream& out, const task_group& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), rack(false), required_label(false), max_per_upstream(false), tasks(false) {}
+  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), tasks(false) {}
   bool job :1;
   bool submission :1;
   bool queue :1;
@@ -1215,9 +1242,6 @@
   bool age_us :1;
   bool max_attempts :1;
   bool priority :1;
-  bool rack :1;
-  bool required_label :1;
-  bool max_per_upstream :1;
   bool tasks :1;
 } _run_request__isset;
 
@@ -1236,10 +1260,7 @@
                 to_limit_us(0),
                 age_us(0),
                 max_attempts(0),
-                priority(0),
-                rack(),
-                required_label(),
-                max_per_upstream(0) {
+                priority(0) {
   }
 
   virtual ~run_request() noexcept;
@@ -1253,9 +1274,6 @@
   int64_t age_us;
   int32_t max_attempts;
   int32_t priority;
-  std::string rack;
-  std::string required_label;
-  int32_t max_per_upstream;
   std::vector<task_group>  tasks;
 
   _run_request__isset __isset;
@@ -1280,12 +1298,6 @@
 
   void __set_priority(const int32_t val);
 
-  void __set_rack(const std::string& val);
-
-  void __set_required_label(const std::string& val);
-
-  void __set_max_per_upstream(const int32_t val);
-
   void __set_tasks(const std::vector<task_group> & val);
 
   bool operator == (const run_request & rhs) const
@@ -1312,18 +1324,6 @@
       return false;
     else if (__isset.priority && !(priority == rhs.priority))
       return false;
-    if (__isset.rack != rhs.__isset.rack)
-      return false;
-    else if (__isset.rack && !(rack == rhs.rack))
-      return false;
-    if (__isset.required_label != rhs.__isset.required_label)
-      return false;
-    else if (__isset.required_label && !(required_label == rhs.required_label))
-      return false;
-    if (__isset.max_per_upstream != rhs.__isset.max_per_upstream)
-      return false;
-    else if (__isset.max_per_upstream && !(max_per_upstream == rhs.max_per_upstream))
-      return false;
     if (!(tasks == rhs.tasks))
       return false;
     return true;
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -135,6 +135,9 @@
   3: amount need
   4: i32 estimate_us
   5: optional bool maybe_started
+  6: optional string rack
+  7: optional string required_label
+  8: optional i32 max_per_upstream
 }
 
 // Times are durations from the sending.
@@ -149,10 +152,7 @@
   8: i64 age_us
   9: i32 max_attempts
   10: optional i32 priority
-  11: optional string rack
-  12: optional string required_label
-  13: optional i32 max_per_upstream
-  14: list<task_group> tasks
+  11: list<task_group> tasks
 }
 
 struct run_cancel {
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -32,7 +32,10 @@
   return group.step == static_cast<int32_t>(task.position.step) &&
          FromWire(group.need) == task.need &&
          group.estimate_us == ToInt32(task.estimate.count()) &&
-         group.maybe_started == task.maybe_started;
+         group.maybe_started == task.maybe_started &&
+         group.rack == task.rack.str() &&
+         group.required_label == task.required_label &&
+         group.max_per_upstream == task.max_per_upstream;
 }
 
 }  // namespace
@@ -50,12 +53,6 @@
   wire.max_attempts = request.max_attempts;
   if (request.priority != 0)
     wire.__set_priority(request.priority);
-  if (!request.rack.empty())
-    wire.__set_rack(request.rack.str());
-  if (!request.required_label.empty())
-    wire.__set_required_label(request.required_label);
-  if (request.max_per_upstream != 0)
-    wire.__set_max_per_upstream(request.max_per_upstream);
   for (const task_demand& task : request.tasks) {
     if (wire.tasks.empty() || !SameGroup(wire.tasks.back(), task)) {
       wire::task_group group;
@@ -64,6 +61,12 @@
       group.estimate_us = ToInt32(task.estimate.count());
       if (task.maybe_started)
         group.__set_maybe_started(true);
+      if (!task.rack.empty())
+        group.__set_rack(task.rack.str());
+      if (!task.required_label.empty())
+        group.__set_required_label(task.required_label);
+      if (task.max_per_upstream != 0)
+        group.__set_max_per_upstream(task.max_per_upstream);
       wire.tasks.push_back(group);
     }
     wire.tasks.back().indexes.push_back(
@@ -84,16 +87,18 @@
   request.age = duration(wire.age_us);
   request.max_attempts = wire.max_attempts;
   request.priority = wire.priority;
-  request.rack = rack_id(wire.rack);
-  request.required_label = wire.required_label;
-  request.max_per_upstream = wire.max_per_upstream;
   for (const wire::task_group& group : wire.tasks) {
     for (int32_t index : group.indexes) {
-      request.tasks.push_back(
-          {{static_cast<uint32_t>(group.step), static_cast<uint32_t>(index)},
-           FromWire(group.need),
-           duration(group.estimate_us),
-           group.maybe_started});
+      task_demand task;
+      task.position = {static_cast<uint32_t>(group.step),
+                       static_cast<uint32_t>(index)};
+      task.need = FromWire(group.need);
+      task.estimate = duration(group.estimate_us);
+      task.rack = rack_id(group.rack);
+      task.required_label = group.required_label;
+      task.max_per_upstream = group.max_per_upstream;
+      task.maybe_started = group.maybe_started;
+      request.tasks.push_back(task);
     }
   }
   return request;
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -128,15 +128,13 @@
     request.age = clock_.now() - job.accepted;
     request.max_attempts = job.asked.max_attempts;
     request.priority = job.asked.priority;
-    request.rack = asked.rack;
-    request.required_label = asked.required_label;
-    request.max_per_upstream = asked.max_per_upstream;
     for (uint32_t index = 0; index < asked.tasks; ++index) {
       task_position position{step, index};
       bool was_sent = job.sent.contains(position);
       if (job.finished.contains(position) || (was_sent && !again))
         continue;
-      request.tasks.push_back({position, asked.need, asked.estimate,
+      request.tasks.push_back({position, asked.need, asked.estimate, asked.rack,
+                               asked.required_label, asked.max_per_upstream,
                                was_sent && job.maybe_started});
       job.sent.insert(position);
     }
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -23,6 +23,8 @@
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // For a job whose queue is long: callers come back no sooner than that.
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
+// Of a task away from the rack of its data: the platform's bound is 2 to 3.
+constexpr double kOffRackSlowdown = 3;
 // A trial is made only where no good upstream has room.
 constexpr double kTrialCost = 10;
 // Of the objective, counted from the job's arrival.
@@ -551,14 +553,18 @@
 bool run_home::PlaceTask(home_job& job, home_task& task) {
   std::vector<placement_candidate> candidates;
   std::vector<upstream_session*> sessions;
+  bool pays_off_rack = PaysOffRack(job, task);
   for (auto& [id, session] : sessions_) {
     if (!session->usable() || !MayRun(*session, job, task) || id == task.avoid)
       continue;
+    double slowness = SlownessOn(*session, task);
+    if (slowness > 1 && !pays_off_rack)
+      continue;
     const upstream_standing& standing = standings_[id];
     bool trial = !standing.good();
     if (trial && (!standing.MayTry(clock_.now()) || !session->idle()))
       continue;
-    candidates.push_back({session->room(), trial ? kTrialCost : 1});
+    candidates.push_back({session->room(), trial ? kTrialCost : slowness});
     sessions.push_back(session.get());
   }
   auto chosen = ChooseUpstream(candidates, task.demand.need);
@@ -586,12 +592,44 @@
 
 bool run_home::MayRun(const upstream_session& session,
                       const home_job& job,
-                      const home_task&) const {
+                      const home_task& task) const {
   const upstream_info& info = session.info();
-  if (info.service != job.request.service)
+  const run_request& request = job.request;
+  if (info.service != request.service)
+    return false;
+  if (!task.demand.required_label.empty() &&
+      !info.labels.contains(task.demand.required_label))
     return false;
-  return job.request.required_label.empty() ||
-         info.labels.contains(job.request.required_label);
+  return task.demand.max_per_upstream == 0 ||
+         TasksOn(info.id, job, task.demand.position.step) <
+             task.demand.max_per_upstream;
+}
+
+int run_home::TasksOn(const upstream_id& upstream,
+                      const home_job& job,
+                      uint32_t step) {
+  return static_cast<int>(
+      std::ranges::count_if(job.tasks, [&](const auto& entry) {
+        const home_task& task = entry.second;
+        return entry.first.step == step && task.phase == task_phase::kOrdered &&
+               task.upstream == upstream;
+      }));
+}
+
+// Away from its data a task takes longer. It goes there only if it still ends
+// in time, or is late anyway; else it waits for room near the data.
+double run_home::SlownessOn(const upstream_session& session,
+                            const home_task& task) {
+  bool near =
+      task.demand.rack.empty() || session.info().rack == task.demand.rack;
+  return near ? 1 : kOffRackSlowdown;
+}
+
+bool run_home::PaysOffRack(const home_job& job, const home_task& task) const {
+  duration near = Expected(job, task);
+  duration away = FromSeconds(ToSeconds(near) * kOffRackSlowdown);
+  time_point now = clock_.now();
+  return now + away <= job.objective || now + near > job.objective;
 }
 
 // False if no known upstream has the size and labels for each of its tasks.
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -172,6 +172,13 @@
   bool MayRun(const upstream_session& session,
               const home_job& job,
               const home_task& task) const;
+  // Of one step of the job, on one upstream.
+  static int TasksOn(const upstream_id& upstream,
+                     const home_job& job,
+                     uint32_t step);
+  static double SlownessOn(const upstream_session& session,
+                           const home_task& task);
+  bool PaysOffRack(const home_job& job, const home_task& task) const;
   bool CouldEverRun(const home_job& job) const;
   job_outlook OutlookOf(const home_job& job) const;
   void Sweep();
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -33,6 +33,12 @@
   resource_amount need;
   // The caller's guess of the run time, often far off.
   duration estimate = duration::zero();
+  // The rack of its data; empty if it has none.
+  rack_id rack;
+  // Of the upstream; empty: any.
+  std::string required_label;
+  // At most so many tasks of its step on one upstream; 0: any number.
+  int max_per_upstream = 0;
   // Has been asked of a home before: it may be running, or have ended.
   bool maybe_started = false;
 
@@ -54,11 +60,6 @@
   int max_attempts = 1;
   // Of the queue; 0 goes first.
   int priority = 0;
-  // The rack of the job's data; empty if it has none.
-  rack_id rack;
-  std::string required_label;
-  // At most so many tasks of a step on one upstream; 0: any number.
-  int max_per_upstream = 0;
   std::vector<task_demand> tasks;
 
   bool operator==(const run_request&) const = default;
--- /dev/null
+++ b/tests/run_home/run_home_test.cc
@@ -0,0 +1,189 @@
+// Where a home starts tasks.
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "fakes/fake_upstreams.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const instance_id kOwner("entry-1");
+
+struct home_fixture {
+  home_fixture()
+      : port(fleet, "home"),
+        home(
+            clock,
+            port,
+            {failure_domain_id("north"), 0},
+            {},
+            [this](const instance_id&, const run_report& report) {
+              reports.push_back(report);
+            },
+            [] {}) {}
+
+  void Begin() {
+    home.Begin(fencing_token(1));
+    home.SetUpstreams(fleet.registry, true);
+    clock.Advance(milliseconds(20));
+  }
+
+  upstream_info& InfoOf(const std::string& id) {
+    return fleet.registry.at(upstream_id(id));
+  }
+
+  run_request Request(uint32_t tasks, const task_demand& like) {
+    run_request request;
+    request.job = job_key("00000000000000aa");
+    request.submission = submission_id(1);
+    request.service = service_id("parts");
+    request.spec = std::to_string(like.need.cpu_millis);
+    request.to_objective = milliseconds(156);
+    request.to_limit = milliseconds(1500);
+    request.max_attempts = 2;
+    for (uint32_t i = 0; i < tasks; ++i) {
+      task_demand demand = like;
+      demand.position.index = i;
+      request.tasks.push_back(demand);
+    }
+    return request;
+  }
+
+  size_t StartsOn(const std::string& id) {
+    return fleet.upstreams.at(upstream_id(id))->starts.size();
+  }
+
+  manual_scheduler clock;
+  fake_fleet fleet{clock};
+  fake_upstream_port port;
+  std::vector<run_report> reports;
+  run_home home;
+};
+
+task_demand Demand() {
+  task_demand demand;
+  demand.need = {10'000, 64, 0};
+  demand.estimate = milliseconds(50);
+  return demand;
+}
+
+}  // namespace
+
+TEST_CASE("run_home: at most so many tasks of a step on one upstream") {
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.fleet.Add("u2", "north");
+  f.Begin();
+  task_demand demand = Demand();
+  demand.max_per_upstream = 1;
+  f.home.OnRequest(kOwner, f.Request(3, demand));
+  f.clock.Advance(milliseconds(30));
+  CHECK(f.StartsOn("u1") == 1);
+  CHECK(f.StartsOn("u2") == 1);
+  f.clock.Advance(milliseconds(100));
+  CHECK(f.StartsOn("u1") + f.StartsOn("u2") == 3);
+}
+
+TEST_CASE("run_home: only upstreams with the label") {
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.fleet.Add("u2", "north");
+  f.InfoOf("u2").labels = {"b"};
+  f.Begin();
+  task_demand demand = Demand();
+  demand.required_label = "b";
+  f.home.OnRequest(kOwner, f.Request(2, demand));
+  f.clock.Advance(milliseconds(30));
+  CHECK(f.StartsOn("u1") == 0);
+  CHECK(f.StartsOn("u2") == 2);
+}
+
+TEST_CASE("run_home: near the data, or away if that ends in time") {
+  // Three tasks fill the upstream on the data's rack. The fourth takes three
+  // times as long elsewhere.
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.fleet.Add("u2", "north");
+  f.InfoOf("u1").rack = rack_id("r1-1");
+  f.InfoOf("u2").rack = rack_id("r1-2");
+  f.Begin();
+  task_demand demand = Demand();
+  demand.rack = rack_id("r1-2");
+  run_request request = f.Request(4, demand);
+  SUBCASE("which it does") {
+    f.home.OnRequest(kOwner, request);
+    f.clock.Advance(milliseconds(30));
+    CHECK(f.StartsOn("u1") == 1);
+  }
+  SUBCASE("which it does not: it waits") {
+    request.to_objective = milliseconds(140);
+    f.home.OnRequest(kOwner, request);
+    f.clock.Advance(milliseconds(120));
+    CHECK(f.StartsOn("u1") == 0);
+    CHECK(f.StartsOn("u2") == 4);
+  }
+}
+
+TEST_CASE("run_home: a draining upstream gets nothing") {
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.fleet.Add("u2", "north");
+  f.Begin();
+  f.InfoOf("u1").draining = true;
+  f.home.SetUpstreams(f.fleet.registry, true);
+  f.home.OnRequest(kOwner, f.Request(6, Demand()));
+  f.clock.Advance(milliseconds(200));
+  CHECK(f.StartsOn("u1") == 0);
+  CHECK(f.StartsOn("u2") == 6);
+}
+
+TEST_CASE(
+    "run_home: never beyond capacity, also of upstreams without a guard") {
+  home_fixture f;
+  fake_upstream& upstream = f.fleet.Add("u1", "north");
+  upstream.guarded = false;
+  f.Begin();
+  f.home.OnRequest(kOwner, f.Request(8, Demand()));
+  for (int i = 0; i < 200; ++i) {
+    f.clock.Advance(milliseconds(1));
+    CHECK(upstream.running.size() <= 3);
+  }
+  CHECK(f.StartsOn("u1") == 8);
+}
+
+TEST_CASE("run_home: jobs that can't end in useful time are refused at once") {
+  // A queue of 1.5 s of work stands before a job that has 0.47 s. Its caller is
+  // told so within one look, and that nothing of it ran.
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.Begin();
+  run_request first = f.Request(90, Demand());
+  first.job = job_key("00000000000000bb");
+  first.to_objective = std::chrono::seconds(10);
+  first.to_limit = std::chrono::seconds(60);
+  f.home.OnRequest(kOwner, first);
+  f.clock.Advance(milliseconds(10));
+  // Larger than what is left of the first, so it would come after it.
+  run_request late = f.Request(95, Demand());
+  f.home.OnRequest(kOwner, late);
+  f.clock.Advance(milliseconds(60));
+  bool refused = false;
+  for (const run_report& report : f.reports) {
+    if (report.job != late.job)
+      continue;
+    refused = true;
+    CHECK(report.refusal == run_refusal::kOverload);
+    CHECK(report.not_run);
+    CHECK(report.retry_after >= std::chrono::seconds(1));
+  }
+  CHECK(refused);
+}
+
+}  // namespace jasminedyke
