--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,6 +22,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -114,7 +115,7 @@
         self.random = random.Random(seed)
         self.promises, self.answers = Promises(), {}
         self.instances, self.paused, self.stops = {}, set(), []
-        self.jobs = 0
+        self.jobs, self.finished = 0, []
 
     def port(self, number, offset):
         return self.args.port + 100 + number * 4 + offset
@@ -137,13 +138,16 @@
     async def start_instance(self, number):
         log = open(os.path.join(self.folder, f"entry-{number}.log"), "ab")
         self.instances[number] = await asyncio.create_subprocess_exec(
-            f"{self.args.build}/jasminedyked", "--platform", stdout=log, stderr=log,
+            f"{self.folder}/jasminedyked", "--platform", stdout=log, stderr=log,
             env=dict(os.environ, JASMINEDYKE_BOOT=self.settings(number)))
 
     async def start(self):
+        # Copies: a build meanwhile would leave nothing to start again.
+        for program in ("jasminedyked", "fleet_standin"):
+            shutil.copy(f"{self.args.build}/{program}", self.folder)
         workers = 4
         self.platform = await asyncio.create_subprocess_exec(
-            f"{self.args.build}/fleet_standin", "--store-port", str(self.args.port),
+            f"{self.folder}/fleet_standin", "--store-port", str(self.args.port),
             "--first-worker-port", str(self.args.port + 1), "--workers", str(workers),
             "--advertise-offset", str(ADVERTISE_OFFSET), "--zones", "domain-0", "domain-1",
             stdout=asyncio.subprocess.PIPE)
@@ -235,8 +239,11 @@
             task = asyncio.create_task(make())
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+            self.finished.append(task)
             await asyncio.sleep(0.05)
         await asyncio.gather(*tasks)
+        for task in self.finished:
+            task.result()
         await self.check_recovery()
         self.promises.check_answers(self.answers)
 
