--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -19,8 +19,8 @@
 
 // Answers each call with one reply.
 struct canned_upstream {
-  explicit canned_upstream(http_reply reply)
-      : server(loop, http_server_limits(), [=](const http_exchange_ptr& e) {
+  explicit canned_upstream(const http_reply& reply)
+      : server(loop, http_server_limits(), [reply](const http_exchange_ptr& e) {
           e->Reply(reply);
         }) {
     address = server.Listen({"127.0.0.1", 0});
