--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -284,6 +284,14 @@
             {"sent", job.sent.size()}});
 }
 
+void job_desk::GiveUpAll() {
+  while (!jobs_.empty()) {
+    CancelAtHome(jobs_.begin()->second);
+    job_key key = jobs_.begin()->first;
+    Answer(key, {run_outcome::kUnknown, run_refusal::kNone, {}});
+  }
+}
+
 void job_desk::Sweep() {
   std::vector<job_key> given_up;
   for (const auto& [key, job] : jobs_) {
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -93,6 +93,9 @@
   // The caller left; it gets no answer.
   void Leave(const job_key& key, submission_id submission);
 
+  // Answers all open jobs as `kUnknown`, at the end of a stop.
+  void GiveUpAll();
+
   void OnReport(const instance_id& from, const run_report& report);
   // A group has another home, or one again.
   void OnHomesChanged();
