--- a/src/http/http.h
+++ b/src/http/http.h
@@ -4,6 +4,7 @@
 #ifndef SRC_HTTP_HTTP_H_
 #define SRC_HTTP_HTTP_H_
 
+#include "http/http_call_queue.h"
 #include "http/http_connection.h"
 #include "http/http_server.h"
 #include "http/http_types.h"
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -163,12 +163,8 @@
       }
     }
     if (auto stray = strays_.find(name); stray != strays_.end()) {
-      task.phase = task_phase::kOrdered;
-      task.upstream = stray->second.upstream;
-      task.ordered_at = clock_.now();
-      task.adopted = true;
+      MarkAdopted(job, task, stray->second.upstream);
       task.stopping = stray->second.stopping;
-      job.ran = true;
       auto session = sessions_.find(task.upstream);
       if (!task.stopping && session != sessions_.end()) {
         ++metrics_.adopted;
@@ -191,6 +187,16 @@
   }
 }
 
+void run_home::MarkAdopted(home_job& job,
+                           home_task& task,
+                           const upstream_id& upstream) {
+  task.phase = task_phase::kOrdered;
+  task.upstream = upstream;
+  task.ordered_at = clock_.now();
+  task.adopted = true;
+  job.ran = true;
+}
+
 void run_home::OnCancel(const instance_id& from, const run_cancel& cancel) {
   auto found = jobs_.find(cancel.job);
   if (found == jobs_.end())
@@ -425,12 +431,8 @@
   bool waits = task && (task->phase == task_phase::kUnclear ||
                         task->phase == task_phase::kQueued);
   if (waits && !job->cancelled) {
-    task->phase = task_phase::kOrdered;
-    task->upstream = session.info().id;
-    task->ordered_at = clock_.now();
-    task->adopted = true;
+    MarkAdopted(*job, *task, session.info().id);
     task->last_run = std::max(task->last_run, run.value());
-    job->ran = true;
     ++metrics_.adopted;
     session.Adopt(name, task->demand.need);
     return;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -143,6 +143,8 @@
   static bool IsUntouched(const home_job& job);
   home_task* FindTask(const task_name& task, home_job** job);
   void AddTasks(home_job& job, const run_request& request);
+  // The task runs on `upstream` since before this home began.
+  void MarkAdopted(home_job& job, home_task& task, const upstream_id& upstream);
   void CancelJob(home_job& job);
   void DropIfOver(const job_key& key);
   void OnTaskDone(home_job& job, home_task& task);
--- a/src/store/http_platform.cc
+++ b/src/store/http_platform.cc
@@ -106,13 +106,10 @@
 }  // namespace
 
 http_platform::http_platform(event_loop& loop, const socket_address& address)
-    : loop_(loop) {
-  http_client_limits limits;
-  limits.max_body_bytes = kMaxBody;
-  for (size_t i = 0; i < kConnections; ++i)
-    connections_.push_back(
-        std::make_unique<http_connection>(loop, address, limits));
-}
+    : calls_(loop,
+             address,
+             {.max_body_bytes = kMaxBody},
+             {kConnections, kMaxPending, kTimeout}) {}
 
 http_platform::~http_platform() = default;
 
@@ -121,9 +118,10 @@
                          read_callback done) {
   http_request request;
   request.path = "/v1/tables/" + table + "/" + key;
-  Send(std::move(request), [done = std::move(done)](const http_result& result) {
-    done(ParseRow(result));
-  });
+  calls_.Send(std::move(request),
+              [done = std::move(done)](const http_result& result) {
+                done(ParseRow(result));
+              });
 }
 
 void http_platform::Write(const std::vector<table_write>& writes,
@@ -141,9 +139,10 @@
   request.headers = {{"Content-Type", "application/json"},
                      {"If-Match", std::to_string(write.expected_version)}};
   request.body = json{{"value", write.value}}.dump();
-  Send(std::move(request), [done = std::move(done)](const http_result& result) {
-    done(ParseVersion(result));
-  });
+  calls_.Send(std::move(request),
+              [done = std::move(done)](const http_result& result) {
+                done(ParseVersion(result));
+              });
 }
 
 void http_platform::WriteAll(const std::vector<table_write>& writes,
@@ -156,9 +155,10 @@
   for (const table_write& write : writes)
     body["writes"].push_back(ToJson(write));
   request.body = body.dump();
-  Send(std::move(request),
-       [count = writes.size(), done = std::move(done)](
-           const http_result& result) { done(ParseVersions(result, count)); });
+  calls_.Send(
+      std::move(request),
+      [count = writes.size(), done = std::move(done)](
+          const http_result& result) { done(ParseVersions(result, count)); });
 }
 
 void http_platform::List(membership_version known, list_callback done) {
@@ -169,37 +169,10 @@
     request.headers = {
         {"If-None-Match", "\"" + std::to_string(known.value()) + "\""}};
   }
-  Send(std::move(request), [done = std::move(done)](const http_result& result) {
-    done(ParseList(result));
-  });
-}
-
-void http_platform::Send(http_request request, http_connection::callback done) {
-  if (pending_.size() >= kMaxPending) {
-    loop_.CallAfter(duration::zero(), [done = std::move(done)] {
-      done(http_failure{http_failure_kind::kTimeout, true});
-    });
-    return;
-  }
-  pending_.push_back({std::move(request), std::move(done)});
-  SendNext();
-}
-
-void http_platform::SendNext() {
-  for (auto& connection : connections_) {
-    if (pending_.empty())
-      return;
-    if (connection->busy())
-      continue;
-    pending_request next = std::move(pending_.front());
-    pending_.pop_front();
-    connection->Send(
-        next.request, kTimeout,
-        [this, done = std::move(next.done)](const http_result& result) {
-          done(result);
-          SendNext();
-        });
-  }
+  calls_.Send(std::move(request),
+              [done = std::move(done)](const http_result& result) {
+                done(ParseList(result));
+              });
 }
 
 }  // namespace jasminedyke
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -3,8 +3,6 @@
 #ifndef SRC_STORE_HTTP_PLATFORM_H_
 #define SRC_STORE_HTTP_PLATFORM_H_
 
-#include <deque>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -28,19 +26,10 @@
   void List(membership_version known, list_callback done) override;
 
  private:
-  struct pending_request {
-    http_request request;
-    http_connection::callback done;
-  };
-
   void WriteOne(const table_write& write, write_callback done);
   void WriteAll(const std::vector<table_write>& writes, write_callback done);
-  void Send(http_request request, http_connection::callback done);
-  void SendNext();
 
-  event_loop& loop_;
-  std::vector<std::unique_ptr<http_connection>> connections_;
-  std::deque<pending_request> pending_;
+  http_call_queue calls_;
 };
 
 }  // namespace jasminedyke
