Put the queue's priority before the work left

Cause: among jobs that can still meet their objective the least work left went first and the queue's priority never decided. Ruled out: the choice of upstreams (places are full then), slow upstreams (the model without any shows the same). Test: tests/run_load, a stretch of load on whole instances without network: at 105 % load 0.55 of the urgent jobs in time before, 0.85 after.

--- a/src/runs/job_order.h
+++ b/src/runs/job_order.h
@@ -20,7 +20,7 @@
   duration longest_task = duration::zero();
   // Core-seconds of all tasks that are not done yet.
   double work_left = 0;
-  // Of the queue; 0 goes first among jobs that are equal otherwise.
+  // Of the queue, as its operators set it; 0 goes first.
   int priority = 0;
 };
 
@@ -32,15 +32,17 @@
 
 struct job_rank {
   job_chance chance = job_chance::kInTime;
-  double work_left = 0;
   int priority = 0;
+  double work_left = 0;
 
   auto operator<=>(const job_rank&) const = default;
 };
 
-// Jobs that can still meet their objective go first, then by least work left.
-// In a model of a day at 105 % load this kept 0.89 of the answers' worth, least
-// work alone 0.82, earliest deadline 0.84 and order of arrival 0.18.
+// Jobs that can still meet their objective go first, then those of the queue
+// that its operators put first, then those with the least work left. With the
+// work before the priority, urgent jobs of eight short tasks stood behind ever
+// new jobs of two tasks: at 105 % load 0.55 of them were in time, and 0.85 in
+// this order (tests/run_load).
 job_rank RankJob(const job_outlook& outlook, time_point now);
 
 }  // namespace jasminedyke
