Look for instances that restarted out of the store's reach

Change: addresses of instances that left are kept for 30 s, and the greater id connects too when the lesser one has not come for half a second. Ruled out: the feed of the configuration (it came within 5 ms of the heal). Tests: peer_mesh "a peer that knows nobody", run_cluster "an instance that restarts out of the store's reach"; both failed before.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -34,6 +34,7 @@
       peers_(peers),
       self_(self),
       parse_config_(std::move(parse_config)),
+      addresses_(clock),
       homes_(clock),
       heartbeat_timer_(clock),
       home_status_timer_(clock) {
@@ -73,10 +74,8 @@
 void run_cluster::SetMembers(
     const std::map<instance_id, entry_member>& members) {
   election_->SetMembers(members);
-  std::map<instance_id, socket_address> wanted;
-  for (const auto& [id, member] : members)
-    wanted.emplace(id, member.peers);
-  peers_.SetWanted(wanted);
+  addresses_.SetMembers(members);
+  peers_.SetWanted(addresses_.Wanted());
 }
 
 void run_cluster::OnHome(std::function<void(bool)> handler) {
@@ -278,6 +277,7 @@
 
 void run_cluster::Heartbeat() {
   SendToAll(OwnStatus());
+  peers_.SetWanted(addresses_.Wanted());
   heartbeat_timer_.StartAfter(kHeartbeatInterval, [this] { Heartbeat(); });
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -12,6 +12,7 @@
 #include "base/base.h"
 #include "cluster/home_election.h"
 #include "cluster/member_registry.h"
+#include "cluster/peer_addresses.h"
 #include "policy/policy.h"
 #include "protocol/protocol.h"
 #include "runs/runs.h"
@@ -95,6 +96,7 @@
   upstream_registry upstreams_;
   // Of those that the store does not list, since when.
   std::map<upstream_id, time_point> missing_since_;
+  peer_addresses addresses_;
   home_directory homes_;
   std::unique_ptr<run_home> home_;
   std::unique_ptr<job_desk> desk_;
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr duration kMaintainEvery = std::chrono::milliseconds(250);
+// After that the greater id connects too: a peer that restarted out of the
+// store's reach knows nobody whom it could connect to.
+constexpr duration kOtherSideTime = std::chrono::milliseconds(500);
 constexpr duration kConnectAgainAfter = std::chrono::milliseconds(1000);
 // A link that is not wanted is closed when it was not used for so long.
 constexpr duration kIdleLimit = std::chrono::seconds(30);
@@ -135,10 +138,20 @@
 
 void peer_mesh::Maintain() {
   for (const auto& [peer, address] : wanted_) {
-    bool ours_to_connect = own_.self.instance < peer;
-    if (ours_to_connect && !by_peer_.contains(peer))
+    if (by_peer_.contains(peer)) {
+      missing_since_.erase(peer);
+      continue;
+    }
+    time_point since =
+        missing_since_.try_emplace(peer, loop_.now()).first->second;
+    bool ours_to_connect =
+        own_.self.instance < peer || loop_.now() - since >= kOtherSideTime;
+    if (ours_to_connect)
       Connect(address);
   }
+  std::erase_if(missing_since_, [&](const auto& entry) {
+    return !wanted_.contains(entry.first);
+  });
   CloseIdle();
   maintain_timer_.StartAfter(kMaintainEvery, [this] { Maintain(); });
 }
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -19,7 +19,8 @@
 namespace jasminedyke {
 
 // Listens for peers and connects to the wanted ones. Of each pair the one with
-// the lesser id connects, so that there is one link and not two.
+// the lesser id connects, so that there is one link and not two; if it does not
+// come, the other one does.
 class peer_mesh : public peer_port, public peer_link::owner {
  public:
   // Throws `std::runtime_error` if the address can't be had.
@@ -67,6 +68,8 @@
   peer_listener* listener_ = nullptr;
   std::unique_ptr<evconnlistener, listener_deleter> socket_;
   std::map<instance_id, socket_address> wanted_;
+  // Of wanted peers without a link, since when.
+  std::map<instance_id, time_point> missing_since_;
   // Of addresses that are being connected to, when that began.
   std::map<socket_address, time_point> connecting_;
   std::map<peer_link*, link_ptr> links_;
--- a/tests/peer_link/peer_link_test.cc
+++ b/tests/peer_link/peer_link_test.cc
@@ -119,6 +119,17 @@
 
 // An instance is replaced under its id while the old link still stands. The
 // new incarnation takes its place.
+// A peer restarted where it can't learn of anybody, so it does not connect,
+// though its id is the lesser one. The other side comes to it after a moment.
+TEST_CASE("peer_mesh: a peer that knows nobody is met by the other side") {
+  event_loop loop;
+  node lost(loop, "e0", kKey);
+  node b(loop, "e1", kKey);
+  b.mesh.SetWanted({{instance_id("e0"), lost.mesh.address()}});
+  REQUIRE(RunUntil(loop, [&] { return lost.seen.up.size() == 1; }));
+  CHECK(b.mesh.peers_up().size() == 1);
+}
+
 TEST_CASE("peer_mesh: a new incarnation replaces the old link") {
   event_loop loop;
   node a(loop, "e1", kKey);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -393,6 +393,25 @@
   CHECK(d.Starts(kJob) == 0);
 }
 
+TEST_CASE("an instance that restarts out of the store's reach") {
+  // It stops as planned and takes itself off the list. A cut keeps it from
+  // entering itself again. Its peers still look for it at its address, so it
+  // serves in its failure domain; one that stays away is forgotten.
+  one_domain d;
+  run_node& gone = *d.Live()[0];
+  run_node& other = *d.Live()[1];
+  std::map<instance_id, entry_member> members;
+  for (run_node* node : d.Live())
+    members[node->self.instance] = node->self;
+  other.cluster->SetMembers(members);
+  members.erase(gone.self.instance);
+  other.cluster->SetMembers(members);
+  d.Run(milliseconds(1000));
+  CHECK(other.peers.wanted.contains(gone.self.instance));
+  d.Run(std::chrono::seconds(35));
+  CHECK(!other.peers.wanted.contains(gone.self.instance));
+}
+
 TEST_CASE("random faults never let a task run twice at one time") {
   // Instances die and come back, links break and heal, the store goes and
   // comes, calls to upstreams are lost, delayed or unanswered; callers come
