--- /dev/null
+++ b/src/runs/home_job.h
@@ -0,0 +1,73 @@
+// A job at its home: what has become of its tasks, and what is still to do.
+
+#ifndef SRC_RUNS_HOME_JOB_H_
+#define SRC_RUNS_HOME_JOB_H_
+
+#include <map>
+
+#include "base/base.h"
+#include "runs/job_order.h"
+#include "runs/run_messages.h"
+#include "runs/run_types.h"
+
+namespace jasminedyke {
+
+enum class task_phase {
+  kQueued,
+  // Asked of an earlier home: it waits until all upstreams are settled.
+  kUnclear,
+  kOrdered,  // on an upstream: starting, running or being stopped
+  kDone,
+};
+
+struct home_task {
+  task_demand demand;
+  task_phase phase = task_phase::kQueued;
+  time_point queued_at;
+  // The last number that was used, 0 if none.
+  uint64_t last_run = 0;
+  int failures = 0;
+  // While `kOrdered`.
+  upstream_id upstream;
+  time_point ordered_at;
+  bool stopping = false;
+  // Began under an earlier home; nobody here knows when.
+  bool adopted = false;
+  // Not to be tried again where it has just failed or got stuck.
+  upstream_id avoid;
+};
+
+struct home_job {
+  job_key key;
+  instance_id owner;
+  run_request request;
+  time_point objective;
+  time_point useful_until;
+  time_point limit;
+  std::map<task_position, home_task> tasks;
+  // How long its tasks take, over the caller's guess; 0 until one is done.
+  double pace = 0;
+  // A task began, or may have begun under an earlier home.
+  bool ran = false;
+  // Nobody waits for it; it goes when its last run has ended.
+  bool cancelled = false;
+
+  // No task has begun or can still begin.
+  bool IsUntouched() const;
+  // How long the task takes on a sound upstream, as far as is known.
+  duration Expected(const home_task& task) const;
+  // Takes so long that its upstream must hang or be very slow.
+  bool IsOverdue(const home_task& task, time_point now) const;
+  // Core-seconds of the tasks that wait for room.
+  double WaitingWork() const;
+  // Of one step, on one upstream.
+  int TasksOn(const upstream_id& upstream, uint32_t step) const;
+  job_outlook Outlook() const;
+};
+
+// Core-seconds, by the caller's guess.
+double CoreSeconds(const task_demand& demand);
+
+}  // namespace jasminedyke
+
+#endif  // SRC_RUNS_HOME_JOB_H_
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -29,21 +29,8 @@
 constexpr double kTrialCost = 10;
 // Of the objective, counted from the job's arrival.
 constexpr int kUsefulLateness = 3;
-// A run that takes so many times what it should is given up: the upstream hangs
-// or is very slow. With a task of the same job done, the expectation is good to
-// 15 %; without, only the caller's guess is known, which is off by 40 %.
-constexpr double kStuckByPace = 2.5;
-constexpr double kStuckByGuess = 3.5;
-constexpr duration kStuckAtLeast = std::chrono::milliseconds(60);
-// Core-seconds; of a task whose caller has no guess.
-constexpr double kLeastWork = 0.001;
 constexpr size_t kMaxEarlyEnds = 20'000;
 
-double CoreSeconds(const task_demand& demand) {
-  return static_cast<double>(demand.need.cpu_millis) / 1000 *
-         ToSeconds(demand.estimate);
-}
-
 }  // namespace
 
 run_home::run_home(scheduler& clock,
@@ -245,13 +232,7 @@
   orphaned_at_.erase(peer);
 }
 
-bool run_home::IsUntouched(const home_job& job) {
-  return !job.ran && std::ranges::none_of(job.tasks, [](const auto& entry) {
-    return entry.second.phase == task_phase::kOrdered;
-  });
-}
-
-run_home::home_task* run_home::FindTask(const task_name& task, home_job** job) {
+home_task* run_home::FindTask(const task_name& task, home_job** job) {
   auto found = jobs_.find(task.job);
   if (found == jobs_.end())
     return nullptr;
@@ -322,29 +303,12 @@
       task.demand.estimate <= duration::zero())
     return;
   NoteLatency(metrics_.run_time, job.request.queue, took, now);
-  standing.OnDone(now, Expected(job, task), took);
+  standing.OnDone(now, job.Expected(task), took);
   double pace = ToSeconds(took) / ToSeconds(task.demand.estimate);
   // The fastest: others may have run on slow upstreams.
   job.pace = job.pace == 0 ? pace : std::min(job.pace, pace);
 }
 
-duration run_home::Expected(const home_job& job, const home_task& task) {
-  if (job.pace == 0)
-    return task.demand.estimate;
-  return FromSeconds(ToSeconds(task.demand.estimate) * job.pace);
-}
-
-bool run_home::IsOverdue(const home_job& job,
-                         const home_task& task,
-                         time_point now) {
-  duration expected = Expected(job, task);
-  duration took = now - task.ordered_at;
-  double factor = job.pace == 0 ? kStuckByGuess : kStuckByPace;
-  return !task.adopted && expected > duration::zero() &&
-         ToSeconds(took) > ToSeconds(expected) * factor &&
-         took - expected > kStuckAtLeast;
-}
-
 void run_home::OnTaskDone(home_job& job, home_task& task) {
   task.phase = task_phase::kDone;
   if (!job.cancelled)
@@ -383,14 +347,14 @@
            {{"job", job.key.str()},
             {"owner", job.owner.str()},
             {"reason", ToString(reason)},
-            {"not_run", IsUntouched(job) ? 1 : 0},
+            {"not_run", job.IsUntouched() ? 1 : 0},
             {"wait_ms", ToMilliseconds(WaitForRoom())},
             {"cores", UsableCores()},
             {"to_objective_ms", ToMilliseconds(job.objective - clock_.now())},
             {"token", token_.value()}});
   run_report report{job.key, job.request.submission, {}};
   report.refusal = reason;
-  report.not_run = IsUntouched(job);
+  report.not_run = job.IsUntouched();
   report.retry_after = retry_after;
   send_(job.owner, report);
 }
@@ -503,7 +467,7 @@
 void run_home::Dispatch() {
   for (const waiting_job& waiting : WaitingInOrder()) {
     home_job& job = *waiting.job;
-    if (job.request.may_pass && IsUntouched(job) && !HasPlacesFor(job))
+    if (job.request.may_pass && job.IsUntouched() && !HasPlacesFor(job))
       PassOn(job);
     else
       PlaceTasks(job);
@@ -548,41 +512,16 @@
 std::vector<run_home::waiting_job> run_home::WaitingInOrder() {
   std::vector<waiting_job> waiting;
   for (auto& [key, job] : jobs_) {
-    double work = job.cancelled ? 0 : WaitingWork(job);
+    double work = job.cancelled ? 0 : job.WaitingWork();
     if (work <= 0)
       continue;
-    job_outlook outlook = OutlookOf(job);
+    job_outlook outlook = job.Outlook();
     waiting.push_back({RankJob(outlook, clock_.now()), outlook, work, &job});
   }
   std::ranges::sort(waiting, {}, &waiting_job::rank);
   return waiting;
 }
 
-// A task without a guess of its run time still waits.
-double run_home::WaitingWork(const home_job& job) {
-  double work = 0;
-  for (const auto& [position, task] : job.tasks) {
-    if (task.phase == task_phase::kQueued)
-      work += std::max(CoreSeconds(task.demand), kLeastWork);
-  }
-  return work;
-}
-
-job_outlook run_home::OutlookOf(const home_job& job) const {
-  job_outlook outlook;
-  outlook.objective = job.objective;
-  outlook.useful_until = job.useful_until;
-  outlook.limit = job.limit;
-  outlook.priority = job.request.priority;
-  for (const auto& [position, task] : job.tasks) {
-    if (task.phase == task_phase::kDone)
-      continue;
-    outlook.longest_task = std::max(outlook.longest_task, Expected(job, task));
-    outlook.work_left += CoreSeconds(task.demand);
-  }
-  return outlook;
-}
-
 // True if all waiting tasks found room.
 bool run_home::PlaceTasks(home_job& job) {
   for (auto& [position, task] : job.tasks) {
@@ -643,21 +582,10 @@
       !info.labels.contains(task.demand.required_label))
     return false;
   return task.demand.max_per_upstream == 0 ||
-         TasksOn(info.id, job, task.demand.position.step) <
+         job.TasksOn(info.id, task.demand.position.step) <
              task.demand.max_per_upstream;
 }
 
-int run_home::TasksOn(const upstream_id& upstream,
-                      const home_job& job,
-                      uint32_t step) {
-  return static_cast<int>(
-      std::ranges::count_if(job.tasks, [&](const auto& entry) {
-        const home_task& task = entry.second;
-        return entry.first.step == step && task.phase == task_phase::kOrdered &&
-               task.upstream == upstream;
-      }));
-}
-
 // Away from its data a task takes longer. It goes there only if it still ends
 // in time, or is late anyway; else it waits for room near the data.
 double run_home::SlownessOn(const upstream_session& session,
@@ -668,7 +596,7 @@
 }
 
 bool run_home::PaysOffRack(const home_job& job, const home_task& task) const {
-  duration near = Expected(job, task);
+  duration near = job.Expected(task);
   duration away = FromSeconds(ToSeconds(near) * kOffRackSlowdown);
   time_point now = clock_.now();
   return now + away <= job.objective || now + near > job.objective;
@@ -723,7 +651,7 @@
   std::vector<waiting_job> waiting = WaitingInOrder();
   for (waiting_job& each : waiting) {
     home_job& job = *each.job;
-    bool hopeless = IsUntouched(job) &&
+    bool hopeless = job.IsUntouched() &&
                     IsHopeless(each.outlook, EstimateWait(load), clock_.now());
     if (!hopeless) {
       load.work_ahead += each.work;
@@ -755,13 +683,13 @@
   for (auto& [key, job] : jobs_) {
     for (auto& [position, task] : job.tasks) {
       bool overdue = task.phase == task_phase::kOrdered && !task.stopping &&
-                     !job.cancelled && IsOverdue(job, task, now);
+                     !job.cancelled && job.IsOverdue(task, now);
       if (!overdue)
         continue;
       standings_[task.upstream].OnStuck(now);
       // Only if it can still be answered in useful time.
       bool worth_it =
-          now + Expected(job, task) < std::min(job.useful_until, job.limit);
+          now + job.Expected(task) < std::min(job.useful_until, job.limit);
       auto session = sessions_.find(task.upstream);
       if (!worth_it || session == sessions_.end())
         continue;
@@ -794,7 +722,7 @@
   home_load load;
   load.cores = UsableCores();
   for (const auto& [key, job] : jobs_)
-    load.work_ahead += job.cancelled ? 0 : WaitingWork(job);
+    load.work_ahead += job.cancelled ? 0 : job.WaitingWork();
   return EstimateWait(load);
 }
 
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -14,6 +14,7 @@
 
 #include "base/base.h"
 #include "runs/admission_estimate.h"
+#include "runs/home_job.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
 #include "runs/run_messages.h"
@@ -77,52 +78,12 @@
   size_t jobs() const { return jobs_.size(); }
 
  private:
-  enum class task_phase {
-    kQueued,
-    // Asked of an earlier home: it waits until all upstreams are settled.
-    kUnclear,
-    kOrdered,  // on an upstream: starting, running or being stopped
-    kDone,
-  };
-
   // A found run that no job has claimed.
   struct stray_run {
     upstream_id upstream;
     bool stopping = false;
   };
 
-  struct home_task {
-    task_demand demand;
-    task_phase phase = task_phase::kQueued;
-    time_point queued_at;
-    // The last number that was used, 0 if none.
-    uint64_t last_run = 0;
-    int failures = 0;
-    // While `kOrdered`.
-    upstream_id upstream;
-    time_point ordered_at;
-    bool stopping = false;
-    // Began under an earlier home; nobody here knows when.
-    bool adopted = false;
-    // Not to be tried again where it has just failed or got stuck.
-    upstream_id avoid;
-  };
-
-  struct home_job {
-    job_key key;
-    instance_id owner;
-    run_request request;
-    time_point objective;
-    time_point useful_until;
-    time_point limit;
-    std::map<task_position, home_task> tasks;
-    // How long its tasks take, over the caller's guess; 0 until one is done.
-    double pace = 0;
-    // A task began, or may have begun under an earlier home.
-    bool ran = false;
-    // Nobody waits for it; it goes when its last run has ended.
-    bool cancelled = false;
-  };
   using job_map = std::map<job_key, home_job>;
 
   void OnRunEnded(upstream_session& session,
@@ -139,8 +100,6 @@
   void OnRoom(upstream_session& session) override;
   void OnFenced(upstream_session& session) override;
 
-  // No task has begun or can still begin.
-  static bool IsUntouched(const home_job& job);
   home_task* FindTask(const task_name& task, home_job** job);
   void AddTasks(home_job& job, const run_request& request);
   // The task runs on `upstream` since before this home began.
@@ -170,29 +129,19 @@
   std::vector<waiting_job> WaitingInOrder();
   void PassOn(home_job& job);
   bool HasPlacesFor(const home_job& job) const;
-  static double WaitingWork(const home_job& job);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
   bool MayRun(const upstream_session& session,
               const home_job& job,
               const home_task& task) const;
-  // Of one step of the job, on one upstream.
-  static int TasksOn(const upstream_id& upstream,
-                     const home_job& job,
-                     uint32_t step);
   static double SlownessOn(const upstream_session& session,
                            const home_task& task);
   bool PaysOffRack(const home_job& job, const home_task& task) const;
   bool CouldEverRun(const home_job& job) const;
-  job_outlook OutlookOf(const home_job& job) const;
   void Sweep();
   void RefuseHopeless();
   void DropCancelled();
   void StopStuck();
-  static duration Expected(const home_job& job, const home_task& task);
-  static bool IsOverdue(const home_job& job,
-                        const home_task& task,
-                        time_point now);
   void NoteEnd(home_job& job, const home_task& task, run_end how);
   double UsableCores() const;
   duration WaitForRoom() const;
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -6,6 +6,7 @@
 
 #include "runs/admission_estimate.h"
 #include "runs/home_directory.h"
+#include "runs/home_job.h"
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
 #include "runs/placement.h"
