Count a refusal only for the latest request

An owner's job came before the end and was handed back, not run; the owner, told of the new beginning meanwhile, had sent it again and the home had started it; then the refusal arrived, and the owner sent the job to another home, which started it too. Change: requests of a job are numbered, a refusal names its request, and one of an earlier request changes nothing; the later request gets its own answer. Ruled out: upstream sessions (each home's runs were its own), callers that came again (one submission). Test: tests/job_desk, for the three refusals that say not run; it failed before. Before homes could begin anew at once the same race needed a home to end and come back within a message's time.

--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -2982,6 +2982,11 @@
   this->may_pass = val;
 __isset.may_pass = true;
 }
+
+void run_request::__set_sending(const int32_t val) {
+  this->sending = val;
+__isset.sending = true;
+}
 std::ostream& operator<<(std::ostream& out, const run_request& obj)
 {
   obj.printTo(out);
@@ -3118,6 +3123,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sending);
+          this->__isset.sending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3193,6 +3206,11 @@
     xfer += oprot->writeBool(this->may_pass);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sending) {
+    xfer += oprot->writeFieldBegin("sending", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->sending);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3212,6 +3230,7 @@
   swap(a.priority, b.priority);
   swap(a.tasks, b.tasks);
   swap(a.may_pass, b.may_pass);
+  swap(a.sending, b.sending);
   swap(a.__isset, b.__isset);
 }
 
@@ -3228,6 +3247,7 @@
   priority = other116.priority;
   tasks = other116.tasks;
   may_pass = other116.may_pass;
+  sending = other116.sending;
   __isset = other116.__isset;
 }
 run_request& run_request::operator=(const run_request& other117) {
@@ -3243,6 +3263,7 @@
   priority = other117.priority;
   tasks = other117.tasks;
   may_pass = other117.may_pass;
+  sending = other117.sending;
   __isset = other117.__isset;
   return *this;
 }
@@ -3261,6 +3282,7 @@
   out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
   out << ", " << "tasks=" << to_string(tasks);
   out << ", " << "may_pass="; (__isset.may_pass ? (out << to_string(may_pass)) : (out << "<null>"));
+  out << ", " << "sending="; (__isset.sending ? (out << to_string(sending)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3542,6 +3564,11 @@
   this->retry_after_us = val;
 __isset.retry_after_us = true;
 }
+
+void run_report::__set_sending(const int32_t val) {
+  this->sending = val;
+__isset.sending = true;
+}
 std::ostream& operator<<(std::ostream& out, const run_report& obj)
 {
   obj.printTo(out);
@@ -3630,6 +3657,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sending);
+          this->__isset.sending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3683,6 +3718,11 @@
     xfer += oprot->writeI64(this->retry_after_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sending) {
+    xfer += oprot->writeFieldBegin("sending", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->sending);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3696,6 +3736,7 @@
   swap(a.refusal, b.refusal);
   swap(a.not_run, b.not_run);
   swap(a.retry_after_us, b.retry_after_us);
+  swap(a.sending, b.sending);
   swap(a.__isset, b.__isset);
 }
 
@@ -3706,6 +3747,7 @@
   refusal = other128.refusal;
   not_run = other128.not_run;
   retry_after_us = other128.retry_after_us;
+  sending = other128.sending;
   __isset = other128.__isset;
 }
 run_report& run_report::operator=(const run_report& other129) {
@@ -3715,6 +3757,7 @@
   refusal = other129.refusal;
   not_run = other129.not_run;
   retry_after_us = other129.retry_after_us;
+  sending = other129.sending;
   __isset = other129.__isset;
   return *this;
 }
@@ -3727,6 +3770,7 @@
   out << ", " << "refusal="; (__isset.refusal ? (out << to_string(refusal)) : (out << "<null>"));
   out << ", " << "not_run="; (__isset.not_run ? (out << to_string(not_run)) : (out << "<null>"));
   out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
+  out << ", " << "sending="; (__isset.sending ? (out << to_string(sending)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -1231,7 +1231,7 @@
 std::ostream& operator<<(std::ostream& out, const task_group& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), tasks(false), may_pass(false) {}
+  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), tasks(false), may_pass(false), sending(false) {}
   bool job :1;
   bool submission :1;
   bool queue :1;
@@ -1244,6 +1244,7 @@
   bool priority :1;
   bool tasks :1;
   bool may_pass :1;
+  bool sending :1;
 } _run_request__isset;
 
 class run_request : public virtual ::apache::thrift::TBase {
@@ -1262,7 +1263,8 @@
                 age_us(0),
                 max_attempts(0),
                 priority(0),
-                may_pass(0) {
+                may_pass(0),
+                sending(0) {
   }
 
   virtual ~run_request() noexcept;
@@ -1278,6 +1280,7 @@
   int32_t priority;
   std::vector<task_group>  tasks;
   bool may_pass;
+  int32_t sending;
 
   _run_request__isset __isset;
 
@@ -1305,6 +1308,8 @@
 
   void __set_may_pass(const bool val);
 
+  void __set_sending(const int32_t val);
+
   bool operator == (const run_request & rhs) const
   {
     if (!(job == rhs.job))
@@ -1335,6 +1340,10 @@
       return false;
     else if (__isset.may_pass && !(may_pass == rhs.may_pass))
       return false;
+    if (__isset.sending != rhs.__isset.sending)
+      return false;
+    else if (__isset.sending && !(sending == rhs.sending))
+      return false;
     return true;
   }
   bool operator != (const run_request &rhs) const {
@@ -1463,13 +1472,14 @@
 std::ostream& operator<<(std::ostream& out, const task_report& obj);
 
 typedef struct _run_report__isset {
-  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false) {}
+  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false), sending(false) {}
   bool job :1;
   bool submission :1;
   bool tasks :1;
   bool refusal :1;
   bool not_run :1;
   bool retry_after_us :1;
+  bool sending :1;
 } _run_report__isset;
 
 class run_report : public virtual ::apache::thrift::TBase {
@@ -1482,7 +1492,8 @@
                submission(0),
                refusal(0),
                not_run(0),
-               retry_after_us(0) {
+               retry_after_us(0),
+               sending(0) {
   }
 
   virtual ~run_report() noexcept;
@@ -1492,6 +1503,7 @@
   int8_t refusal;
   bool not_run;
   int64_t retry_after_us;
+  int32_t sending;
 
   _run_report__isset __isset;
 
@@ -1507,6 +1519,8 @@
 
   void __set_retry_after_us(const int64_t val);
 
+  void __set_sending(const int32_t val);
+
   bool operator == (const run_report & rhs) const
   {
     if (!(job == rhs.job))
@@ -1529,6 +1543,10 @@
       return false;
     else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
       return false;
+    if (__isset.sending != rhs.__isset.sending)
+      return false;
+    else if (__isset.sending && !(sending == rhs.sending))
+      return false;
     return true;
   }
   bool operator != (const run_report &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -154,6 +154,7 @@
   10: optional i32 priority
   11: list<task_group> tasks
   12: optional bool may_pass
+  13: optional i32 sending
 }
 
 struct run_cancel {
@@ -176,6 +177,7 @@
   4: optional i8 refusal
   5: optional bool not_run
   6: optional i64 retry_after_us
+  7: optional i32 sending
 }
 
 struct home_status {
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -55,6 +55,7 @@
     wire.__set_priority(request.priority);
   if (request.may_pass)
     wire.__set_may_pass(true);
+  wire.__set_sending(static_cast<int32_t>(request.sending));
   for (const task_demand& task : request.tasks) {
     if (wire.tasks.empty() || !SameGroup(wire.tasks.back(), task)) {
       wire::task_group group;
@@ -90,6 +91,7 @@
   request.max_attempts = wire.max_attempts;
   request.priority = wire.priority;
   request.may_pass = wire.may_pass;
+  request.sending = static_cast<uint32_t>(wire.sending);
   for (const wire::task_group& group : wire.tasks) {
     for (int32_t index : group.indexes) {
       task_demand task;
@@ -136,6 +138,7 @@
     return wire;
   wire.__set_refusal(static_cast<int8_t>(report.refusal));
   wire.__set_not_run(report.not_run);
+  wire.__set_sending(static_cast<int32_t>(report.sending));
   wire.__set_retry_after_us(report.retry_after.count());
   return wire;
 }
@@ -155,6 +158,7 @@
   report.refusal =
       known ? static_cast<run_refusal>(wire.refusal) : run_refusal::kSuperseded;
   report.not_run = wire.not_run;
+  report.sending = static_cast<uint32_t>(wire.sending);
   report.retry_after = duration(wire.retry_after_us);
   return report;
 }
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -153,6 +153,7 @@
     request.max_attempts = job.asked.max_attempts;
     request.priority = job.asked.priority;
     request.may_pass = job.may_pass;
+    request.sending = ++job.sendings;
     for (uint32_t index = 0; index < asked.tasks; ++index) {
       task_position position{step, index};
       bool was_sent = job.sent.contains(position);
@@ -200,7 +201,9 @@
   if (job.submission != report.submission)
     return;
   if (report.refusal != run_refusal::kNone) {
-    if (job.home == from)
+    bool of_latest = report.sending == job.sendings ||
+                     report.refusal == run_refusal::kSuperseded;
+    if (job.home == from && of_latest)
       OnRefused(job, report);
     return;
   }
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -122,6 +122,10 @@
     // places.
     std::set<home_group> passed_by;
     bool may_pass = false;
+    // Requests sent for this job. A home that ends and begins again within a
+    // message's time may refuse an earlier one, as not run, after a later one
+    // has made it start the tasks.
+    uint32_t sendings = 0;
     // Tasks that were sent to a home at any time and are not done.
     std::set<task_position> sent;
     // Of each step, the tasks that are not done.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -101,6 +101,7 @@
   if (!serving_) {
     run_report report{request.job, request.submission, {}};
     report.refusal = run_refusal::kNotHome;
+    report.sending = request.sending;
     // It may have been home when the job was sent first.
     report.not_run = std::ranges::none_of(
         request.tasks, [](const task_demand& t) { return t.maybe_started; });
@@ -354,6 +355,7 @@
             {"token", token_.value()}});
   run_report report{job.key, job.request.submission, {}};
   report.refusal = reason;
+  report.sending = job.request.sending;
   report.not_run = job.IsUntouched();
   report.retry_after = retry_after;
   send_(job.owner, report);
@@ -483,6 +485,7 @@
   ++metrics_.refused_jobs[run_refusal::kBusy];
   run_report report{job.key, job.request.submission, {}};
   report.refusal = run_refusal::kBusy;
+  report.sending = job.request.sending;
   report.not_run = true;
   send_(job.owner, report);
   CancelJob(job);
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -63,6 +63,8 @@
   // Another group seems to have places for all its tasks: the job is to be
   // handed back at once rather than wait here.
   bool may_pass = false;
+  // Counts the owner's requests for this job.
+  uint32_t sending = 0;
   std::vector<task_demand> tasks;
 
   bool operator==(const run_request&) const = default;
@@ -103,6 +105,8 @@
   submission_id submission;
   std::vector<task_report> tasks;
   run_refusal refusal = run_refusal::kNone;
+  // With a refusal: of the request that is refused.
+  uint32_t sending = 0;
   // With a refusal: no task of the job was started or can still start here.
   bool not_run = false;
   // With `kOverload`: when it is worth trying again.
--- /dev/null
+++ b/tests/job_desk/job_desk_test.cc
@@ -0,0 +1,110 @@
+// Where a job's owner sends its tasks, and what it makes of refusals.
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "runs/runs.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const instance_id kNorth("north-1");
+const instance_id kSouth("south-1");
+
+// An owner in the north that knows a home there and one in the south.
+struct desk_fixture {
+  desk_fixture() {
+    Tell(kNorth, "north", 1, true);
+    Tell(kSouth, "south", 2, true);
+  }
+
+  void Tell(const instance_id& home,
+            const std::string& domain,
+            uint64_t token,
+            bool serving) {
+    home_status status;
+    status.group = {failure_domain_id(domain), 0};
+    status.token = fencing_token(token);
+    status.serving = serving;
+    status.free_cpu_millis = 320'000;
+    status.total_cpu_millis = 320'000;
+    homes.Update(home, status);
+    desk.OnHomesChanged();
+  }
+
+  void Submit() {
+    run_job job;
+    job.key = job_key("00000000000000aa");
+    job.limit = milliseconds(1500);
+    job_step step;
+    step.tasks = 2;
+    step.need = {14'000, 64, 0};
+    step.estimate = milliseconds(60);
+    job.steps.push_back(step);
+    desk.Submit(std::move(job),
+                [this](const run_answer& a) { answers.push_back(a); });
+  }
+
+  void Refuse(const run_request& request, run_refusal why) {
+    run_report report{request.job, request.submission, {}};
+    report.refusal = why;
+    report.not_run = true;
+    report.sending = request.sending;
+    desk.OnReport(kNorth, report);
+  }
+
+  manual_scheduler clock;
+  home_directory homes{clock};
+  std::vector<std::pair<instance_id, run_request>> sent;
+  std::vector<run_answer> answers;
+  job_desk desk{clock, failure_domain_id("north"), homes,
+                [this](const instance_id& to, const run_request& request) {
+                  sent.emplace_back(to, request);
+                  return true;
+                },
+                [](const instance_id&, const run_cancel&) {}};
+};
+
+}  // namespace
+
+TEST_CASE("job_desk: what one home passes on goes to the other") {
+  desk_fixture f;
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  CHECK(f.sent[0].first == kNorth);
+  CHECK(f.sent[0].second.may_pass);
+  f.Refuse(f.sent[0].second, run_refusal::kBusy);
+  REQUIRE(f.sent.size() == 2);
+  CHECK(f.sent[1].first == kSouth);
+  CHECK(!f.sent[1].second.may_pass);
+  CHECK(!f.sent[1].second.tasks[0].maybe_started);
+}
+
+TEST_CASE("job_desk: a home refuses and then begins anew") {
+  // The job is sent, and the home ends and begins again, so the job is sent
+  // once more and its tasks start there. Only then the refusal of the first
+  // request arrives, as not run. It must not send the job elsewhere.
+  for (run_refusal why :
+       {run_refusal::kBusy, run_refusal::kNotHome, run_refusal::kOverload}) {
+    CAPTURE(ToString(why));
+    desk_fixture f;
+    f.Submit();
+    f.Tell(kNorth, "north", 1, false);
+    f.Tell(kNorth, "north", 3, true);
+    REQUIRE(f.sent.size() == 2);
+    CHECK(f.sent[1].first == kNorth);
+    CHECK(f.sent[1].second.tasks[0].maybe_started);
+    f.Refuse(f.sent[0].second, why);
+    f.clock.Advance(milliseconds(10));
+    CHECK(f.sent.size() == 2);
+    CHECK(f.answers.empty());
+  }
+}
+
+}  // namespace jasminedyke
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -31,6 +31,7 @@
   request.max_attempts = 3;
   request.priority = 2;
   request.may_pass = true;
+  request.sending = 3;
   task_demand plain;
   plain.need = {14'000, 64, 0};
   plain.estimate = std::chrono::milliseconds(60);
@@ -54,6 +55,7 @@
   run_report refusal{job_key("a"), submission_id(1), {}};
   refusal.refusal = run_refusal::kOverload;
   refusal.not_run = true;
+  refusal.sending = 3;
   refusal.retry_after = std::chrono::seconds(2);
   CHECK(ThroughTheWire(refusal) == refusal);
   home_status status;
