--- /dev/null
+++ b/tests/platform/job_ingress_test.cc
@@ -0,0 +1,130 @@
+// Callers' requests over real sockets: what becomes no job.
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "document_codec.h"
+#include "fakes/fake_peers.h"
+#include "fakes/fake_tables.h"
+#include "fakes/fake_upstreams.h"
+#include "fakes/raw_socket.h"
+#include "job_ingress.h"
+
+namespace jasminedyke {
+
+namespace {
+
+const std::string kConfig = R"({"version": 3, "limits": {}, "services": [],
+  "routes": [{"name": "r", "hostname": "parts.example", "path_prefix": "/q/",
+              "service": "parts"}]})";
+
+entry_member Self() {
+  entry_member self;
+  self.instance = instance_id("north-1");
+  self.incarnation = incarnation_id("1");
+  self.domain = failure_domain_id("north");
+  return self;
+}
+
+// An instance without any upstream, and its port for callers.
+struct ingress_fixture {
+  ingress_fixture() { address = server.Listen({"127.0.0.1", 0}); }
+
+  // The first line and headers of the answer to `bytes`.
+  std::string Ask(const std::string& bytes) {
+    raw_client client(address);
+    client.Write(bytes);
+    RunUntil(loop, [&] {
+      client.Read();
+      return client.received.find("\r\n\r\n") != std::string::npos ||
+             client.ended;
+    });
+    return client.received;
+  }
+
+  std::string Post(const std::string& path, const std::string& body) {
+    return Ask("POST " + path + " HTTP/1.1\r\nHost: parts.example\r\n" +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body);
+  }
+
+  uint64_t Rejected(const std::string& reason) {
+    auto found = ingress.metrics().rejections.find(reason);
+    return found == ingress.metrics().rejections.end() ? 0 : found->second;
+  }
+
+  event_loop loop;
+  fake_network network{loop};
+  fake_tables tables{loop};
+  fake_fleet fleet{loop};
+  fake_upstream_port upstreams{fleet, "north-1"};
+  entry_member self;
+  fake_peer_port peers{network,
+                       {instance_id("north-1"), incarnation_id("1"),
+                        failure_domain_id("north")}};
+  run_cluster cluster{loop,
+                      peers,
+                      tables,
+                      upstreams,
+                      self,
+                      upstream_session::limits(),
+                      ParseRoutingConfig};
+  job_ingress ingress{loop, cluster};
+  http_server server{loop, http_server_limits(),
+                     [this](const http_exchange_ptr& e) { ingress.Handle(e); }};
+  socket_address address;
+};
+
+bool Has(const std::string& answer, const std::string& part) {
+  return answer.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "job_ingress: before a configuration, callers are told to come back") {
+  ingress_fixture f;
+  std::string answer = f.Post("/q/00000000000000aa", "{}");
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  CHECK(Has(answer, "Retry-After: 1"));
+  CHECK(f.Rejected("no_configuration") == 1);
+}
+
+TEST_CASE("job_ingress: requests that make no sense") {
+  // Each gets a clear answer and is counted under its reason, and the next
+  // caller is served as if nothing had been.
+  ingress_fixture f;
+  f.cluster.OnConfigDocument(kConfig);
+  CHECK(Has(f.Post("/other/00000000000000aa", "{}"), "HTTP/1.1 404"));
+  CHECK(f.Rejected("no_route") == 1);
+  CHECK(Has(f.Post("/q/not-an-id", "{}"), "HTTP/1.1 404"));
+  CHECK(f.Rejected("no_job_id") == 1);
+  CHECK(Has(f.Post("/q/00000000000000aa", "{"), "HTTP/1.1 400"));
+  CHECK(Has(f.Post("/q/00000000000000aa", "{\"steps\": 1}"), "HTTP/1.1 400"));
+  CHECK(f.Rejected("malformed") == 2);
+  std::string giant(64 * 1024, 'x');
+  std::string answer = f.Ask(
+      "GET /q/ HTTP/1.1\r\nHost: parts.example\r\nX: " + giant + "\r\n\r\n");
+  CHECK(!Has(answer, "HTTP/1.1 200"));
+  answer = f.Ask("GET /q/ HTTP/1.1\r\nHost: parts.example\r\n\r\n");
+  CHECK(Has(answer, "HTTP/1.1 200"));
+}
+
+TEST_CASE("job_ingress: a caller that sends slowly holds up nobody") {
+  // It stops in the middle of its request. Another caller is answered
+  // meanwhile, and then so is the first.
+  ingress_fixture f;
+  f.cluster.OnConfigDocument(kConfig);
+  raw_client slow(f.address);
+  slow.Write("GET /q/ HTTP/1.1\r\nHost: par");
+  std::string answer = f.Ask("GET /q/ HTTP/1.1\r\nHost: parts.example\r\n\r\n");
+  CHECK(Has(answer, "HTTP/1.1 200"));
+  slow.Write("ts.example\r\n\r\n");
+  CHECK(RunUntil(f.loop, [&] {
+    slow.Read();
+    return Has(slow.received, "HTTP/1.1 200");
+  }));
+}
+
+}  // namespace jasminedyke
