--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -92,9 +92,10 @@
     return job.refused_by.contains(home.status.group);
   });
   // Those that passed it on come last.
-  std::ranges::stable_partition(homes, [&](const known_home& home) {
-    return !job.passed_by.contains(home.status.group);
-  });
+  std::stable_partition(homes.begin(), homes.end(),
+                        [&](const known_home& home) {
+                          return !job.passed_by.contains(home.status.group);
+                        });
   if (!homes.empty()) {
     job.group = homes.front().status.group;
     job.home = homes.front().instance;
--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -59,7 +59,7 @@
   fake_tables tables{loop};
   fake_fleet fleet{loop};
   fake_upstream_port upstreams{fleet, "north-1"};
-  entry_member self;
+  entry_member self = Self();
   fake_peer_port peers{network,
                        {instance_id("north-1"), incarnation_id("1"),
                         failure_domain_id("north")}};
