Give homes without the store tokens that can't be the same

Since instances find each other behind a cut, three of them had heard a token, knew of no home and began without the store, all with the token of the first place in a list of one. Upstreams served all three. Change: the token's lower part is the instance's address, not its place in the list; tokens of neighbouring rows are 2^24 apart. Test: "two homes without the store have tokens of their own" failed before; the fake instances have addresses of their own for it.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -1,10 +1,12 @@
 #include "cluster/home_election.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 namespace jasminedyke {
 
 namespace {
@@ -27,7 +29,9 @@
 constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(3000);
 // Tokens of a row's version are so far apart, with room between them for those
 // of homes that began without the store.
-constexpr uint64_t kTokenSpacing = 4096;
+// As many as addresses differ in, within one private network; row versions up
+// to 500 million keep tokens within the 53 bits that all JSON readers keep.
+constexpr uint64_t kTokenSpacing = 1 << 24;
 // A home of a quarter of a core handles about a thousand starts a second; one
 // with less fell behind at two thirds of that. Handing over costs some tens of
 // milliseconds, so the gain must be worth it and likely to last.
@@ -36,6 +40,16 @@
 // A home whose status is older does not count as one.
 constexpr duration kStatusExpiry = std::chrono::milliseconds(1500);
 
+// Different for all instances of a deployment: they have addresses of one
+// private network, or ports of one machine.
+uint64_t AddressNumber(const socket_address& address) {
+  in_addr ip{};
+  inet_pton(AF_INET, address.ip.c_str(), &ip);
+  uint32_t number = ntohl(ip.s_addr);
+  bool loopback = number >> 24 == IN_LOOPBACKNET;
+  return loopback ? address.port : number;
+}
+
 }  // namespace
 
 home_election::home_election(scheduler& clock,
@@ -342,14 +356,13 @@
 }
 
 // Two candidates that are cut off from each other may both begin. With one
-// token, upstreams would serve both, and a task could run twice at one time;
-// so each has a token of its own, by its position among all members.
+// token, upstreams would serve both, and a task could run twice at one time; so
+// each has a token of its own, by its address. Its place in the list of members
+// does not do: one that restarted behind a cut has no list.
 fencing_token home_election::TokenWithoutStore(fencing_token highest) const {
-  auto own = members_.find(self_.instance);
-  auto position = static_cast<uint64_t>(std::distance(members_.begin(), own));
   uint64_t next_row = highest.value() / kTokenSpacing + 1;
   return fencing_token(next_row * kTokenSpacing + 1 +
-                       position % (kTokenSpacing - 1));
+                       AddressNumber(self_.peers) % (kTokenSpacing - 1));
 }
 
 // A home that goes on under a new token knows what runs on its upstreams only
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -72,7 +72,9 @@
   member.instance = instance_id(domain + "-" + std::to_string(number));
   member.incarnation = incarnation_id(std::to_string(++incarnations_));
   member.domain = failure_domain_id(domain);
-  member.peers = {"127.0.0.1", 1};
+  member.peers = {
+      "127.0.0.1",
+      static_cast<uint16_t>(1 + StableHash(member.instance.str()) % 60'000)};
   member.weight = weight;
   nodes_.push_back(
       std::make_unique<run_node>(clock, network, store, fleet, member));
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -467,6 +467,28 @@
   CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
 }
 
+TEST_CASE("two homes without the store have tokens of their own") {
+  // Behind a cut all instances of a domain restart in turn, so none of them has
+  // the list of members; two that are not linked both become home. Upstreams
+  // must be able to tell their orders apart, or they would serve both.
+  one_domain d;
+  std::vector<run_node*> live = d.Live();
+  std::vector<fencing_token> tokens;
+  for (run_node* node : live)
+    node->tables.cut = true;
+  d.Kill(*live[0]);
+  for (run_node* node : {live[1], live[2]}) {
+    node->cluster->SetMembers({{node->self.instance, node->self}});
+    d.Cut(*node, node == live[1] ? *live[2] : *live[1]);
+  }
+  d.Run(milliseconds(5000));
+  for (run_node* node : {live[1], live[2]})
+    tokens.push_back(node->cluster->home().Status().token);
+  CHECK(tokens[0].value() > 0);
+  CHECK(tokens[1].value() > 0);
+  CHECK(tokens[0] != tokens[1]);
+}
+
 TEST_CASE("all instances lose power and start again") {
   // Callers go on sending all the while. Nobody is left who knew the home; the
   // row names a process that has ended, which its own restart shows. So the
