Let a home forget that an earlier process of the row's holder was leaving

Cause: a planned stop was remembered by the instance's name, so a home that had heard "leaving" from the holder's earlier process took the row from its living successor process when the store came back. It then went on with what it knew before the cut, and the upstreams refused its orders as too old.

Ruled out: the memory of a killed process, which already compares incarnations; "leaving" now goes the same way.

Before: run_cluster "a home that was replaced does not take the row from the living", case "whose earlier process left", failed (11 of 12 checks); after: 12 of 12.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -298,9 +298,7 @@
 }
 
 bool home_election::MayTake(const home_row& row, uint64_t version) {
-  // One that is leaving goes on until it hears of its successor.
-  bool gone = row.holder == self_.instance || row.released || HasEnded(row) ||
-              leaving_peers_.contains(row.holder);
+  bool gone = row.holder == self_.instance || row.released || HasEnded(row);
   if (gone)
     return true;
   if (version != seen_version_) {
@@ -311,14 +309,17 @@
   return clock_.now() - seen_since_ >= kRowExpiry;
 }
 
-// That nothing listened says nothing of a process that started later, which the
-// row shows by naming an incarnation that is new to us.
+// That nothing listened, or that it was leaving, says nothing of a process that
+// started later, which the row shows by naming an incarnation that is new to
+// us.
 bool home_election::HasEnded(const home_row& row) const {
   auto known = incarnations_.find(row.holder);
   bool is_known =
       known == incarnations_.end() || known->second == row.incarnation;
-  return is_known ? refused_.contains(row.holder)
-                  : peers_up_.contains(row.holder);
+  if (!is_known)
+    return peers_up_.contains(row.holder);
+  // One that is leaving goes on until it hears of its successor.
+  return refused_.contains(row.holder) || leaving_peers_.contains(row.holder);
 }
 
 void home_election::TakeOver(uint64_t expected_version, bool anew) {
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -88,8 +88,8 @@
   bool SeesStronger() const;
   bool IsMuchStrongerThan(const instance_id& other) const;
   bool MayTake(const home_row& row, uint64_t version);
-  // The process that wrote the row has ended: nothing listens at its address,
-  // or another process runs in its place.
+  // The process that wrote the row has ended or is leaving: nothing listens at
+  // its address, or it said so, or another process runs in its place.
   bool HasEnded(const home_row& row) const;
   void OnRowRead(const outcome<table_row, store_error>& row);
   // `anew`: another home may have served the group since we began.
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -397,9 +397,14 @@
 // an instance that restarts behind the cut and takes the row when the store is
 // back, `by_row`; the two don't know of each other.
 struct two_homes : one_domain {
-  explicit two_homes(duration run_time) : one_domain(run_time) {
+  explicit two_homes(duration run_time, bool planned_stop = false)
+      : one_domain(run_time) {
     run_node& first = Home();
     store.outage = true;
+    if (planned_stop) {
+      first.cluster->Leave();
+      Run(milliseconds(100));
+    }
     Kill(first);
     Run(milliseconds(3500));
     storeless = &Home();
@@ -427,9 +432,14 @@
 
 TEST_CASE("a home that was replaced does not take the row from the living") {
   // The upstreams refuse its orders as too old. It once saw that the row's
-  // holder was gone; but that was the holder's earlier process, and the row
-  // names the present one.
-  two_homes d(milliseconds(50));
+  // holder was gone, or heard that it was leaving; but that was the holder's
+  // earlier process, and the row names the present one.
+  bool planned_stop = false;
+  SUBCASE("whose earlier process was killed") {}
+  SUBCASE("whose earlier process left") {
+    planned_stop = true;
+  }
+  two_homes d(milliseconds(50), planned_stop);
   REQUIRE(d.by_row->cluster->home().serving());
   d.Submit(*d.by_row, kJob, 3);
   d.Run(milliseconds(600));
