Stand ready for signals before a daemon is put together

Cause: main installed the handlers of SIGTERM and SIGHUP only after the daemon stood.

Ruled out: the loop's signal events; they keep a signal until the loop runs. Signals between exec and main can't be met by any handler of ours.

The other daemon form (--settings) had no SIGHUP handler at all; it has one now.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #ifndef SRC_DAEMON_DAEMON_H_
 #define SRC_DAEMON_DAEMON_H_
 
+#include "daemon/daemon_run.h"
 #include "daemon/instance.h"
 #include "daemon/settings.h"
 #include "daemon/settings_rules.h"
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -2,7 +2,10 @@
 
 #include <cstdio>
 #include <exception>
+#include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <CLI/CLI.hpp>
 
@@ -19,11 +22,22 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
-int Serve(const daemon_settings& settings) {
-  event_loop loop;
-  instance served(loop, settings);
-  loop.OnStopSignal([&] { served.Stop([&] { loop.Stop(); }); });
-  loop.Run();
+void LogReload(const std::string& file, bool valid) {
+  LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
+           {{"file", file}, {"valid", valid ? 1 : 0}});
+}
+
+template <class Daemon, class Settings>
+int Serve(event_loop& loop,
+          const Settings& settings,
+          const std::function<void()>& reload) {
+  std::optional<Daemon> served;
+  RunDaemon(loop, [&] {
+    served.emplace(loop, settings);
+    return signal_actions{
+        [&](std::function<void()> done) { served->Stop(std::move(done)); },
+        reload};
+  });
   return kExitOk;
 }
 
@@ -32,7 +46,7 @@
     std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
 }
 
-int ServeOnPlatform(bool check_only) {
+int ServeOnPlatform(event_loop& loop, bool check_only) {
   std::string file;
   auto settings = LoadPlatformSettings(&file);
   if (!settings.ok()) {
@@ -44,19 +58,14 @@
     return kExitOk;
   }
   StartLogging(settings.value().log_level);
-  event_loop loop;
-  platform_daemon served(loop, settings.value());
-  loop.OnStopSignal([&] { served.Stop([&] { loop.Stop(); }); });
-  loop.OnReloadSignal([&] {
-    auto changed = LoadPlatformSettings(&file);
-    LogEvent(changed.ok() ? log_level::kInfo : log_level::kError, "reload",
-             {{"file", file}, {"valid", changed.ok() ? 1 : 0}});
+  return Serve<platform_daemon>(loop, settings.value(), [] {
+    std::string changed_file;
+    bool valid = LoadPlatformSettings(&changed_file).ok();
+    LogReload(changed_file, valid);
   });
-  loop.Run();
-  return kExitOk;
 }
 
-int Main(const std::string& file, bool check_only) {
+int ServeUpstreams(event_loop& loop, const std::string& file, bool check_only) {
   auto settings = LoadSettings(file);
   if (!settings.ok()) {
     PrintProblems(file, settings.error());
@@ -67,7 +76,8 @@
     return kExitOk;
   }
   StartLogging(settings.value().log_level);
-  return Serve(settings.value());
+  return Serve<instance>(loop, settings.value(),
+                         [&file] { LogReload(file, LoadSettings(file).ok()); });
 }
 
 }  // namespace
@@ -92,7 +102,9 @@
     return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
   }
   try {
-    return on_platform ? ServeOnPlatform(check_only) : Main(file, check_only);
+    event_loop loop;
+    return on_platform ? ServeOnPlatform(loop, check_only)
+                       : ServeUpstreams(loop, file, check_only);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "jasminedyked: %s\n", error.what());
     return kExitFailed;
