Refuse starts that stay unanswered; wait for ends with two holds

Cause: with 8 % of the orders to upstreams unanswered, a hold that got no answer hid all ends for 0.75 s, an unanswered start kept its task for 0.8 s and took its upstream out of use for 0.2 to 4 s. Half of the worth of such a spell was lost, "held to the end, untried" and "refused with upstreams free".

Change: a start without an answer after 30 ms is looked for; if it is not listed its run number is stopped, after which the upstream refuses the order whenever it comes, so "never begun" is proved in some 35 ms instead of 500 to 800. While answers get lost a second hold waits. A lost answer no longer counts against an upstream that answered another call since.

Ruled out: a shorter time limit of the order (it is the lease of short runs too, and would need a further call a start).

--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -8,9 +8,10 @@
 
 namespace {
 
-// How long a hold waits at the upstream while something runs there. A lease of
-// a second then has 0.4 s left when the next hold is due.
-constexpr duration kHoldWait = std::chrono::milliseconds(600);
+// How long a hold waits at the upstream while something runs there. One whose
+// answer is lost hides ends for as long; ends are more frequent than this on
+// upstreams at work, so a shorter wait costs few calls.
+constexpr duration kHoldWait = std::chrono::milliseconds(300);
 // The same while nothing runs: the longest that upstreams allow.
 constexpr duration kIdleHoldWait = std::chrono::milliseconds(2000);
 // After the last end the acknowledgement may wait for the next start. Ends that
@@ -22,10 +23,17 @@
 // they may still arrive, and every lease that may have arrived puts off the
 // proof that nothing runs there any more.
 constexpr duration kProlongUnanswered = std::chrono::milliseconds(600);
-// An order that takes longer on its way is refused as late. Short, because an
-// unanswered start keeps its task from starting elsewhere for as long; and long
-// enough that most tasks end under the lease which their start brings.
+// An order that takes longer on its way is refused as late. Long enough that
+// most tasks end under the lease which their start brings.
 constexpr duration kStartLimit = std::chrono::milliseconds(500);
+// Starts are answered within 2 to 5 ms; one that is not after this time is
+// looked for. A caller of 60 ms tasks can lose 96 ms in all.
+constexpr duration kStartPatience = std::chrono::milliseconds(30);
+// Between looks for an unanswered start, doubled each time.
+constexpr duration kStartRecheck = std::chrono::milliseconds(40);
+constexpr duration kLongestStartRecheck = std::chrono::milliseconds(320);
+// Answers get lost in spells of seconds.
+constexpr duration kLossMemory = std::chrono::seconds(3);
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
 constexpr duration kLongestHoldRetry = std::chrono::milliseconds(1000);
@@ -40,6 +48,11 @@
 // row within its renewal interval; then its lease runs out.
 constexpr duration kSettleWithoutAnswer = std::chrono::milliseconds(2500);
 
+bool IsListed(const hold_reply& reply, const task_name& task) {
+  return std::ranges::any_of(
+      reply.running, [&](const listed_run& run) { return run.task == task; });
+}
+
 int64_t ToMs(duration d) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
@@ -60,10 +73,12 @@
       owner_(told),
       refused_until_(clock.now()),
       begun_(clock.now()),
-      hold_timer_(clock),
+      hold_(clock),
+      spare_hold_(clock),
       lease_timer_(clock),
+      start_timer_(clock),
       lapse_timer_(clock) {
-  SendHold();
+  SendHold(hold_);
 }
 
 upstream_session::~upstream_session() {
@@ -72,7 +87,7 @@
 
 bool upstream_session::usable() const {
   return settled_ && clock_known_ && !gone_ && !info_.draining &&
-         failed_holds_ == 0 && clock_.now() >= refused_until_ &&
+         failed_holds_ == 0 && !in_doubt_ && clock_.now() >= refused_until_ &&
          !HasFoundRuns();
 }
 
@@ -102,8 +117,11 @@
   occupied_ += need;
   NoteLease(order.not_after);
   // Its end must not wait for an idle upstream's next hold.
-  if (!hold_in_flight_ && failed_holds_ == 0)
-    hold_timer_.StartAfter(duration::zero(), [this] { SendHold(); });
+  if (!hold_.in_flight && failed_holds_ == 0)
+    hold_.timer.StartAfter(duration::zero(), [this] { SendHold(hold_); });
+  SendSpareHold();
+  if (!start_timer_.active())
+    WatchStarts(kStartPatience);
   port_.Start(info_.id, order,
               [this, task, run, sent = clock_.now()](const start_reply& reply) {
                 OnStarted(task, run, sent, reply);
@@ -114,8 +132,10 @@
                                  run_number run,
                                  time_point sent,
                                  const start_reply& reply) {
-  if (reply.clock)
+  if (reply.clock) {
     TakeClock(*reply.clock, sent);
+    in_doubt_ = false;
+  }
   auto found = runs_.find(task);
   if (found == runs_.end() || found->second.run != run)
     return;
@@ -131,12 +151,10 @@
         SendStop(task);
       return;
     case start_result::kUnknown:
-      Suspect();
-      if (was_starting) {
+      NoteUnanswered();
+      if (was_starting)
         record.phase = run_phase::kUnproven;
-        record.since = clock_.now();
-      }
-      SendLease();
+      SendLook();
       return;
     case start_result::kNotSent:
       Suspect();
@@ -188,13 +206,80 @@
   port_.Stop(info_.id, {task, record.run, token_},
              [this, task, run = record.run](call_result result) {
                auto found = runs_.find(task);
-               if (found != runs_.end() && found->second.run == run)
+               if (found != runs_.end() && found->second.run == run) {
                  found->second.stop_in_flight = false;
+                 OnStopAnswered(found->second, result);
+               }
                if (result == call_result::kFenced)
                  owner_.OnFenced(*this);
              });
 }
 
+void upstream_session::OnStopAnswered(run_record& record, call_result result) {
+  if (result == call_result::kUnknown)
+    NoteUnanswered();
+  bool unclear = record.phase == run_phase::kStarting ||
+                 record.phase == run_phase::kUnproven;
+  if (result != call_result::kOk || !unclear)
+    return;
+  record.refused_since = clock_.now();
+  SendLook();
+}
+
+void upstream_session::WatchStarts(duration pause) {
+  start_timer_.StartAfter(pause, [this, pause] {
+    CheckStarts();
+    bool any = std::ranges::any_of(runs_, [](const auto& entry) {
+      return entry.second.phase == run_phase::kStarting ||
+             entry.second.phase == run_phase::kUnproven;
+    });
+    if (any)
+      WatchStarts(std::clamp(pause * 2, kStartRecheck, kLongestStartRecheck));
+  });
+}
+
+bool upstream_session::IsInDoubt(const run_record& record,
+                                 time_point now) const {
+  bool unclear = record.phase == run_phase::kStarting ||
+                 record.phase == run_phase::kUnproven;
+  return unclear && now - record.since >= kStartPatience;
+}
+
+void upstream_session::CheckStarts() {
+  bool any = false;
+  for (const auto& [task, record] : runs_) {
+    if (!IsInDoubt(record, clock_.now()))
+      continue;
+    any = true;
+    in_doubt_ = in_doubt_ || !HeardSince(record.since);
+  }
+  if (!any)
+    return;
+  NoteUnanswered();
+  SendLook();
+}
+
+// A start that is neither listed nor answered may be on its way for seconds.
+// Its task would wait for the order's time limit: a caller of short tasks has
+// its answer late by then. Once the upstream has confirmed the stop of this run
+// number it refuses the order whenever it comes.
+void upstream_session::RefuseUnlistedStarts(time_point sent,
+                                            const hold_reply& reply) {
+  for (const auto& [task, record] : runs_) {
+    if (IsInDoubt(record, sent) && !record.refused_since &&
+        !IsListed(reply, task))
+      SendStop(task);
+  }
+}
+
+bool upstream_session::LosesAnswers() const {
+  return last_unanswered_ && clock_.now() - *last_unanswered_ < kLossMemory;
+}
+
+bool upstream_session::HeardSince(time_point sent) const {
+  return clock_known_ && clock_heard_ > sent;
+}
+
 void upstream_session::Adopt(const task_name& task,
                              const resource_amount& need) {
   auto found = runs_.find(task);
@@ -225,8 +310,8 @@
   return order;
 }
 
-void upstream_session::SendHold() {
-  if (hold_in_flight_ || gone_)
+void upstream_session::SendHold(waiting_hold& hold) {
+  if (hold.in_flight || gone_)
     return;
   hold_order order = MakeHold();
   if (settled_ && failed_holds_ == 0) {
@@ -236,39 +321,58 @@
   }
   if (order.lease_until)
     NoteLease(*order.lease_until);
-  hold_in_flight_ = true;
-  hold_timer_.Stop();
+  hold.in_flight = true;
+  hold.idle = runs_.empty();
+  hold.timer.Stop();
   port_.Hold(info_.id, order,
-             [this, sent = clock_.now()](const hold_reply& reply) {
-               hold_in_flight_ = false;
+             [this, &hold, sent = clock_.now()](const hold_reply& reply) {
+               hold.in_flight = false;
                if (reply.result == call_result::kOk)
-                 OnHeld(sent, reply);
+                 OnHeld(hold, sent, reply);
                else
-                 OnHoldFailed(reply.result);
+                 OnHoldFailed(hold, sent, reply.result);
              });
 }
 
-void upstream_session::SendLease() {
-  if (lease_in_flight_ || gone_ || runs_.empty())
+// With 8 in 100 calls unanswered, ends were learnt up to 0.7 s late, and the
+// room that they free stayed empty as long.
+void upstream_session::SendSpareHold() {
+  bool wanted = settled_ && failed_holds_ == 0 && LosesAnswers() &&
+                !runs_.empty() && !HasFoundRuns();
+  if (wanted)
+    SendHold(spare_hold_);
+}
+
+void upstream_session::SendLook() {
+  if (gone_ || runs_.empty())
     return;
+  if (look_in_flight_) {
+    look_again_ = true;
+    return;
+  }
   hold_order order = MakeHold();
   if (order.lease_until)
     NoteLease(*order.lease_until);
-  lease_in_flight_ = true;
+  look_in_flight_ = true;
+  look_again_ = false;
   port_.Hold(info_.id, order,
              [this, sent = clock_.now()](const hold_reply& reply) {
-               lease_in_flight_ = false;
+               look_in_flight_ = false;
                if (reply.result == call_result::kOk)
                  TakeHold(sent, reply);
                else
-                 OnLeaseFailed();
+                 OnLookFailed(sent);
+               if (look_again_)
+                 SendLook();
              });
 }
 
 // The hold that waits may show it only seconds later.
-void upstream_session::OnLeaseFailed() {
-  ++failed_holds_;
-  lease_timer_.StartAfter(RetryPause(), [this] { SendLease(); });
+void upstream_session::OnLookFailed(time_point sent) {
+  NoteUnanswered();
+  if (!HeardSince(sent))
+    ++failed_holds_;
+  lease_timer_.StartAfter(RetryPause(), [this] { SendLook(); });
   CheckLapse();
 }
 
@@ -280,45 +384,58 @@
 void upstream_session::WatchLease() {
   if (runs_.empty() || failed_holds_ > 0)
     return;
-  auto left = std::chrono::milliseconds(given_until_.ms - LatestClock().ms);
-  lease_timer_.StartAfter(
-      std::max(duration::zero(), duration(left) - kLeaseMargin),
-      [this] { SendLease(); });
+  duration left = std::chrono::milliseconds(given_until_.ms - LatestClock().ms);
+  duration pause = std::max(duration::zero(), left - kLeaseMargin);
+  // A lost one would hide ends for its whole wait.
+  if (hold_.in_flight && hold_.idle)
+    pause = std::min(pause, kHoldWait);
+  lease_timer_.StartAfter(pause, [this] { SendLook(); });
 }
 
-void upstream_session::OnHeld(time_point sent, const hold_reply& reply) {
+void upstream_session::OnHeld(waiting_hold& hold,
+                              time_point sent,
+                              const hold_reply& reply) {
   // An earlier owner may have prolonged its runs up to now.
   if (!settled_)
     lease_end_ =
         std::max(lease_end_, {reply.clock.ms + ToMs(limits_.longest_lease)});
   settled_ = true;
   TakeHold(sent, reply);
-  NextHold(!reply.ended.empty());
+  NextHold(hold, !reply.ended.empty());
 }
 
 void upstream_session::TakeHold(time_point sent, const hold_reply& reply) {
   bool was_usable = usable();
   failed_holds_ = 0;
+  in_doubt_ = false;
   lapse_timer_.Stop();
   TakeClock(reply.clock, sent);
   TakeEnds(reply);
-  TakeRunning(sent, reply);
+  TakeRunning(reply);
   JudgeUnlisted(sent, reply);
+  RefuseUnlistedStarts(sent, reply);
   if (!reply.ended.empty() || !was_usable)
     owner_.OnRoom(*this);
 }
 
-void upstream_session::NextHold(bool any_end) {
+void upstream_session::NextHold(waiting_hold& hold, bool any_end) {
+  if (&hold == &spare_hold_) {
+    SendSpareHold();
+    return;
+  }
   if (any_end && runs_.empty())
-    hold_timer_.StartAfter(kIdlePause, [this] { SendHold(); });
+    hold.timer.StartAfter(kIdlePause, [this] { SendHold(hold_); });
   else
-    SendHold();
+    SendHold(hold);
+  SendSpareHold();
 }
 
-void upstream_session::OnHoldFailed(call_result result) {
+void upstream_session::OnHoldFailed(waiting_hold& hold,
+                                    time_point sent,
+                                    call_result result) {
   if (result == call_result::kFenced) {
     owner_.OnFenced(*this);
-    hold_timer_.StartAfter(kHoldRetry, [this] { SendHold(); });
+    hold.timer.StartAfter(kHoldRetry, [this, &hold] { SendHold(hold); });
     return;
   }
   if (result == call_result::kGone) {
@@ -327,8 +444,15 @@
     EndAll(run_end::kLapsed);
     return;
   }
+  NoteUnanswered();
+  // A single lost answer does not take an upstream out of use that answers
+  // other calls.
+  if (HeardSince(sent)) {
+    NextHold(hold, false);
+    return;
+  }
   ++failed_holds_;
-  hold_timer_.StartAfter(RetryPause(), [this] { SendHold(); });
+  hold.timer.StartAfter(RetryPause(), [this, &hold] { SendHold(hold); });
   CheckLapse();
 }
 
@@ -392,7 +516,11 @@
 
 void upstream_session::TakeEnds(const hold_reply& reply) {
   for (const listed_end& end : reply.ended) {
-    acknowledged_ = std::max(acknowledged_, end.sequence);
+    // Two calls may bring the same end.
+    if (end.sequence <= acknowledged_)
+      continue;
+    acknowledged_ = end.sequence;
+    newest_ends_ = std::max(newest_ends_, reply.clock);
     auto found = runs_.find(end.task);
     bool known = found != runs_.end();
     // The end of an earlier run says nothing about the present one.
@@ -406,11 +534,18 @@
   }
 }
 
-void upstream_session::TakeRunning(time_point sent, const hold_reply& reply) {
+void upstream_session::TakeRunning(const hold_reply& reply) {
+  // Replies may overtake each other: this one may have been written before the
+  // end that another one brought, and the run would look like a stranger's.
+  uint64_t last_end = reply.ended.empty() ? 0 : reply.ended.back().sequence;
+  bool is_stale = reply.clock < newest_ends_ ||
+                  (reply.clock == newest_ends_ && last_end < acknowledged_);
   std::vector<listed_run> found_runs;
   for (const listed_run& listed : reply.running) {
     auto found = runs_.find(listed.task);
     if (found == runs_.end()) {
+      if (is_stale)
+        continue;
       run_record record;
       record.run = listed.run;
       record.phase = run_phase::kFound;
@@ -424,7 +559,7 @@
     if (record.phase == run_phase::kStarting ||
         record.phase == run_phase::kUnproven) {
       record.phase = run_phase::kRunning;
-      record.since = sent;
+      record.since = clock_.now();
     }
     if (record.stop_wanted)
       SendStop(listed.task);
@@ -436,21 +571,20 @@
 void upstream_session::JudgeUnlisted(time_point sent, const hold_reply& reply) {
   std::vector<std::pair<task_name, run_number>> unlisted;
   for (const auto& [task, record] : runs_) {
-    bool listed = std::ranges::any_of(
-        reply.running,
-        [&name = task](const listed_run& r) { return r.task == name; });
-    bool can_judge =
-        record.phase == run_phase::kUnproven
-            ? reply.clock.ms > record.not_after.ms + kClockMarginMs
-            : record.phase != run_phase::kStarting && record.since < sent;
-    if (!listed && can_judge)
+    bool unclear = record.phase == run_phase::kStarting ||
+                   record.phase == run_phase::kUnproven;
+    bool too_late = reply.clock.ms > record.not_after.ms + kClockMarginMs ||
+                    (record.refused_since && sent >= *record.refused_since);
+    bool can_judge = unclear ? too_late : record.since < sent;
+    if (!IsListed(reply, task) && can_judge)
       unlisted.emplace_back(task, record.run);
   }
   for (const auto& [task, run] : unlisted) {
     auto found = runs_.find(task);
     if (found == runs_.end())
       continue;
-    bool never_began = found->second.phase == run_phase::kUnproven;
+    bool never_began = found->second.phase == run_phase::kStarting ||
+                       found->second.phase == run_phase::kUnproven;
     Remove(found);
     if (never_began)
       owner_.OnNotStarted(*this, task, run, start_result::kUnknown);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -17,12 +17,18 @@
 namespace jasminedyke {
 
 // Keeps one hold call waiting at the upstream at nearly all times: it prolongs
-// the lease, acknowledges ends and brings new ones as they happen.
+// the lease, acknowledges ends and brings new ones as they happen. While
+// answers get lost there are two, or each lost one would hide all ends until it
+// times out.
 //
 // A run is over for us only when that is proven: the upstream listed its end,
 // or did not list it in answer to a hold sent when it could no longer begin,
 // or has not had its lease prolonged for longer than the lease. Until then its
 // task must not start anywhere else, or it could run twice at one time.
+//
+// A start that stays unanswered is looked for after a moment; one that is not
+// there is stopped, since a stopped run number can never begin. That proves
+// within some 10 ms what the order's own time limit would prove after 500.
 class upstream_session {
  public:
   // Told of the session's runs. Calls of the session from within these
@@ -102,38 +108,64 @@
     run_number run;
     resource_amount need;
     run_phase phase = run_phase::kStarting;
-    // When the phase began, on our clock.
+    // When the order was sent, and for `kRunning` when we learnt that it runs,
+    // on our clock. Only what is asked later can show that it ended: a hold
+    // that waited may list a run that began long after the hold was sent.
     time_point since;
     // An order that was not carried out by then never will be.
     upstream_time not_after;
+    // The upstream confirmed the run's stop then: it can't begin any more.
+    std::optional<time_point> refused_since;
     bool stop_wanted = false;
     bool stop_in_flight = false;
     std::optional<int> percent;
   };
   using run_map = std::map<task_name, run_record>;
 
-  void SendHold();
-  // Beside a hold that waits, when the lease would run out before it returns.
-  void SendLease();
+  // A call that waits at the upstream for the next end.
+  struct waiting_hold {
+    explicit waiting_hold(scheduler& clock) : timer(clock) {}
+
+    bool in_flight = false;
+    // Nothing ran when it was sent: it waits long and brings no lease.
+    bool idle = true;
+    scoped_timer timer;
+  };
+
+  void SendHold(waiting_hold& hold);
+  // Beside a hold that waits: when the lease would run out before it returns,
+  // or to learn what became of a start.
+  void SendLook();
   hold_order MakeHold() const;
   bool Answers() const;
-  void OnLeaseFailed();
+  void OnLookFailed(time_point sent);
   duration RetryPause() const;
   void Suspect();
-  void NextHold(bool any_end);
+  void NextHold(waiting_hold& hold, bool any_end);
+  void SendSpareHold();
   void WatchLease();
-  void OnHeld(time_point sent, const hold_reply& reply);
+  void OnHeld(waiting_hold& hold, time_point sent, const hold_reply& reply);
   void TakeHold(time_point sent, const hold_reply& reply);
-  void OnHoldFailed(call_result result);
+  void OnHoldFailed(waiting_hold& hold, time_point sent, call_result result);
+  void NoteUnanswered() { last_unanswered_ = clock_.now(); }
+  // Some of its answers got lost lately.
+  bool LosesAnswers() const;
+  // It has answered other calls since.
+  bool HeardSince(time_point sent) const;
+  void WatchStarts(duration pause);
+  void CheckStarts();
+  bool IsInDoubt(const run_record& record, time_point now) const;
+  void RefuseUnlistedStarts(time_point sent, const hold_reply& reply);
   void TakeClock(upstream_time clock, time_point sent);
   void TakeEnds(const hold_reply& reply);
-  void TakeRunning(time_point sent, const hold_reply& reply);
+  void TakeRunning(const hold_reply& reply);
   void JudgeUnlisted(time_point sent, const hold_reply& reply);
   void OnStarted(const task_name& task,
                  run_number run,
                  time_point sent,
                  const start_reply& reply);
   void SendStop(const task_name& task);
+  void OnStopAnswered(run_record& record, call_result result);
   void SettleWithoutAnswer();
   bool HasFoundRuns() const;
   // Certainly not ahead of, and certainly not behind, the upstream's clock.
@@ -156,9 +188,13 @@
   resource_amount occupied_;
   bool settled_ = false;
   bool gone_ = false;
-  bool hold_in_flight_ = false;
-  bool lease_in_flight_ = false;
+  bool look_in_flight_ = false;
+  // A look was wanted while one was under way, which may not show it.
+  bool look_again_ = false;
   int failed_holds_ = 0;
+  // A start has had no answer for longer than usual, and no other call since.
+  bool in_doubt_ = false;
+  std::optional<time_point> last_unanswered_;
   // Until then it gets nothing new, because it refused work.
   time_point refused_until_;
   duration refusal_pause_ = duration::zero();
@@ -173,8 +209,12 @@
   // What runs there lives until then, if our orders arrived.
   upstream_time given_until_;
   uint64_t acknowledged_ = 0;
-  scoped_timer hold_timer_;
+  // The upstream's clock in the newest reply that brought ends.
+  upstream_time newest_ends_;
+  waiting_hold hold_;
+  waiting_hold spare_hold_;
   scoped_timer lease_timer_;
+  scoped_timer start_timer_;
   scoped_timer lapse_timer_;
 };
 
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -87,6 +87,8 @@
         return call_fate::kAnswered;
       };
   duration way = std::chrono::microseconds(300);
+  // Of each message beyond `way`: differing ones let messages overtake others.
+  std::function<duration()> detour = [] { return duration::zero(); };
   duration late = std::chrono::seconds(3);
 };
 
@@ -107,6 +109,9 @@
             hold_callback done) override;
   void Drop(const upstream_id& id) override { ++generations_[id]; }
 
+  // While it returns true, orders to stop a run never arrive.
+  std::function<bool()> lose_stops = [] { return false; };
+
   // As when the process is killed: no answer reaches it any more.
   void Die() { dead_ = true; }
 
