Begin homes without the store 1.5 s after the home fell silent

Cause: a home whose machine goes dark while its domain can't reach the store is missed after a second; then the store was asked, which takes a second to time out, and only from there 3 s were counted. Now the store counts as away since it was asked, and the wait is 1.5 s: the silence itself has lasted a second.

Ruled out: harm to a home that lives and is only out of reach; it finds itself fenced and takes its row back, as before, and instances that see less than half of the others still do not begin.

Test first: run_cluster "a home loses power while the store is out of reach" failed; the fake links can now die silently.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -26,7 +26,9 @@
 // Without the store: after a home whose process is known to be gone, and after
 // one that is only silent.
 constexpr duration kStorelessAfterGone = std::chrono::milliseconds(700);
-constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(3000);
+// The silence itself has lasted a second by then. A home that lives and was
+// only out of reach takes its upstreams back when it finds itself fenced.
+constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(1500);
 // Tokens of a row's version are so far apart, with room between them for those
 // of homes that began without the store.
 // As many as addresses differ in, within one private network; row versions up
@@ -273,17 +275,20 @@
   if (call_in_flight_ || clock_.now() - *without_home_since_ < wait)
     return;
   call_in_flight_ = true;
-  store_.Read(kTable, group_.ToString(),
-              [this](const auto& row) { OnRowRead(row); });
+  store_.Read(
+      kTable, group_.ToString(),
+      [this, asked = clock_.now()](const auto& row) { OnRowRead(asked, row); });
 }
 
-void home_election::OnRowRead(const outcome<table_row, store_error>& result) {
+void home_election::OnRowRead(time_point asked,
+                              const outcome<table_row, store_error>& result) {
   call_in_flight_ = false;
   if (holding_ || leaving_)
     return;
   if (!result.ok() && result.error() != store_error::kNotFound) {
+    // A store that is silent has been away since it was asked.
     if (!store_away_since_)
-      store_away_since_ = clock_.now();
+      store_away_since_ = asked;
     TakeOverWithoutStore();
     return;
   }
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -95,13 +95,15 @@
   }
 }
 
-void run_nodes::Kill(run_node& node) {
+void run_nodes::Kill(run_node& node, bool silently) {
   node.dead = true;
   node.tables.dead = true;
   node.upstreams.Die();
   node.peers.listener = nullptr;
   for (run_node* other : Live()) {
     network.Disconnect(node.peers, other->peers);
+    if (silently)
+      continue;
     // Nobody listens at its address any more.
     other->cluster->OnPeerRefused(node.self.instance);
   }
--- a/tests/fakes/run_nodes.h
+++ b/tests/fakes/run_nodes.h
@@ -58,8 +58,9 @@
   ~run_nodes();
 
   run_node& Add(const std::string& domain, int number, double weight = 1);
-  // The process is gone at once. It may be started again.
-  void Kill(run_node& node);
+  // The process is gone at once. It may be started again. `silently`: its
+  // machine is dark, so nothing says that nobody listens.
+  void Kill(run_node& node, bool silently = false);
   run_node& Restart(run_node& node);
   // Links between two instances.
   void Cut(run_node& a, run_node& b);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -182,6 +182,23 @@
   CHECK(d.Homes().size() == 1);
 }
 
+TEST_CASE("a home loses power while the store is out of reach") {
+  // Its process is not known to be gone: its links only fall silent, and the
+  // rest of its domain can't read the row. Each moment without a home, all of
+  // the domain's upstreams stand idle, and callers are served by the others, if
+  // these have room.
+  // Here the links break at once; a second of silence comes before that.
+  one_domain d;
+  d.store.outage = true;
+  d.Kill(d.Home(), true);
+  d.Run(milliseconds(1700));
+  REQUIRE(d.Homes().size() == 1);
+  d.Submit(*d.Live()[0], kJob, 3);
+  d.Run(milliseconds(200));
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+}
+
 TEST_CASE("an instance that is cut off does not take the upstreams") {
   // It sees nobody, but the home's row is renewed: the home lives.
   one_domain d;
