Send new jobs past a home that went quiet

Cause: a frozen or dark home shows on its links only after a second. New jobs of its domain were sent there meanwhile and missed their objective. Homes tell their status each 50 ms, so one that missed four is ranked last.

Ruled out: moving jobs that were sent already; their tasks may be running.

Test first: job_desk "new jobs avoid a home that went quiet".

--- a/src/runs/home_directory.cc
+++ b/src/runs/home_directory.cc
@@ -18,6 +18,11 @@
 // 900 ms of the users' queues, most of whose tasks take 200 ms.
 constexpr duration kUsualRunTime = std::chrono::milliseconds(200);
 
+// Homes tell their status each 50 ms; one that missed four is slow, paused or
+// dead, which shows on its link only after a second. Until then new jobs do
+// better elsewhere.
+constexpr duration kQuietAfter = std::chrono::milliseconds(200);
+
 double UsableMillis(const home_status& status) {
   return static_cast<double>(status.free_cpu_millis) * kUsableRoom;
 }
@@ -74,21 +79,28 @@
 
 std::vector<known_home> home_directory::Ranked(const failure_domain_id& own,
                                                int64_t cpu_millis) const {
-  std::vector<std::pair<duration, const known_home*>> costs;
+  struct candidate {
+    bool quiet;
+    duration cost;
+    const known_home* home;
+  };
+  std::vector<candidate> candidates;
   for (const auto& [group, home] : homes_) {
     if (home.status.total_cpu_millis == 0)
       continue;
     duration cost = home.status.wait + WaitForPlaces(home.status, cpu_millis);
     if (group.domain != own)
       cost += kCostOfOtherDomain;
-    costs.emplace_back(cost, &home);
+    bool quiet = clock_.now() - home.heard > kQuietAfter;
+    candidates.push_back({quiet, cost, &home});
   }
-  std::ranges::stable_sort(costs, {},
-                           [](const auto& each) { return each.first; });
+  std::ranges::stable_sort(candidates, {}, [](const candidate& each) {
+    return std::pair(each.quiet, each.cost);
+  });
   std::vector<known_home> ranked;
-  ranked.reserve(costs.size());
-  for (const auto& [cost, home] : costs)
-    ranked.push_back(*home);
+  ranked.reserve(candidates.size());
+  for (const candidate& each : candidates)
+    ranked.push_back(*each.home);
   return ranked;
 }
 
--- a/src/runs/home_directory.h
+++ b/src/runs/home_directory.h
@@ -34,7 +34,7 @@
 
   // The homes that serve, best first for a job from `own` that needs
   // `cpu_millis` at once: a home elsewhere goes first only if the wait that it
-  // saves pays for the way.
+  // saves pays for the way. Those that went quiet come last.
   std::vector<known_home> Ranked(const failure_domain_id& own,
                                  int64_t cpu_millis = 0) const;
 
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -86,6 +86,22 @@
   CHECK(!f.sent[1].second.tasks[0].maybe_started);
 }
 
+TEST_CASE("job_desk: new jobs avoid a home that went quiet") {
+  // The home's process froze or lost power. Its link shows that only after a
+  // second; a caller whose short job is sent there meanwhile waits as long.
+  desk_fixture f;
+  f.clock.Advance(milliseconds(150));
+  f.Tell(kSouth, "south", 2, true);
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  CHECK(f.sent[0].first == kNorth);
+  f.desk.GiveUpAll();
+  f.clock.Advance(milliseconds(100));
+  f.Submit();
+  REQUIRE(f.sent.size() == 2);
+  CHECK(f.sent[1].first == kSouth);
+}
+
 TEST_CASE("job_desk: a home refuses and then begins anew") {
   // The job is sent, and the home ends and begins again, so the job is sent
   // once more and its tasks start there. Only then the refusal of the first
