Let jobs wait half a second for a first home

Cause: after a loss of power of all instances, callers reach the first ones some 0.2 s before any home has begun. A job now waits up to 0.5 s if a home was known, or the instance started, that short a time ago; else it is refused at once as before, since nothing says that a home is near.

Test first: job_desk "a job that comes just before the first home".

--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -13,6 +13,11 @@
 // caller does better to come back than to wait.
 constexpr duration kLongestHomeless = std::chrono::milliseconds(900);
 constexpr duration kRetryAfterNoHome = std::chrono::seconds(1);
+// A job for which no home is known waits for one so long, if there was one, or
+// this instance started, that short a time ago: after a loss of power the homes
+// begin 0.2 s after the first instances, after a planned stop at once. When
+// there has been none for longer, nothing says that one is near.
+constexpr duration kWaitForFirstHome = std::chrono::milliseconds(500);
 
 // Work of the longest chain of steps, by the caller's own estimates.
 duration LongestChain(const std::vector<job_step>& steps) {
@@ -56,6 +61,7 @@
       cancel_(std::move(cancel)),
       last_submission_(
           static_cast<uint64_t>(clock.now().time_since_epoch().count())),
+      home_known_at_(clock.now()),
       sweep_timer_(clock) {
   Sweep();
 }
@@ -88,6 +94,12 @@
                           run_refusal reason) {
   int64_t need = ReadyCpuMillis(job);
   std::vector<known_home> homes = homes_.Ranked(domain_, need);
+  if (!homes.empty())
+    home_known_at_ = clock_.now();
+  job.awaits_first_home = homes.empty() && job.refused_by.empty() &&
+                          clock_.now() - home_known_at_ < kWaitForFirstHome;
+  if (job.awaits_first_home)
+    return;
   std::erase_if(homes, [&](const known_home& home) {
     return job.refused_by.contains(home.status.group);
   });
@@ -110,6 +122,7 @@
     SendTasks(job, false);
     return;
   }
+  job.homeless_since = clock_.now();
   run_answer answer{run_outcome::kNotRun, reason, retry_after};
   if (job.maybe_started)
     answer.outcome = run_outcome::kUnknown;
@@ -259,6 +272,7 @@
 }
 
 void job_desk::OnHomesChanged() {
+  ServeWaiting();
   for (auto& [key, job] : jobs_) {
     const known_home* home = homes_.Find(job.group);
     // Also one that ends and begins again forgets its jobs in between.
@@ -272,6 +286,15 @@
   }
 }
 
+// Refusing them would be true and quick, but with all instances just started it
+// turned away half a second of callers whom the homes served a moment later.
+void job_desk::ServeWaiting() {
+  for (auto& [key, job] : jobs_) {
+    if (job.awaits_first_home)
+      ChooseHome(job, kRetryAfterNoHome, run_refusal::kNotHome);
+  }
+}
+
 void job_desk::OnPeerDown(const instance_id& peer) {
   for (auto& [key, job] : jobs_) {
     if (job.home == peer)
@@ -328,10 +351,12 @@
 }
 
 void job_desk::Sweep() {
+  // Also a home that is known may have no upstreams at first.
+  ServeWaiting();
   std::vector<job_key> given_up;
   for (const auto& [key, job] : jobs_) {
     bool too_long_homeless =
-        job.home.empty() &&
+        job.home.empty() && !job.awaits_first_home &&
         clock_.now() - job.homeless_since > kLongestHomeless;
     if (clock_.now() >= job.limit || too_long_homeless)
       given_up.push_back(key);
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -132,6 +132,8 @@
     std::vector<uint32_t> left;
     std::set<task_position> finished;
     bool maybe_started = false;
+    // No home is known, but one is likely to begin soon. Nothing was sent.
+    bool awaits_first_home = false;
   };
   using job_map = std::map<job_key, open_job>;
 
@@ -141,6 +143,7 @@
   // Sends the tasks of ready steps; with `again`, also those sent before.
   void SendTasks(open_job& job, bool again);
   void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
+  void ServeWaiting();
   void LoseHome(open_job& job);
   void OnRefused(open_job& job, const run_report& report);
   void Answer(const job_key& key, const run_answer& answer);
@@ -156,6 +159,8 @@
   job_map jobs_;
   uint64_t last_submission_;
   job_desk_metrics metrics_;
+  // When a home was last known that had upstreams, or this instance started.
+  time_point home_known_at_;
   scoped_timer sweep_timer_;
 };
 
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -86,6 +86,39 @@
   CHECK(!f.sent[1].second.tasks[0].maybe_started);
 }
 
+TEST_CASE("job_desk: a job that comes just before the first home") {
+  // All instances lost power and are back. Callers come at once, the homes
+  // begin a fifth of a second later. A refusal would be true, but a caller that
+  // waits so long is served; one that comes when no home has been known for
+  // long is told so at once.
+  desk_fixture f;
+  f.Tell(kNorth, "north", 1, false);
+  f.Tell(kSouth, "south", 2, false);
+  SUBCASE("is served when that begins") {
+    f.Submit();
+    f.clock.Advance(milliseconds(200));
+    CHECK(f.answers.empty());
+    f.Tell(kSouth, "south", 3, true);
+    REQUIRE(f.sent.size() == 1);
+    CHECK(f.sent[0].first == kSouth);
+  }
+  SUBCASE("is refused as not run if none begins") {
+    f.Submit();
+    f.clock.Advance(milliseconds(600));
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].outcome == run_outcome::kNotRun);
+    CHECK(f.answers[0].retry_after > duration::zero());
+    CHECK(f.sent.empty());
+  }
+  SUBCASE("is refused at once when none has been known for long") {
+    f.clock.Advance(milliseconds(600));
+    f.Submit();
+    f.clock.Advance(milliseconds(1));
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].outcome == run_outcome::kNotRun);
+  }
+}
+
 TEST_CASE("job_desk: new jobs avoid a home that went quiet") {
   // The home's process froze or lost power. Its link shows that only after a
   // second; a caller whose short job is sent there meanwhile waits as long.
