Say 503 before the configuration, and refuse documents that are none

Cause: before any configuration is known no token is, so callers with a good one were told 401 "no valid bearer token", which says to give up. And a document without classes, teams and administrators came into force without a word and locked everybody out.

--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr size_t kMaxBody = 16 * 1024 * 1024;
+// The configuration comes with the first answer of the store or of a peer.
+constexpr duration kConfigurationSoon = std::chrono::seconds(1);
 constexpr char kJobsPath[] = "/v1/jobs";
 constexpr char kJobPrefix[] = "/v1/jobs/";
 constexpr char kMintPath[] = "/v1/job-ids";
@@ -78,6 +80,17 @@
 
 void caller_api::Handle(const http_exchange_ptr& exchange) {
   const http_request& request = exchange->request();
+  // Without a configuration no token is known, also no good one. "Not
+  // authorized" would tell a rightful caller to give up.
+  if (!config_.known()) {
+    error_reply error;
+    error.status = 503;
+    error.reason = "no_configuration";
+    error.detail = "this instance has no configuration yet";
+    error.retry_after = kConfigurationSoon;
+    exchange->Reply(CountRefusal(error));
+    return;
+  }
   auto team = tokens_.Team(exchange->header("Authorization"));
   if (!team) {
     Refuse(exchange, 401, "unauthorized", "no valid bearer token was given");
--- a/src/store/configuration_json.cc
+++ b/src/store/configuration_json.cc
@@ -88,6 +88,10 @@
   const json* classes = reader.Object("classes");
   const json* teams = reader.Object("teams");
   const json* administrators = reader.Object("administrators");
+  // Most likely another program's document. In force, it would lock all callers
+  // and operators out.
+  if (!classes && !teams && !administrators)
+    reader.Complain("", "has none of classes, teams and administrators");
   if (!reader.ok())
     return *reader.error();
   configuration config;
--- a/tests/configuration_store/configuration_store_test.cc
+++ b/tests/configuration_store/configuration_store_test.cc
@@ -151,6 +151,10 @@
   // A newer one that makes no sense is not taken either.
   f.store.Offer(config_version(8), {{"classes", 5}});
   CHECK(f.store.version() == config_version(7));
+  // Nor one that is about something else: it would lock everybody out.
+  f.store.Offer(config_version(9), {{"routes", nlohmann::json::array()}});
+  f.store.Offer(config_version(9), nlohmann::json::object());
+  CHECK(f.store.version() == config_version(7));
 }
 
 // Eight operators race a thousand changes through three instances, while
--- a/tests/instance/instance_test.cc
+++ b/tests/instance/instance_test.cc
@@ -181,6 +181,36 @@
   CHECK(ready->value().body.find("no configuration") != std::string::npos);
 }
 
+// A caller with a good token comes before any configuration is known. "Not
+// authorized" would make it give up; it is told to come back.
+TEST_CASE("instance: callers that come before the configuration") {
+  event_loop loop;
+  daemon_settings settings;
+  settings.instance = instance_id("e0");
+  settings.failure_domain = failure_domain_id("d");
+  settings.callers = settings.operators = settings.peers = {"127.0.0.1", 0};
+  settings.platform = {"127.0.0.1", 1};
+  settings.peer_key = std::string(32, 'k');
+  StartLogging("off");
+  instance alone(loop, settings);
+  http_connection connection(loop, alone.callers_address(),
+                             http_client_limits());
+  std::optional<http_result> answer;
+  connection.Send({http_method::kPost,
+                   "/v1/jobs",
+                   {{"Authorization", "Bearer lahore-token"}},
+                   "{}"},
+                  std::chrono::seconds(60),
+                  [&](http_result r) { answer = std::move(r); });
+  REQUIRE(RunUntil(loop, [&] { return answer.has_value(); }));
+  CHECK(answer->value().status == 503);
+  CHECK(FindHeader(answer->value().headers, "Retry-After") != nullptr);
+  const std::string* run =
+      FindHeader(answer->value().headers, "Jasminedyke-Run");
+  REQUIRE(run);
+  CHECK(*run == "not-run");
+}
+
 // An upstream begins to leave: the list says so, or only its own refusal.
 // It gets nothing new, and what runs there ends well.
 TEST_CASE("instance: a leaving upstream gets no new work") {
