Take registrations whole or not at all, and only of named services

Cause: other programs may write rows among the upstreams' registrations. A row with an unknown state counted as ready, one without a failure domain, labels or capacity, or with fields of another type, was half understood; a number beyond the range of integers was converted, which is undefined; rows of services that operators don't name got sessions and calls. Services are looked up again when a configuration comes into force.

--- a/bench/fuzz/fuzz_targets.cc
+++ b/bench/fuzz/fuzz_targets.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "daemon/daemon.h"
+#include "document_codec.h"
 #include "entry/entry.h"
 #include "fuzz/fuzz_targets.h"
 #include "protocol/protocol.h"
@@ -53,9 +54,21 @@
     __builtin_trap();
 }
 
+// A row of the upstreams' registrations, as it comes from the platform's store.
+void FuzzRegistration(const std::string& bytes) {
+  table_snapshot table;
+  table.rows["u"] = {1, nlohmann::json::parse(bytes, nullptr, false)};
+  for (const auto& [id, info] : ParseUpstreams(table)) {
+    // Whoever is named can be called and has room that is not negative.
+    if (!socket_address::Parse(info.address) || info.capacity.cpu_millis < 0)
+      __builtin_trap();
+  }
+}
+
 using target = void (*)(const std::string& bytes);
-constexpr target kTargets[] = {FuzzJob,   FuzzConfiguration, FuzzSettings,
-                               FuzzFrame, FuzzMembership,    FuzzJobId};
+constexpr target kTargets[] = {FuzzJob,         FuzzConfiguration, FuzzSettings,
+                               FuzzFrame,       FuzzMembership,    FuzzJobId,
+                               FuzzRegistration};
 constexpr size_t kTargetCount = sizeof(kTargets) / sizeof(kTargets[0]);
 
 }  // namespace
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -91,8 +91,7 @@
   // The process that wrote the row has ended or is leaving: nothing listens at
   // its address, or it said so, or another process runs in its place.
   bool HasEnded(const home_row& row) const;
-  void OnRowRead(time_point asked,
-                 const outcome<table_row, store_error>& row);
+  void OnRowRead(time_point asked, const outcome<table_row, store_error>& row);
   // `anew`: another home may have served the group since we began.
   void TakeOver(uint64_t expected_version, bool anew);
   void TakeOverWithoutStore();
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -97,9 +97,10 @@
 }
 
 void run_cluster::SetUpstreams(const upstream_registry& upstreams) {
+  listed_upstreams_ = upstreams;
   upstream_registry own;
   for (const auto& [id, info] : upstreams) {
-    if (info.failure_domain == self_.domain)
+    if (info.failure_domain == self_.domain && IsKnownService(info.service))
       own.emplace(id, info);
   }
   KeepMissing(&own);
@@ -114,6 +115,12 @@
   }
 }
 
+// A registration of a service that operators have not named is from some other
+// program: no call goes there.
+bool run_cluster::IsKnownService(const service_id& service) const {
+  return !routes_.known() || routes_.config().services.contains(service.str());
+}
+
 // A failure domain that was cut off from the store comes back to a list without
 // most of its upstreams, whose runs go on. A home that forgot them would start
 // these tasks a second time. One that is really gone answers no call, so it
@@ -164,6 +171,9 @@
   LogEvent(log_level::kInfo, "configuration_in_force",
            {{"version", config->version.value()},
             {"routes", config->routes.size()}});
+  // It may name other services than the last one.
+  if (home_->serving() && !listed_upstreams_.empty())
+    SetUpstreams(upstream_registry(listed_upstreams_));
   SendToAll(OwnStatus());
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -83,6 +83,7 @@
   void TellHomeStatus();
   void OnHomesChanged();
   bool IsOfOwnDomain(const instance_id& peer) const;
+  bool IsKnownService(const service_id& service) const;
   // Adds upstreams that were known and are missing for a short time only.
   void KeepMissing(upstream_registry* listed);
 
@@ -93,6 +94,8 @@
   route_table routes_;
   // The document behind `routes_`, for peers that lack it.
   std::string config_document_;
+  // As the store listed them last, of all failure domains and services.
+  upstream_registry listed_upstreams_;
   upstream_registry upstreams_;
   // Of those that the store does not list, since when.
   std::map<upstream_id, time_point> missing_since_;
--- a/src/store/json_fields.cc
+++ b/src/store/json_fields.cc
@@ -1,5 +1,7 @@
 #include "store/json_fields.h"
 
+#include <cmath>
+
 namespace jasminedyke {
 
 namespace {
@@ -23,7 +25,13 @@
 
 int64_t IntegerField(const json& object, const char* field, int64_t otherwise) {
   const json* value = Find(object, field);
-  return value && value->is_number() ? value->get<int64_t>() : otherwise;
+  if (!value || !value->is_number())
+    return otherwise;
+  // Beyond these, converting a fraction to an integer is undefined.
+  constexpr double kLimit = 9e18;
+  bool convertible =
+      !value->is_number_float() || std::abs(value->get<double>()) < kLimit;
+  return convertible ? value->get<int64_t>() : otherwise;
 }
 
 double NumberField(const json& object, const char* field, double otherwise) {
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -10,8 +10,12 @@
 
 constexpr char kNeed[] = "10000";
 
-std::optional<routing_config> NoConfig(const std::string&) {
-  return std::nullopt;
+// A document of these tests names the one service that there is.
+std::optional<routing_config> ParseServiceName(const std::string& document) {
+  routing_config config;
+  config.version = config_version(1);
+  config.services[document] = {};
+  return config;
 }
 
 }  // namespace
@@ -62,7 +66,7 @@
                                             upstreams,
                                             member,
                                             upstream_session::limits(),
-                                            NoConfig)) {}
+                                            ParseServiceName)) {}
 
 run_nodes::run_nodes() = default;
 run_nodes::~run_nodes() = default;
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -34,14 +34,59 @@
 }
 
 TEST_CASE("document_codec: registrations that make no sense are left out") {
+  // Other programs write to the table as well. A caller's task that is sent to
+  // what such a row names fails or never ends, so a row with any field missing,
+  // of another type or of an unknown state names no upstream; others hold.
+  const auto kGood = nlohmann::json::parse(R"({"service":"s",
+    "address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,
+    "state":"draining","cold_remaining_ms":0,"sequence":4,
+    "labels":["a","r1-3"],"capacity":{"cpu":16000,"mem_mb":10,"gpus":1}})");
+  struct wrong_field {
+    const char* path;
+    nlohmann::json value;
+  };
+  const wrong_field kWrong[] = {
+      {"/service", 7},
+      {"/service", ""},
+      {"/address", "nowhere"},
+      {"/address", nullptr},
+      {"/zone", nlohmann::json::array()},
+      {"/zone", ""},
+      {"/version", 1},
+      {"/slots", "8"},
+      {"/slots", -1},
+      {"/state", "melting"},
+      {"/state", 1},
+      {"/state", ""},
+      {"/cold_remaining_ms", "soon"},
+      {"/sequence", 1e300},
+      {"/labels", "a"},
+      {"/labels", {1}},
+      {"/capacity", 16000},
+      {"/capacity/cpu", "16000"},
+      {"/capacity/cpu", 1e300},
+      {"/capacity/mem_mb", -5},
+      {"/capacity/gpus", true},
+  };
   table_snapshot table;
-  table.rows["good"] = {1, nlohmann::json::parse(R"({"service":"s",
-    "address":"10.0.0.1:80","zone":"z","state":"draining",
-    "labels":["a","r1-3"],"capacity":{"cpu":16000,"mem_mb":10,"gpus":1}})")};
-  table.rows["no-address"] = {1, nlohmann::json::parse(R"({"service":"s"})")};
+  table.rows["good"] = {1, kGood};
+  for (const wrong_field& each : kWrong) {
+    nlohmann::json row = kGood;
+    row[nlohmann::json::json_pointer(each.path)] = each.value;
+    table.rows[each.path + each.value.dump()] = {1, row};
+  }
+  for (const char* missing : {"service", "address", "zone", "version", "slots",
+                              "state", "sequence", "labels", "capacity"}) {
+    nlohmann::json row = kGood;
+    row.erase(missing);
+    table.rows[missing] = {1, row};
+  }
   table.rows["text"] = {1, "text"};
   table.rows["null"] = {1, nullptr};
+  table.rows["list"] = {1, nlohmann::json::array({1})};
   upstream_registry registry = ParseUpstreams(table);
+  for (const auto& [id, info] : registry)
+    CHECK(id == upstream_id("good"));
   REQUIRE(registry.size() == 1);
   const upstream_info& info = registry.begin()->second;
   CHECK(info.draining);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -165,6 +165,76 @@
   CHECK(d.answers[kJob].empty());
 }
 
+TEST_CASE("a caller leaves while a start is on its way") {
+  // The upstream carries the order out late, when the job has been cancelled
+  // and the order to stop it was answered or lost. What began nobody waits for:
+  // it must not go on.
+  one_domain d(milliseconds(5000));
+  d.fleet.late = milliseconds(400);
+  run_node& node = d.Other(d.Home());
+  bool delay = true;
+  bool stops_arrive = true;
+  SUBCASE("whose stop is confirmed") {}
+  SUBCASE("whose stop is lost") {
+    stops_arrive = false;
+  }
+  for (run_node* each : d.Live())
+    each->upstreams.lose_stops = [&] { return delay && !stops_arrive; };
+  submission_id submission = d.Submit(node, kJob, 1);
+  d.Run(milliseconds(2));
+  d.fleet.fate = [&](const upstream_id&, const std::string&) {
+    return delay ? call_fate::kDelayed : call_fate::kAnswered;
+  };
+  d.Run(milliseconds(20));
+  node.cluster->desk().Leave(job_key(kJob), submission);
+  d.Run(milliseconds(300));
+  delay = false;
+  d.Run(milliseconds(1500));
+  for (auto& [id, upstream] : d.fleet.upstreams) {
+    upstream->Settle();
+    CHECK(upstream->running.empty());
+  }
+}
+
+TEST_CASE("a caller leaves and the home is gone before it can stop the runs") {
+  // The instance that started the task is removed for good. Its successor finds
+  // runs that no job claims and must stop them, rather than prolong them.
+  one_domain d(milliseconds(60'000));
+  run_node& home = d.Home();
+  run_node& node = d.Other(home);
+  submission_id submission = d.Submit(node, kJob, 4);
+  d.Run(milliseconds(100));
+  d.Kill(home);
+  node.cluster->desk().Leave(job_key(kJob), submission);
+  d.Run(milliseconds(2000));
+  REQUIRE(d.Homes().size() == 1);
+  for (auto& [id, upstream] : d.fleet.upstreams) {
+    upstream->Settle();
+    CHECK(upstream->running.empty());
+  }
+}
+
+TEST_CASE("an upstream of a service that operators have not named") {
+  // Another program registered it. A caller's task must not go there, nor any
+  // other call.
+  one_domain d;
+  d.Home().cluster->OnConfigDocument("parts");
+  fake_upstream& stranger = d.fleet.Add("stranger", "north");
+  d.fleet.registry.at(upstream_id("stranger")).service = service_id("other");
+  int calls = 0;
+  d.fleet.fate = [&](const upstream_id& id, const std::string&) {
+    calls += id == upstream_id("stranger") ? 1 : 0;
+    return call_fate::kAnswered;
+  };
+  d.Home().cluster->SetUpstreams(d.fleet.registry);
+  d.Submit(d.Home(), kJob, 8);
+  d.Run(milliseconds(500));
+  CHECK(calls == 0);
+  CHECK(stranger.starts.empty());
+  REQUIRE(d.answers[kJob].size() == 1);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+}
+
 TEST_CASE("the home dies while the store is away") {
   // Nobody can take the row. After a while the first candidate goes on with
   // the next token; when the store is back, it takes the row too.
