Give an upstream's clock a class of its own

The session was the second largest file and mixed its protocol with the bounds on the upstream's clock.

--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -13,6 +13,7 @@
 #include "runs/run_home.h"
 #include "runs/run_messages.h"
 #include "runs/run_types.h"
+#include "runs/upstream_clock.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
 #include "runs/upstream_session.h"
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -37,8 +37,7 @@
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
 constexpr duration kLongestHoldRetry = std::chrono::milliseconds(1000);
-// Upstreams' clocks may be 2 % slow (platform's bound).
-constexpr double kSlowestClock = 0.98;
+// Beyond a time on the upstream's clock, before something counts as over.
 constexpr int64_t kClockMarginMs = 30;
 // After an upstream has refused work as unwell: at first, and at most.
 constexpr duration kFirstRefusalPause = std::chrono::milliseconds(200);
@@ -73,6 +72,7 @@
       owner_(told),
       refused_until_(clock.now()),
       begun_(clock.now()),
+      upstream_clock_(clock),
       hold_(clock),
       spare_hold_(clock),
       lease_timer_(clock),
@@ -86,7 +86,7 @@
 }
 
 bool upstream_session::usable() const {
-  return settled_ && clock_known_ && !gone_ && !info_.draining &&
+  return settled_ && upstream_clock_.known() && !gone_ && !info_.draining &&
          failed_holds_ == 0 && !in_doubt_ && clock_.now() >= refused_until_ &&
          !HasFoundRuns();
 }
@@ -106,7 +106,7 @@
                              run_number run,
                              const std::string& spec,
                              const resource_amount& need) {
-  run_order order{task, run, spec, token_, LatestClock()};
+  run_order order{task, run, spec, token_, upstream_clock_.Latest()};
   order.not_after.ms += ToMs(kStartLimit);
   run_record record;
   record.run = run;
@@ -133,7 +133,7 @@
                                  time_point sent,
                                  const start_reply& reply) {
   if (reply.clock) {
-    TakeClock(*reply.clock, sent);
+    upstream_clock_.Take(*reply.clock, sent);
     in_doubt_ = false;
   }
   auto found = runs_.find(task);
@@ -251,7 +251,7 @@
     if (!IsInDoubt(record, clock_.now()))
       continue;
     any = true;
-    in_doubt_ = in_doubt_ || !HeardSince(record.since);
+    in_doubt_ = in_doubt_ || !upstream_clock_.HeardSince(record.since);
   }
   if (!any)
     return;
@@ -276,10 +276,6 @@
   return last_unanswered_ && clock_.now() - *last_unanswered_ < kLossMemory;
 }
 
-bool upstream_session::HeardSince(time_point sent) const {
-  return clock_known_ && clock_heard_ > sent;
-}
-
 void upstream_session::Adopt(const task_name& task,
                              const resource_amount& need) {
   auto found = runs_.find(task);
@@ -293,7 +289,8 @@
 }
 
 bool upstream_session::Answers() const {
-  return clock_known_ && clock_.now() - clock_heard_ < kProlongUnanswered;
+  return upstream_clock_.known() &&
+         clock_.now() - upstream_clock_.heard() < kProlongUnanswered;
 }
 
 // While runs of an earlier owner are unclaimed, theirs must be allowed to
@@ -302,9 +299,9 @@
   hold_order order;
   order.token = token_;
   order.acknowledged = acknowledged_;
-  if (settled_ && clock_known_ && !HasFoundRuns() && !runs_.empty() &&
-      (Answers() || failed_holds_ == 0)) {
-    order.lease_until = LatestClock();
+  if (settled_ && upstream_clock_.known() && !HasFoundRuns() &&
+      !runs_.empty() && (Answers() || failed_holds_ == 0)) {
+    order.lease_until = upstream_clock_.Latest();
     order.lease_until->ms += ToMs(limits_.longest_lease);
   }
   return order;
@@ -370,7 +367,7 @@
 // The hold that waits may show it only seconds later.
 void upstream_session::OnLookFailed(time_point sent) {
   NoteUnanswered();
-  if (!HeardSince(sent))
+  if (!upstream_clock_.HeardSince(sent))
     ++failed_holds_;
   lease_timer_.StartAfter(RetryPause(), [this] { SendLook(); });
   CheckLapse();
@@ -384,7 +381,8 @@
 void upstream_session::WatchLease() {
   if (runs_.empty() || failed_holds_ > 0)
     return;
-  duration left = std::chrono::milliseconds(given_until_.ms - LatestClock().ms);
+  duration left =
+      std::chrono::milliseconds(given_until_.ms - upstream_clock_.Latest().ms);
   duration pause = std::max(duration::zero(), left - kLeaseMargin);
   // A lost one would hide ends for its whole wait.
   if (hold_.in_flight && hold_.idle)
@@ -409,7 +407,7 @@
   failed_holds_ = 0;
   in_doubt_ = false;
   lapse_timer_.Stop();
-  TakeClock(reply.clock, sent);
+  upstream_clock_.Take(reply.clock, sent);
   TakeEnds(reply);
   TakeRunning(reply);
   JudgeUnlisted(sent, reply);
@@ -447,7 +445,7 @@
   NoteUnanswered();
   // A single lost answer does not take an upstream out of use that answers
   // other calls.
-  if (HeardSince(sent)) {
+  if (upstream_clock_.HeardSince(sent)) {
     NextHold(hold, false);
     return;
   }
@@ -475,7 +473,8 @@
 }
 
 bool upstream_session::LeaseIsOver() const {
-  return !clock_known_ || EarliestClock().ms > lease_end_.ms + kClockMarginMs;
+  return !upstream_clock_.known() ||
+         upstream_clock_.Earliest().ms > lease_end_.ms + kClockMarginMs;
 }
 
 void upstream_session::EndAll(run_end how) {
@@ -488,26 +487,6 @@
     owner_.OnRunEnded(*this, task, run, how);
 }
 
-void upstream_session::TakeClock(upstream_time clock, time_point sent) {
-  // Answers may overtake each other.
-  if (clock_known_ && clock < clock_reading_)
-    return;
-  clock_known_ = true;
-  clock_reading_ = clock;
-  clock_asked_ = sent;
-  clock_heard_ = clock_.now();
-}
-
-upstream_time upstream_session::EarliestClock() const {
-  auto passed =
-      static_cast<double>(ToMs(clock_.now() - clock_heard_)) * kSlowestClock;
-  return {clock_reading_.ms + static_cast<int64_t>(passed)};
-}
-
-upstream_time upstream_session::LatestClock() const {
-  return {clock_reading_.ms + ToMs(clock_.now() - clock_asked_) + 1};
-}
-
 void upstream_session::NoteLease(upstream_time until) {
   lease_end_ = std::max(lease_end_, until);
   given_until_ = std::max(given_until_, until);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -11,6 +11,7 @@
 
 #include "base/base.h"
 #include "runs/run_types.h"
+#include "runs/upstream_clock.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
 
@@ -150,13 +151,10 @@
   void NoteUnanswered() { last_unanswered_ = clock_.now(); }
   // Some of its answers got lost lately.
   bool LosesAnswers() const;
-  // It has answered other calls since.
-  bool HeardSince(time_point sent) const;
   void WatchStarts(duration pause);
   void CheckStarts();
   bool IsInDoubt(const run_record& record, time_point now) const;
   void RefuseUnlistedStarts(time_point sent, const hold_reply& reply);
-  void TakeClock(upstream_time clock, time_point sent);
   void TakeEnds(const hold_reply& reply);
   void TakeRunning(const hold_reply& reply);
   void JudgeUnlisted(time_point sent, const hold_reply& reply);
@@ -168,9 +166,6 @@
   void OnStopAnswered(run_record& record, call_result result);
   void SettleWithoutAnswer();
   bool HasFoundRuns() const;
-  // Certainly not ahead of, and certainly not behind, the upstream's clock.
-  upstream_time EarliestClock() const;
-  upstream_time LatestClock() const;
   bool LeaseIsOver() const;
   void CheckLapse();
   void EndAll(run_end how);
@@ -199,11 +194,7 @@
   time_point refused_until_;
   duration refusal_pause_ = duration::zero();
   time_point begun_;
-  // The upstream's clock was `clock_reading_` at some moment between the two.
-  upstream_time clock_reading_;
-  time_point clock_asked_;
-  time_point clock_heard_;
-  bool clock_known_ = false;
+  upstream_clock upstream_clock_;
   // Nothing on the upstream outlives this time on its clock.
   upstream_time lease_end_;
   // What runs there lives until then, if our orders arrived.
