Give up unanswered holds and stops after 80 ms

Cause: with 8 % of the orders unanswered, a lost look or stop still kept its run unclear for 150 and 300 ms; answers take 2 to 5 ms.

Ruled out: harm to slow, paused or frozen instances of ours: what has arrived is read before the timers.

--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -5,7 +5,8 @@
 namespace {
 
 constexpr duration kCallTimeout = std::chrono::milliseconds(300);
-constexpr duration kHoldSlack = std::chrono::milliseconds(150);
+constexpr duration kStopTimeout = std::chrono::milliseconds(80);
+constexpr duration kHoldSlack = std::chrono::milliseconds(80);
 constexpr duration kLook = std::chrono::milliseconds(1);
 constexpr int64_t kLongestLeaseMs = 1000;
 constexpr duration kStopTime = std::chrono::milliseconds(20);
@@ -184,12 +185,12 @@
                               const stop_order& order,
                               stop_callback done) {
   if (lose_stops()) {
-    fleet_.clock.CallAfter(kCallTimeout,
+    fleet_.clock.CallAfter(kStopTimeout,
                            [done] { done(call_result::kUnknown); });
     return;
   }
   Call<call_result>(
-      id, kCallTimeout, [order](fake_upstream& u) { return u.Stop(order); },
+      id, kStopTimeout, [order](fake_upstream& u) { return u.Stop(order); },
       call_result::kUnknown, std::move(done));
 }
 
--- a/tests/upstream_session/upstream_session_test.cc
+++ b/tests/upstream_session/upstream_session_test.cc
@@ -207,8 +207,7 @@
     f.log.not_started.clear();
   }
   // Of ten starts nine are answered; the others are started anew by the owner.
-  MESSAGE(in_time);
-  CHECK(in_time >= kTasks * 80 / 100);
+  CHECK(in_time >= kTasks * 85 / 100);
 }
 
 TEST_CASE("a hold answered before a run began, and read after it was listed") {
