--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -29,10 +29,12 @@
 // Starts are answered within 2 to 5 ms; one that is not after this time is
 // looked for. A caller of 60 ms tasks can lose 96 ms in all.
 constexpr duration kStartPatience = std::chrono::milliseconds(30);
-// Between looks for an unanswered start, doubled each time.
+// Between looks for an unanswered start, doubled each time: a look is answered
+// as fast as a start, and an upstream that answers nothing must not be flooded.
 constexpr duration kStartRecheck = std::chrono::milliseconds(40);
 constexpr duration kLongestStartRecheck = std::chrono::milliseconds(320);
-// Answers get lost in spells of seconds.
+// Answers get lost in spells of seconds. Between two losses on an upstream at
+// work, with 8 % lost and 20 calls a second, lie 0.6 s.
 constexpr duration kLossMemory = std::chrono::seconds(3);
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
@@ -75,7 +77,7 @@
       upstream_clock_(clock),
       hold_(clock),
       spare_hold_(clock),
-      lease_timer_(clock),
+      look_timer_(clock),
       start_timer_(clock),
       lapse_timer_(clock) {
   SendHold(hold_);
@@ -218,9 +220,7 @@
 void upstream_session::OnStopAnswered(run_record& record, call_result result) {
   if (result == call_result::kUnknown)
     NoteUnanswered();
-  bool unclear = record.phase == run_phase::kStarting ||
-                 record.phase == run_phase::kUnproven;
-  if (result != call_result::kOk || !unclear)
+  if (result != call_result::kOk || !record.IsUnclear())
     return;
   record.refused_since = clock_.now();
   SendLook();
@@ -229,20 +229,16 @@
 void upstream_session::WatchStarts(duration pause) {
   start_timer_.StartAfter(pause, [this, pause] {
     CheckStarts();
-    bool any = std::ranges::any_of(runs_, [](const auto& entry) {
-      return entry.second.phase == run_phase::kStarting ||
-             entry.second.phase == run_phase::kUnproven;
-    });
-    if (any)
+    bool any_unclear = std::ranges::any_of(
+        runs_, [](const auto& entry) { return entry.second.IsUnclear(); });
+    if (any_unclear)
       WatchStarts(std::clamp(pause * 2, kStartRecheck, kLongestStartRecheck));
   });
 }
 
 bool upstream_session::IsInDoubt(const run_record& record,
                                  time_point now) const {
-  bool unclear = record.phase == run_phase::kStarting ||
-                 record.phase == run_phase::kUnproven;
-  return unclear && now - record.since >= kStartPatience;
+  return record.IsUnclear() && now - record.since >= kStartPatience;
 }
 
 void upstream_session::CheckStarts() {
@@ -369,7 +365,7 @@
   NoteUnanswered();
   if (!upstream_clock_.HeardSince(sent))
     ++failed_holds_;
-  lease_timer_.StartAfter(RetryPause(), [this] { SendLook(); });
+  look_timer_.StartAfter(RetryPause(), [this] { SendLook(); });
   CheckLapse();
 }
 
@@ -387,7 +383,7 @@
   // A lost one would hide ends for its whole wait.
   if (hold_.in_flight && hold_.idle)
     pause = std::min(pause, kHoldWait);
-  lease_timer_.StartAfter(pause, [this] { SendLook(); });
+  look_timer_.StartAfter(pause, [this] { SendLook(); });
 }
 
 void upstream_session::OnHeld(waiting_hold& hold,
@@ -535,8 +531,7 @@
     }
     run_record& record = found->second;
     record.percent = listed.percent;
-    if (record.phase == run_phase::kStarting ||
-        record.phase == run_phase::kUnproven) {
+    if (record.IsUnclear()) {
       record.phase = run_phase::kRunning;
       record.since = clock_.now();
     }
@@ -550,11 +545,9 @@
 void upstream_session::JudgeUnlisted(time_point sent, const hold_reply& reply) {
   std::vector<std::pair<task_name, run_number>> unlisted;
   for (const auto& [task, record] : runs_) {
-    bool unclear = record.phase == run_phase::kStarting ||
-                   record.phase == run_phase::kUnproven;
     bool too_late = reply.clock.ms > record.not_after.ms + kClockMarginMs ||
                     (record.refused_since && sent >= *record.refused_since);
-    bool can_judge = unclear ? too_late : record.since < sent;
+    bool can_judge = record.IsUnclear() ? too_late : record.since < sent;
     if (!IsListed(reply, task) && can_judge)
       unlisted.emplace_back(task, record.run);
   }
@@ -562,8 +555,7 @@
     auto found = runs_.find(task);
     if (found == runs_.end())
       continue;
-    bool never_began = found->second.phase == run_phase::kStarting ||
-                       found->second.phase == run_phase::kUnproven;
+    bool never_began = found->second.IsUnclear();
     Remove(found);
     if (never_began)
       owner_.OnNotStarted(*this, task, run, start_result::kUnknown);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -120,6 +120,11 @@
     bool stop_wanted = false;
     bool stop_in_flight = false;
     std::optional<int> percent;
+
+    // Not known to have begun.
+    bool IsUnclear() const {
+      return phase == run_phase::kStarting || phase == run_phase::kUnproven;
+    }
   };
   using run_map = std::map<task_name, run_record>;
 
@@ -204,7 +209,7 @@
   upstream_time newest_ends_;
   waiting_hold hold_;
   waiting_hold spare_hold_;
-  scoped_timer lease_timer_;
+  scoped_timer look_timer_;
   scoped_timer start_timer_;
   scoped_timer lapse_timer_;
 };
