--- a/src/base/runtime_clock.h
+++ b/src/base/runtime_clock.h
@@ -5,6 +5,7 @@
 #define SRC_BASE_RUNTIME_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace jasminedyke {
 
@@ -30,6 +31,11 @@
   return std::chrono::duration<double, std::milli>(d).count();
 }
 
+// Rounded towards zero; for formats that know no fractions.
+inline int64_t WholeMilliseconds(duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 inline duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(seconds));
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -97,12 +97,19 @@
 }
 
 void run_cluster::SetUpstreams(const upstream_registry& upstreams) {
-  listed_upstreams_ = upstreams;
-  upstream_registry own;
+  listed_upstreams_.clear();
   for (const auto& [id, info] : upstreams) {
-    if (info.failure_domain == self_.domain && IsKnownService(info.service))
-      own.emplace(id, info);
+    if (info.failure_domain == self_.domain)
+      listed_upstreams_.emplace(id, info);
   }
+  UseListedUpstreams();
+}
+
+void run_cluster::UseListedUpstreams() {
+  upstream_registry own = listed_upstreams_;
+  std::erase_if(own, [this](const auto& entry) {
+    return !IsKnownService(entry.second.service);
+  });
   KeepMissing(&own);
   upstream_news news = Difference(upstreams_, own);
   upstreams_ = std::move(own);
@@ -173,7 +180,7 @@
             {"routes", config->routes.size()}});
   // It may name other services than the last one.
   if (home_->serving() && !listed_upstreams_.empty())
-    SetUpstreams(upstream_registry(listed_upstreams_));
+    UseListedUpstreams();
   SendToAll(OwnStatus());
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -85,6 +85,7 @@
   bool IsOfOwnDomain(const instance_id& peer) const;
   bool IsKnownService(const service_id& service) const;
   // Adds upstreams that were known and are missing for a short time only.
+  void UseListedUpstreams();
   void KeepMissing(upstream_registry* listed);
 
   scheduler& clock_;
@@ -94,7 +95,7 @@
   route_table routes_;
   // The document behind `routes_`, for peers that lack it.
   std::string config_document_;
-  // As the store listed them last, of all failure domains and services.
+  // Of the own failure domain, as the store listed them last, of any service.
   upstream_registry listed_upstreams_;
   upstream_registry upstreams_;
   // Of those that the store does not list, since when.
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -83,12 +83,8 @@
   // Without a configuration no token is known, also no good one. "Not
   // authorized" would tell a rightful caller to give up.
   if (!config_.known()) {
-    error_reply error;
-    error.status = 503;
-    error.reason = "no_configuration";
-    error.detail = "this instance has no configuration yet";
-    error.retry_after = kConfigurationSoon;
-    exchange->Reply(CountRefusal(error));
+    Refuse(exchange, 503, "no_configuration",
+           "this instance has no configuration yet", kConfigurationSoon);
     return;
   }
   auto team = tokens_.Team(exchange->header("Authorization"));
@@ -323,11 +319,13 @@
 void caller_api::Refuse(const http_exchange_ptr& exchange,
                         int status,
                         const std::string& reason,
-                        const std::string& detail) {
+                        const std::string& detail,
+                        duration retry_after) {
   error_reply error;
   error.status = status;
   error.reason = reason;
   error.detail = detail;
+  error.retry_after = retry_after;
   exchange->Reply(CountRefusal(error));
 }
 
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -63,7 +63,8 @@
   void Refuse(const http_exchange_ptr& exchange,
               int status,
               const std::string& reason,
-              const std::string& detail);
+              const std::string& detail,
+              duration retry_after = duration::zero());
   http_reply CountRefusal(const error_reply& error);
   const class_settings* FindClass(const class_id& work_class) const;
 
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -22,35 +22,15 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
-void LogReload(const std::string& file, bool valid) {
-  LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
-           {{"file", file}, {"valid", valid ? 1 : 0}});
-}
-
-template <class Daemon, class Settings>
-int Serve(event_loop& loop,
-          const Settings& settings,
-          const std::function<void()>& reload) {
-  std::optional<Daemon> served;
-  RunDaemon(loop, [&] {
-    served.emplace(loop, settings);
-    return signal_actions{
-        [&](std::function<void()> done) { served->Stop(std::move(done)); },
-        reload};
-  });
-  return kExitOk;
-}
-
-void PrintProblems(const std::string& file, const settings_problems& found) {
-  for (const settings_problem& problem : found)
-    std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
-}
-
-int ServeOnPlatform(event_loop& loop, bool check_only) {
+// `load` reads and checks the settings and says from which file: at the start,
+// and again on each reload.
+template <class Daemon, class Load>
+int Serve(event_loop& loop, const Load& load, bool check_only) {
   std::string file;
-  auto settings = LoadPlatformSettings(&file);
+  auto settings = load(&file);
   if (!settings.ok()) {
-    PrintProblems(file, settings.error());
+    for (const settings_problem& problem : settings.error())
+      std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
     return kExitBadSettings;
   }
   if (check_only) {
@@ -58,26 +38,21 @@
     return kExitOk;
   }
   StartLogging(settings.value().log_level);
-  return Serve<platform_daemon>(loop, settings.value(), [] {
-    std::string changed_file;
-    bool valid = LoadPlatformSettings(&changed_file).ok();
-    LogReload(changed_file, valid);
+  std::optional<Daemon> served;
+  RunDaemon(loop, [&] {
+    served.emplace(loop, settings.value());
+    signal_actions actions;
+    actions.stop = [&](std::function<void()> done) {
+      served->Stop(std::move(done));
+    };
+    actions.reload = [&] {
+      bool valid = load(&file).ok();
+      LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
+               {{"file", file}, {"valid", valid ? 1 : 0}});
+    };
+    return actions;
   });
-}
-
-int ServeUpstreams(event_loop& loop, const std::string& file, bool check_only) {
-  auto settings = LoadSettings(file);
-  if (!settings.ok()) {
-    PrintProblems(file, settings.error());
-    return kExitBadSettings;
-  }
-  if (check_only) {
-    std::printf("%s: ok\n", file.c_str());
-    return kExitOk;
-  }
-  StartLogging(settings.value().log_level);
-  return Serve<instance>(loop, settings.value(),
-                         [&file] { LogReload(file, LoadSettings(file).ok()); });
+  return kExitOk;
 }
 
 }  // namespace
@@ -103,8 +78,13 @@
   }
   try {
     event_loop loop;
-    return on_platform ? ServeOnPlatform(loop, check_only)
-                       : ServeUpstreams(loop, file, check_only);
+    if (on_platform)
+      return Serve<platform_daemon>(loop, LoadPlatformSettings, check_only);
+    auto load = [&file](std::string* read) {
+      *read = file;
+      return LoadSettings(file);
+    };
+    return Serve<instance>(loop, load, check_only);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "jasminedyked: %s\n", error.what());
     return kExitFailed;
--- a/src/runs/upstream_clock.cc
+++ b/src/runs/upstream_clock.cc
@@ -7,10 +7,6 @@
 // Upstreams' clocks may be 2 % slow (platform's bound).
 constexpr double kSlowestClock = 0.98;
 
-int64_t ToMs(duration d) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 }  // namespace
 
 void upstream_clock::Take(upstream_time reading, time_point asked) {
@@ -23,12 +19,12 @@
 }
 
 upstream_time upstream_clock::Earliest() const {
-  auto passed = static_cast<double>(ToMs(clock_.now() - heard_));
+  auto passed = static_cast<double>(WholeMilliseconds(clock_.now() - heard_));
   return {reading_.ms + static_cast<int64_t>(passed * kSlowestClock)};
 }
 
 upstream_time upstream_clock::Latest() const {
-  return {reading_.ms + ToMs(clock_.now() - asked_) + 1};
+  return {reading_.ms + WholeMilliseconds(clock_.now() - asked_) + 1};
 }
 
 }  // namespace jasminedyke
--- a/src/runs/upstream_clock.h
+++ b/src/runs/upstream_clock.h
@@ -21,8 +21,7 @@
   void Take(upstream_time reading, time_point asked);
 
   bool known() const { return known_; }
-  // When the newest reading came. Only if `known()`.
-  time_point heard() const { return heard_; }
+  // A reading came after `when`.
   bool HeardSince(time_point when) const { return known_ && heard_ > when; }
 
   // Certainly not ahead of, and certainly not behind, the upstream's clock.
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -54,10 +54,6 @@
       reply.running, [&](const listed_run& run) { return run.task == task; });
 }
 
-int64_t ToMs(duration d) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 }  // namespace
 
 upstream_session::upstream_session(scheduler& clock,
@@ -109,7 +105,7 @@
                              const std::string& spec,
                              const resource_amount& need) {
   run_order order{task, run, spec, token_, upstream_clock_.Latest()};
-  order.not_after.ms += ToMs(kStartLimit);
+  order.not_after.ms += WholeMilliseconds(kStartLimit);
   run_record record;
   record.run = run;
   record.need = need;
@@ -285,20 +281,20 @@
 }
 
 bool upstream_session::Answers() const {
-  return upstream_clock_.known() &&
-         clock_.now() - upstream_clock_.heard() < kProlongUnanswered;
+  return upstream_clock_.HeardSince(clock_.now() - kProlongUnanswered);
 }
 
 // While runs of an earlier owner are unclaimed, theirs must be allowed to
 // lapse: their job may have been sent again and be running elsewhere.
-hold_order upstream_session::MakeHold() const {
+hold_order upstream_session::MakeHold() {
   hold_order order;
   order.token = token_;
   order.acknowledged = acknowledged_;
   if (settled_ && upstream_clock_.known() && !HasFoundRuns() &&
       !runs_.empty() && (Answers() || failed_holds_ == 0)) {
     order.lease_until = upstream_clock_.Latest();
-    order.lease_until->ms += ToMs(limits_.longest_lease);
+    order.lease_until->ms += WholeMilliseconds(limits_.longest_lease);
+    NoteLease(*order.lease_until);
   }
   return order;
 }
@@ -312,8 +308,6 @@
                  : order.lease_until ? kHoldWait
                                      : kHoldRetry;
   }
-  if (order.lease_until)
-    NoteLease(*order.lease_until);
   hold.in_flight = true;
   hold.idle = runs_.empty();
   hold.timer.Stop();
@@ -344,8 +338,6 @@
     return;
   }
   hold_order order = MakeHold();
-  if (order.lease_until)
-    NoteLease(*order.lease_until);
   look_in_flight_ = true;
   look_again_ = false;
   port_.Hold(info_.id, order,
@@ -392,7 +384,8 @@
   // An earlier owner may have prolonged its runs up to now.
   if (!settled_)
     lease_end_ =
-        std::max(lease_end_, {reply.clock.ms + ToMs(limits_.longest_lease)});
+        std::max(lease_end_,
+                 {reply.clock.ms + WholeMilliseconds(limits_.longest_lease)});
   settled_ = true;
   TakeHold(sent, reply);
   NextHold(hold, !reply.ended.empty());
@@ -413,13 +406,10 @@
 }
 
 void upstream_session::NextHold(waiting_hold& hold, bool any_end) {
-  if (&hold == &spare_hold_) {
-    SendSpareHold();
-    return;
-  }
-  if (any_end && runs_.empty())
+  bool is_main = &hold == &hold_;
+  if (is_main && any_end && runs_.empty())
     hold.timer.StartAfter(kIdlePause, [this] { SendHold(hold_); });
-  else
+  else if (is_main)
     SendHold(hold);
   SendSpareHold();
 }
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -142,7 +142,8 @@
   // Beside a hold that waits: when the lease would run out before it returns,
   // or to learn what became of a start.
   void SendLook();
-  hold_order MakeHold() const;
+  // Also notes the lease that the order brings.
+  hold_order MakeHold();
   bool Answers() const;
   void OnLookFailed(time_point sent);
   duration RetryPause() const;
