--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -148,6 +148,7 @@
 
 template <class Reply>
 void fake_upstream_port::Call(const upstream_id& id,
+                              call_fate fate,
                               duration timeout,
                               std::function<Reply(fake_upstream&)> act,
                               Reply unanswered,
@@ -157,7 +158,6 @@
     if (!dead_ && generations_[id] == generation)
       done(reply);
   };
-  call_fate fate = fleet_.fate(id, home_);
   duration way =
       fate == call_fate::kDelayed ? fleet_.late : fleet_.way + fleet_.detour();
   if (fate != call_fate::kRequestLost) {
@@ -177,20 +177,18 @@
                                const run_order& order,
                                start_callback done) {
   Call<start_reply>(
-      id, kCallTimeout, [order](fake_upstream& u) { return u.Start(order); },
+      id, Fate(id), kCallTimeout,
+      [order](fake_upstream& u) { return u.Start(order); },
       {start_result::kUnknown, std::nullopt}, std::move(done));
 }
 
 void fake_upstream_port::Stop(const upstream_id& id,
                               const stop_order& order,
                               stop_callback done) {
-  if (lose_stops()) {
-    fleet_.clock.CallAfter(kStopTimeout,
-                           [done] { done(call_result::kUnknown); });
-    return;
-  }
+  call_fate fate = lose_stops() ? call_fate::kRequestLost : Fate(id);
   Call<call_result>(
-      id, kStopTimeout, [order](fake_upstream& u) { return u.Stop(order); },
+      id, fate, kStopTimeout,
+      [order](fake_upstream& u) { return u.Stop(order); },
       call_result::kUnknown, std::move(done));
 }
 
@@ -200,7 +198,7 @@
   time_point until = fleet_.clock.now() + order.wait;
   uint64_t generation = generations_[id];
   Call<hold_reply>(
-      id, order.wait + kHoldSlack,
+      id, Fate(id), order.wait + kHoldSlack,
       [order](fake_upstream& u) { return u.Hold(order); },
       hold_reply{call_result::kUnknown, {}, {}, {}},
       [this, id, order, until, generation, done](const hold_reply& reply) {
@@ -233,7 +231,7 @@
       return;
     }
     // A link that was cut meanwhile carries no answer either.
-    bool arrives = fleet_.fate(id, home_) == call_fate::kAnswered;
+    bool arrives = Fate(id) == call_fate::kAnswered;
     if (arrives)
       fleet_.clock.CallAfter(fleet_.detour(),
                              [this, id, generation, done, reply] {
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -116,9 +116,11 @@
   void Die() { dead_ = true; }
 
  private:
+  call_fate Fate(const upstream_id& id) { return fleet_.fate(id, home_); }
   // Carries `act` out at the upstream and brings its result back, or not.
   template <class Reply>
   void Call(const upstream_id& id,
+            call_fate fate,
             duration timeout,
             std::function<Reply(fake_upstream&)> act,
             Reply unanswered,
--- a/tests/instance/instance_test.cc
+++ b/tests/instance/instance_test.cc
@@ -21,6 +21,17 @@
   });
 }
 
+// Of an instance whose platform does not answer.
+daemon_settings WithoutPlatform() {
+  daemon_settings settings;
+  settings.instance = instance_id("e0");
+  settings.failure_domain = failure_domain_id("d");
+  settings.callers = settings.operators = settings.peers = {"127.0.0.1", 0};
+  settings.platform = {"127.0.0.1", 1};
+  settings.peer_key = std::string(32, 'k');
+  return settings;
+}
+
 // Three instances under load are stopped one after the other. Callers follow
 // /readyz. Every request that was taken gets its whole answer, a late one is
 // refused as not run, and all usage is in the store at the end.
@@ -162,14 +173,7 @@
 
 TEST_CASE("instance: it is not ready without configuration, and says why") {
   event_loop loop;
-  daemon_settings settings;
-  settings.instance = instance_id("e0");
-  settings.failure_domain = failure_domain_id("d");
-  settings.callers = settings.operators = settings.peers = {"127.0.0.1", 0};
-  settings.platform = {"127.0.0.1", 1};
-  settings.peer_key = std::string(32, 'k');
-  StartLogging("off");
-  instance alone(loop, settings);
+  instance alone(loop, WithoutPlatform());
   http_connection connection(loop, alone.operators_address(),
                              http_client_limits());
   std::optional<http_result> ready;
@@ -185,14 +189,7 @@
 // authorized" would make it give up; it is told to come back.
 TEST_CASE("instance: callers that come before the configuration") {
   event_loop loop;
-  daemon_settings settings;
-  settings.instance = instance_id("e0");
-  settings.failure_domain = failure_domain_id("d");
-  settings.callers = settings.operators = settings.peers = {"127.0.0.1", 0};
-  settings.platform = {"127.0.0.1", 1};
-  settings.peer_key = std::string(32, 'k');
-  StartLogging("off");
-  instance alone(loop, settings);
+  instance alone(loop, WithoutPlatform());
   http_connection connection(loop, alone.callers_address(),
                              http_client_limits());
   std::optional<http_result> answer;
--- a/tests/peer_link/peer_link_test.cc
+++ b/tests/peer_link/peer_link_test.cc
@@ -117,8 +117,6 @@
   CHECK(a.seen.up.empty());
 }
 
-// An instance is replaced under its id while the old link still stands. The
-// new incarnation takes its place.
 // A peer restarted where it can't learn of anybody, so it does not connect,
 // though its id is the lesser one. The other side comes to it after a moment.
 TEST_CASE("peer_mesh: a peer that knows nobody is met by the other side") {
@@ -130,6 +128,8 @@
   CHECK(b.mesh.peers_up().size() == 1);
 }
 
+// An instance is replaced under its id while the old link still stands. The
+// new incarnation takes its place.
 TEST_CASE("peer_mesh: a new incarnation replaces the old link") {
   event_loop loop;
   node a(loop, "e1", kKey);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -3,6 +3,7 @@
 
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -15,6 +16,8 @@
 
 using std::chrono::milliseconds;
 
+const std::string kJob = "00000000000000aa";
+
 // Three instances of one failure domain and four upstreams.
 struct one_domain : run_nodes {
   explicit one_domain(duration run_time = milliseconds(50)) {
@@ -53,6 +56,12 @@
     throw std::runtime_error("no other instance lives");
   }
 
+  // `kJob` has its one answer, which is that all was done.
+  void CheckSucceeded() {
+    REQUIRE(answers[kJob].size() == 1);
+    CHECK(answers[kJob][0].outcome == run_outcome::kSucceeded);
+  }
+
   int Starts(const std::string& key) {
     int starts = 0;
     for (auto& [id, upstream] : fleet.upstreams) {
@@ -63,8 +72,6 @@
   }
 };
 
-const std::string kJob = "00000000000000aa";
-
 }  // namespace
 
 TEST_CASE("a job through any instance runs once on the home's upstreams") {
@@ -89,8 +96,7 @@
   d.Run(milliseconds(100));
   d.Kill(home);
   d.Run(milliseconds(800));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
   CHECK(d.Starts(kJob) == 6);
   CHECK(d.Homes().size() == 1);
   CHECK(!d.ran_twice);
@@ -109,8 +115,7 @@
   d.Run(milliseconds(100));
   home.cluster->Leave();
   d.Run(milliseconds(900));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
   CHECK(!home.cluster->home().serving());
   CHECK(d.Homes().size() == 1);
   CHECK(d.Starts(kJob) == 6);
@@ -172,24 +177,29 @@
   one_domain d(milliseconds(5000));
   d.fleet.late = milliseconds(400);
   run_node& node = d.Other(d.Home());
-  bool delay = true;
   bool stops_arrive = true;
+  int begun = 0;
   SUBCASE("whose stop is confirmed") {}
-  SUBCASE("whose stop is lost") {
+  SUBCASE("whose stop is lost until the task has begun") {
     stops_arrive = false;
+    begun = 1;
   }
   for (run_node* each : d.Live())
-    each->upstreams.lose_stops = [&] { return delay && !stops_arrive; };
-  submission_id submission = d.Submit(node, kJob, 1);
-  d.Run(milliseconds(2));
+    each->upstreams.lose_stops = [&] { return !stops_arrive; };
+  bool first = true;
   d.fleet.fate = [&](const upstream_id&, const std::string&) {
-    return delay ? call_fate::kDelayed : call_fate::kAnswered;
+    return std::exchange(first, false) ? call_fate::kDelayed
+                                       : call_fate::kAnswered;
   };
+  submission_id submission = d.Submit(node, kJob, 1);
   d.Run(milliseconds(20));
+  REQUIRE(!first);
   node.cluster->desk().Leave(job_key(kJob), submission);
-  d.Run(milliseconds(300));
-  delay = false;
+  d.Run(milliseconds(430));
+  CHECK(d.Starts(kJob) == begun);
+  stops_arrive = true;
   d.Run(milliseconds(1500));
+  CHECK(d.Starts(kJob) == begun);
   for (auto& [id, upstream] : d.fleet.upstreams) {
     upstream->Settle();
     CHECK(upstream->running.empty());
@@ -231,8 +241,7 @@
   d.Run(milliseconds(500));
   CHECK(calls == 0);
   CHECK(stranger.starts.empty());
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("the home dies while the store is away") {
@@ -245,8 +254,7 @@
   REQUIRE(d.Homes().size() == 1);
   d.Submit(*d.Live()[0], kJob, 3);
   d.Run(milliseconds(200));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
   d.store.outage = false;
   d.Run(milliseconds(3000));
   CHECK(d.Homes().size() == 1);
@@ -265,8 +273,7 @@
   REQUIRE(d.Homes().size() == 1);
   d.Submit(*d.Live()[0], kJob, 3);
   d.Run(milliseconds(200));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("an instance that is cut off does not take the upstreams") {
@@ -299,8 +306,7 @@
   run_node& node = *d.Live()[0];
   d.Submit(node, kJob, 12);
   d.Run(milliseconds(600));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
   size_t touched = hanging.starts.size();
   for (int i = 0; i < 5; ++i)
     d.Submit(node, "next" + std::to_string(i), 2);
@@ -349,8 +355,7 @@
   CHECK(d.answers["poisoned"][0].outcome == run_outcome::kFailed);
   d.Submit(node, kJob, 12);
   d.Run(milliseconds(80));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("a home that does not know all upstreams yet") {
@@ -376,8 +381,7 @@
   next.cluster->SetUpstreams(whole);
   d.Run(milliseconds(1200));
   CHECK(!d.ran_twice);
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("registrations that lapsed while the store was away") {
@@ -460,8 +464,7 @@
   d.Submit(d.Other(strong), kJob, 6);
   d.Run(milliseconds(1500));
   CHECK(&d.Home() == &strong);
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
   CHECK(d.Starts(kJob) == 6);
   CHECK(!d.ran_twice);
 }
@@ -531,8 +534,7 @@
   d.Submit(*d.by_row, kJob, 3);
   d.Run(milliseconds(600));
   CHECK(d.by_row->cluster->home().serving());
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("a home that was replaced and comes back") {
@@ -560,8 +562,7 @@
   d.Run(milliseconds(7000));
   CHECK(!d.ran_twice);
   CHECK(d.Homes().size() == 1);
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("two homes without the store have tokens of their own") {
@@ -601,8 +602,7 @@
   CHECK(d.Homes().size() == 1);
   d.Submit(*d.Live()[0], kJob, 3);
   d.Run(milliseconds(200));
-  REQUIRE(d.answers[kJob].size() == 1);
-  CHECK(d.answers[kJob][0].outcome == run_outcome::kSucceeded);
+  d.CheckSucceeded();
 }
 
 TEST_CASE("an instance that restarts out of the store's reach") {
