--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -72,6 +72,17 @@
   WriteHome(out, cluster.home());
 }
 
+void WriteTraffic(prometheus_writer& out, const traffic_meter& traffic) {
+  for (const auto& [kind, count] : traffic.counts()) {
+    std::initializer_list<metric_label> labels = {
+        {"other_side", std::string(kind.other_side)},
+        {"message", std::string(kind.message)},
+        {"way", ToString(kind.way)}};
+    out.Counter("messages_total", static_cast<double>(count.messages), labels);
+    out.Counter("bytes_total", static_cast<double>(count.bytes), labels);
+  }
+}
+
 void WriteProcessMetrics(prometheus_writer& out) {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/src/admin/run_metrics_report.h
+++ b/src/admin/run_metrics_report.h
@@ -9,6 +9,7 @@
 namespace jasminedyke {
 
 void WriteRunMetrics(prometheus_writer& out, const run_cluster& cluster);
+void WriteTraffic(prometheus_writer& out, const traffic_meter& traffic);
 // Of the process itself, and of its log.
 void WriteProcessMetrics(prometheus_writer& out);
 
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -13,5 +13,6 @@
 #include "base/quantiles.h"
 #include "base/runtime_clock.h"
 #include "base/scheduler.h"
+#include "base/traffic_meter.h"
 
 #endif  // SRC_BASE_BASE_H_
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -131,6 +131,8 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(connection_.get());
   evbuffer_add_cb(bufferevent_get_output(bev),
                   &http_connection::OnOutputChanged, this);
+  evbuffer_add_cb(bufferevent_get_input(bev), &http_connection::OnInputChanged,
+                  this);
   return true;
 }
 
@@ -145,8 +147,16 @@
     return;
   bufferevent* bev =
       evhttp_connection_get_bufferevent(connection->connection_.get());
-  if (bufferevent_get_enabled(bev) & EV_WRITE)
-    connection->byte_sent_ = true;
+  if ((bufferevent_get_enabled(bev) & EV_WRITE) == 0)
+    return;
+  connection->byte_sent_ = true;
+  connection->bytes_sent_ += info->n_deleted;
+}
+
+void http_connection::OnInputChanged(evbuffer*,
+                                     const evbuffer_cb_info* info,
+                                     void* self) {
+  static_cast<http_connection*>(self)->bytes_received_ += info->n_added;
 }
 
 void http_connection::OnReply(evhttp_request* request, void* self) {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -3,6 +3,7 @@
 #ifndef SRC_HTTP_HTTP_CONNECTION_H_
 #define SRC_HTTP_HTTP_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -48,6 +49,9 @@
 
   bool busy() const { return request_ != nullptr || failing_at_once_; }
   const socket_address& address() const { return address_; }
+  // On the wire, headers included, since this object was made.
+  uint64_t bytes_sent() const { return bytes_sent_; }
+  uint64_t bytes_received() const { return bytes_received_; }
   // When the last request ended.
   time_point idle_since() const { return idle_since_; }
 
@@ -59,6 +63,9 @@
   static void OnOutputChanged(evbuffer* buffer,
                               const evbuffer_cb_info* info,
                               void* self);
+  static void OnInputChanged(evbuffer* buffer,
+                             const evbuffer_cb_info* info,
+                             void* self);
   static void OnReply(evhttp_request* request, void* self);
 
   bool Open();
@@ -76,6 +83,8 @@
   evhttp_request* request_ = nullptr;
   // True from the first byte of the current request that the kernel took.
   bool byte_sent_ = false;
+  uint64_t bytes_sent_ = 0;
+  uint64_t bytes_received_ = 0;
   // The next request must not reuse this connection.
   bool must_reopen_ = false;
   bool failing_at_once_ = false;
--- a/src/protocol/peer_link.cc
+++ b/src/protocol/peer_link.cc
@@ -98,6 +98,7 @@
     return;
   size_t bytes = SendFrame(message);
   ++traffic_.messages_out;
+  traffic_.by_kind.Note({"peer", KindOf(message), traffic_way::kOut}, bytes);
   bool forwarded = IsForwarded(message);
   (forwarded ? traffic_.forwarded_bytes_out : traffic_.control_bytes_out) +=
       bytes;
@@ -172,6 +173,8 @@
   }
   const auto& message = std::get<peer_message>(frame.value());
   ++traffic_.messages_in;
+  traffic_.by_kind.Note({"peer", KindOf(message), traffic_way::kIn},
+                        bytes.size() + kLengthBytes);
   bool forwarded = IsForwarded(message);
   (forwarded ? traffic_.forwarded_bytes_in : traffic_.control_bytes_in) +=
       bytes.size() + kLengthBytes;
--- a/src/protocol/peer_link.h
+++ b/src/protocol/peer_link.h
@@ -39,6 +39,7 @@
   uint64_t forwarded_bytes_out = 0;
   uint64_t messages_in = 0;
   uint64_t messages_out = 0;
+  traffic_meter by_kind;
 };
 
 // Both sides send a hello with a fresh nonce and then prove that they know the
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -96,6 +96,9 @@
                                   home_status,
                                   upstream_news>;
 
+// A literal, for counts and logs.
+const char* KindOf(const peer_message& message);
+
 }  // namespace jasminedyke
 
 #endif  // SRC_PROTOCOL_PEER_MESSAGE_H_
