Don't take a listing of a task's earlier run for the present one

Cause: a reply that was written while run 2 of a task was on an upstream came after run 2's end and the order of run 3 there. Ruled out: the lease and the stop, both in order in the log (run_ended how=lapsed ms=32). Test first: 'an old listing of a task's earlier run' fails without the comparison of run numbers.

--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -49,9 +49,12 @@
 // row within its renewal interval; then its lease runs out.
 constexpr duration kSettleWithoutAnswer = std::chrono::milliseconds(2500);
 
-bool IsListed(const hold_reply& reply, const task_name& task) {
-  return std::ranges::any_of(
-      reply.running, [&](const listed_run& run) { return run.task == task; });
+// An earlier run of the task says nothing of this one: the reply was written
+// before this one could begin.
+bool IsListed(const hold_reply& reply, const task_name& task, run_number run) {
+  return std::ranges::any_of(reply.running, [&](const listed_run& listed) {
+    return listed.task == task && listed.run >= run;
+  });
 }
 
 }  // namespace
@@ -259,7 +262,7 @@
                                             const hold_reply& reply) {
   for (const auto& [task, record] : runs_) {
     if (IsInDoubt(record, sent) && !record.refused_since &&
-        !IsListed(reply, task))
+        !IsListed(reply, task, record.run))
       SendStop(task);
   }
 }
@@ -520,6 +523,8 @@
       continue;
     }
     run_record& record = found->second;
+    if (listed.run < record.run)
+      continue;
     record.percent = listed.percent;
     if (record.IsUnclear()) {
       record.phase = run_phase::kRunning;
@@ -538,7 +543,7 @@
     bool too_late = reply.clock.ms > record.not_after.ms + kClockMarginMs ||
                     (record.refused_since && sent >= *record.refused_since);
     bool can_judge = record.IsUnclear() ? too_late : record.since < sent;
-    if (!IsListed(reply, task) && can_judge)
+    if (!IsListed(reply, task, record.run) && can_judge)
       unlisted.emplace_back(task, record.run);
   }
   for (const auto& [task, run] : unlisted) {
--- a/tests/upstream_session/upstream_session_test.cc
+++ b/tests/upstream_session/upstream_session_test.cc
@@ -233,6 +233,40 @@
   CHECK(f.log.not_started.empty());
 }
 
+TEST_CASE("an old listing of a task's earlier run") {
+  // A task is started a second time while it runs. Its first run was stopped
+  // and its second one ordered on the same upstream. Then a reply comes that
+  // was written while the first run was there. Taken for the second run's, it
+  // would make the next reply without it a proof that it is over.
+  session_fixture f;
+  scripted_port port;
+  upstream_session session(f.clock, port,
+                           f.fleet.registry.at(upstream_id("u1")),
+                           fencing_token(1), upstream_session::limits(), f.log);
+  f.clock.Advance(milliseconds(1));
+  port.holds.at(0)(ListedAt(1000, {}));
+  f.clock.Advance(milliseconds(10));
+  session.Start(kTask, run_number(1), "10000", kNeed);
+  f.clock.Advance(milliseconds(31));
+  REQUIRE(port.holds.size() == 3);
+  hold_reply with_end = ListedAt(1100, {});
+  with_end.ended.push_back({1, kTask, run_number(1), run_end::kStopped});
+  port.holds.at(1)(with_end);
+  REQUIRE(f.log.ends.size() == 1);
+  session.Start(kTask, run_number(2), "10000", kNeed);
+  f.clock.Advance(milliseconds(1));
+  // As an answer was missing, two holds wait at the upstream.
+  REQUIRE(port.holds.size() == 5);
+  port.holds.at(2)(ListedAt(1050, {{kTask, run_number(1), std::nullopt}}));
+  f.clock.Advance(milliseconds(1));
+  port.holds.at(3)(ListedAt(1101, {}));
+  f.clock.Advance(milliseconds(1));
+  REQUIRE(port.holds.size() == 6);
+  port.holds.at(5)(ListedAt(1102, {}));
+  CHECK(f.log.ends.size() == 1);
+  CHECK(f.log.not_started.empty());
+}
+
 TEST_CASE("replies that overtake each other show no stranger's runs") {
   // A reply that was written before a run's end may arrive after the one that
   // brought the end. Taken for a run of an earlier owner, it would keep the
