Report a job's ends together; neither spare holds nor handed-on jobs while all is late

Cause: on thin links ends were told one by one (390 a second of 39 bytes and a packet each), a second hold waited at each upstream whose answers were late as if they got lost, and congested homes handed jobs round.

--- a/src/runs/answer_times.h
+++ b/src/runs/answer_times.h
@@ -22,6 +22,12 @@
 
   // An answer that takes longer is likely lost; at least `least`.
   duration Patience(duration least) const;
+  // What an order and the word of its end lose on their way.
+  duration Delay() const { return mean_; }
+  // The home's own link or processor is behind.
+  bool AllLate() const;
+  // So far that most orders come too late to be of use.
+  bool Congested() const;
 
  private:
   duration mean_ = duration::zero();
--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -22,6 +22,11 @@
          ToSeconds(demand.estimate);
 }
 
+bool home_job::IsUnreported(const home_task& task) const {
+  return std::ranges::find(unreported, task.demand.position,
+                           &task_report::position) != unreported.end();
+}
+
 bool home_job::IsUntouched() const {
   return !ran && std::ranges::none_of(tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kOrdered;
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -4,6 +4,7 @@
 #define SRC_RUNS_HOME_JOB_H_
 
 #include <map>
+#include <vector>
 
 #include "base/base.h"
 #include "runs/job_order.h"
@@ -49,12 +50,16 @@
   double pace = 0;
   // A task began, or may have begun under an earlier home.
   bool ran = false;
+  // Ends that its owner has not been told of yet.
+  std::vector<task_report> unreported;
   // Its owner was to send a start and did not; it sends the job again or
   // cancels it.
   bool owner_gone = false;
   // Nobody waits for it; it goes when its last run has ended.
   bool cancelled = false;
 
+  // It is done, and the owner does not know yet.
+  bool IsUnreported(const home_task& task) const;
   // No task has begun or can still begin.
   bool IsUntouched() const;
   // How long the task takes on a sound upstream, as far as is known.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -20,6 +20,8 @@
 // A predecessor ends as soon as it hears of its successor; its leases last a
 // second more on a clock that is 2 % slow.
 constexpr duration kUnconfirmedTime = std::chrono::milliseconds(1500);
+// What a home that dies may not have told; the tasks would run once more.
+constexpr duration kReportPause = std::chrono::milliseconds(20);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // For a job whose queue is long: callers come back no sooner than that.
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
@@ -53,6 +55,7 @@
       send_(std::move(send)),
       on_fenced_(std::move(on_fenced)),
       dispatch_timer_(clock),
+      report_timer_(clock),
       sweep_timer_(clock) {}
 
 run_home::~run_home() = default;
@@ -81,6 +84,7 @@
   orphaned_at_.clear();
   sweep_timer_.Stop();
   dispatch_timer_.Stop();
+  report_timer_.Stop();
   dispatch_due_ = false;
 }
 
@@ -170,6 +174,9 @@
       strays_.erase(stray);
       continue;
     }
+    // The owner will hear of it with the others.
+    if (job.IsUnreported(task))
+      continue;
     if (task.phase == task_phase::kDone) {
       // Only a job that came again after its end: it runs anew.
       task.phase = task_phase::kQueued;
@@ -343,14 +350,35 @@
   ScheduleDispatch();
 }
 
-void run_home::Report(const home_job& job,
+// Owners can do something with an end only when it is the job's last one here,
+// or a failure. The others wait a moment for it: one message for a job of four
+// tasks instead of four.
+void run_home::Report(home_job& job,
                       const home_task& task,
                       task_verdict verdict) {
+  job.unreported.push_back({task.demand.position, verdict});
+  bool all_done = std::ranges::all_of(job.tasks, [](const auto& entry) {
+    return entry.second.phase == task_phase::kDone;
+  });
+  if (all_done || verdict == task_verdict::kFailed)
+    SendReport(job);
+  else if (!report_timer_.active())
+    report_timer_.StartAfter(kReportPause, [this] { SendReports(); });
+}
+
+void run_home::SendReport(home_job& job) {
   run_report report{job.key, job.request.submission, {}};
-  report.tasks.push_back({task.demand.position, verdict});
+  report.tasks = std::exchange(job.unreported, {});
   send_(job.owner, report);
 }
 
+void run_home::SendReports() {
+  for (auto& [key, job] : jobs_) {
+    if (!job.unreported.empty() && !job.cancelled)
+      SendReport(job);
+  }
+}
+
 void run_home::Refuse(home_job& job, run_refusal reason, duration retry_after) {
   LogEvent(log_level::kInfo, "home_refuses",
            {{"job", job.key.str()},
@@ -712,13 +740,15 @@
 void run_home::RefuseHopeless() {
   home_load load;
   load.cores = UsableCores();
+  duration delay = answer_times_.Delay();
   // For all that are refused now: it sums up all jobs.
   std::optional<duration> room_wait;
   std::vector<waiting_job> waiting = WaitingInOrder();
   for (waiting_job& each : waiting) {
     home_job& job = *each.job;
-    bool hopeless = job.IsUntouched() &&
-                    IsHopeless(each.outlook, EstimateWait(load), clock_.now());
+    bool hopeless =
+        job.IsUntouched() &&
+        IsHopeless(each.outlook, EstimateWait(load) + delay, clock_.now());
     if (!hopeless) {
       load.work_ahead += each.work;
       continue;
@@ -817,6 +847,11 @@
     status.total_cpu_millis += session->info().capacity.cpu_millis;
   }
   status.wait = WaitForRoom();
+  // Room that orders reach too late is no reason for other homes to hand jobs
+  // on to this one. They went round, 160 KB/s of them into each home, while all
+  // homes' links were full.
+  if (answer_times_.Congested())
+    status.free_cpu_millis = 0;
   return status;
 }
 
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -116,7 +116,9 @@
   void OnTaskDone(home_job& job, home_task& task);
   void OnTaskFailed(home_job& job, home_task& task);
   void Requeue(home_job& job, home_task& task);
-  void Report(const home_job& job, const home_task& task, task_verdict verdict);
+  void Report(home_job& job, const home_task& task, task_verdict verdict);
+  void SendReport(home_job& job);
+  void SendReports();
   void Refuse(home_job& job, run_refusal reason, duration retry_after);
   void ReportRefusal(const home_job& job,
                      run_refusal reason,
@@ -208,6 +210,7 @@
   answer_times answer_times_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
+  scoped_timer report_timer_;
   scoped_timer sweep_timer_;
 };
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -338,10 +338,11 @@
 }
 
 // With 8 in 100 calls unanswered, ends were learnt up to 0.7 s late, and the
-// room that they free stayed empty as long.
+// room that they free stayed empty as long. Where all upstreams are late none
+// of it is lost, and a second hold for each end doubles what is on the link.
 void upstream_session::SendSpareHold() {
   bool wanted = settled_ && failed_holds_ == 0 && LosesAnswers() &&
-                !runs_.empty() && !HasFoundRuns();
+                !times_.AllLate() && !runs_.empty() && !HasFoundRuns();
   if (wanted)
     SendHold(spare_hold_);
 }
