--- a/src/runs/answer_times.cc
+++ b/src/runs/answer_times.cc
@@ -14,8 +14,6 @@
 // Answers take 2 to 5 ms, through a job's owner up to 10; a task of 60 ms that
 // loses 40 ms on the way to its upstream misses its objective on the way back.
 constexpr duration kLate = std::chrono::milliseconds(40);
-// More than callers of 60 ms tasks can lose in all, 96 ms.
-constexpr duration kCongested = std::chrono::milliseconds(120);
 // What the calls' own time limits allow.
 constexpr duration kLongestPatience = std::chrono::milliseconds(300);
 
@@ -31,10 +29,6 @@
   return mean_ > kLate;
 }
 
-bool answer_times::Congested() const {
-  return mean_ > kCongested;
-}
-
 duration answer_times::Patience(duration least) const {
   return std::clamp(mean_ + deviation_ * kDeviations, least, kLongestPatience);
 }
--- a/src/runs/answer_times.h
+++ b/src/runs/answer_times.h
@@ -26,8 +26,6 @@
   duration Delay() const { return mean_; }
   // The home's own link or processor is behind.
   bool AllLate() const;
-  // So far that most orders come too late to be of use.
-  bool Congested() const;
 
  private:
   duration mean_ = duration::zero();
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -847,11 +847,6 @@
     status.total_cpu_millis += session->info().capacity.cpu_millis;
   }
   status.wait = WaitForRoom();
-  // Room that orders reach too late is no reason for other homes to hand jobs
-  // on to this one. They went round, 160 KB/s of them into each home, while all
-  // homes' links were full.
-  if (answer_times_.Congested())
-    status.free_cpu_millis = 0;
   return status;
 }
 
