--- a/bench/regression.py
+++ b/bench/regression.py
@@ -39,7 +39,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("player", help="program that plays days")
-    parser.add_argument("sites", nargs="+", help="files of the deployments")
+    parser.add_argument("sites", nargs="*", help="files of the deployments")
     parser.add_argument("--twins", nargs="*", default=[], help="deployments whose small twins are played")
     parser.add_argument("--full", action="store_true", help="all days instead of the light ones")
     parser.add_argument("--floors", help="JSON file with the mean worth that each had")
