Drain failure domains on the operators' order

Ruled out: the registrations of the domain's upstreams (they stay 'ready'), a field of the configuration (the rows are separate and come and go on their own).

Change: the drained domains are one piece of state, ordered by the store's version, told among instances when a link opens and when it changes. With all drained, callers are refused at once.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -68,6 +68,10 @@
   out.Gauge("ready", cluster.ready() ? 1 : 0);
   out.Gauge("config_version",
             static_cast<double>(cluster.routes().config().version.value()));
+  const drained_domains& drained = cluster.drained();
+  out.Gauge("drains_known_as_of", static_cast<double>(drained.as_of.value()));
+  for (const failure_domain_id& domain : drained.domains)
+    out.Gauge("failure_domain_drained", 1, {{"failure_domain", domain.str()}});
   WriteDesk(out, cluster.desk());
   WriteHome(out, cluster.home());
 }
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -75,6 +75,7 @@
           [this](fencing_token token) { OnHomeBegins(token); },
           [this] { OnHomeEnds(); }});
   members_ = std::make_unique<member_registry>(clock, store, self);
+  home_->SetDomainState(drains_.StateOf(self_.domain));
   peers_.SetListener(this);
   members_->Register();
   Heartbeat();
@@ -197,8 +198,40 @@
   SendToAll(OwnStatus());
 }
 
+// Each instance tells its peers when something changed for it, and each link
+// when it opens; so all that can reach one that knows do, also those that
+// restart while the store is away.
+void run_cluster::OnDrainedDomains(const drained_domains& drained) {
+  if (!drains_.Take(drained))
+    return;
+  for (const failure_domain_id& domain : drained.domains)
+    LogEvent(
+        log_level::kWarning, "failure_domain_drained",
+        {{"failure_domain", domain.str()}, {"as_of", drained.as_of.value()}});
+  if (drained.domains.empty())
+    LogEvent(log_level::kInfo, "no_failure_domain_drained",
+             {{"as_of", drained.as_of.value()}});
+  homes_.SetDrained(drained.domains);
+  home_->SetDomainState(drains_.StateOf(self_.domain));
+  desk_->OnHomesChanged();
+  SendToAll(drains_.newest());
+}
+
+void run_cluster::TakeDrainedDomains(const instance_id& from,
+                                     const drained_domains& drained) {
+  OnDrainedDomains(drained);
+  const drained_domains& newest = drains_.newest();
+  bool is_behind =
+      drained.as_of < newest.as_of && drained.domains != newest.domains;
+  if (is_behind)
+    Send(from, newest);
+}
+
+// With all failure domains drained an instance still takes jobs, to refuse them
+// at once and say why.
 bool run_cluster::ready() const {
-  return !leaving_ && routes_.known() && !homes_.Ranked(self_.domain).empty();
+  bool any_home = homes_.AllDrained() || !homes_.Ranked(self_.domain).empty();
+  return !leaving_ && routes_.known() && any_home;
 }
 
 void run_cluster::Leave() {
@@ -211,6 +244,10 @@
 void run_cluster::OnPeerUp(const peer_identity& peer) {
   election_->OnPeerUp(peer);
   home_->OnPeerUp(peer.instance);
+  // Before all that lets a peer become home: it must not start anything in a
+  // drained failure domain.
+  if (drains_.known())
+    Send(peer.instance, drains_.newest());
   Send(peer.instance, OwnStatus());
   if (home_->serving()) {
     Send(peer.instance, home_->Status());
@@ -262,6 +299,7 @@
                  },
                  [&](const home_status& m) { TakeHomeStatus(from, m); },
                  [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
+                 [&](const drained_domains& m) { TakeDrainedDomains(from, m); },
                  [&](const peer_status& m) { TakeStatus(from, m); },
                  [&](const document_request&) { SendConfig(from); },
                  [&](const peer_document& m) { OnConfigDocument(m.json); },
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -48,6 +48,9 @@
   // From the store or a peer; older ones change nothing.
   void OnConfigDocument(const std::string& document);
 
+  // From the store or a peer; older ones change nothing.
+  void OnDrainedDomains(const drained_domains& drained);
+
   // Gives the home back and tells the peers.
   void Leave();
 
@@ -57,6 +60,7 @@
   const run_home& home() const { return *home_; }
   const home_directory& homes() const { return homes_; }
   const upstream_registry& upstreams() const { return upstreams_; }
+  const drained_domains& drained() const { return drains_.newest(); }
   bool leaving() const { return leaving_; }
   // Can take jobs: it has a configuration and knows a home.
   bool ready() const;
@@ -76,6 +80,8 @@
   void TakeHomeStatus(const instance_id& from, const home_status& status);
   std::string AddressOf(const upstream_id& id) const;
   void SendConfig(const instance_id& to);
+  void TakeDrainedDomains(const instance_id& from,
+                          const drained_domains& drained);
   void TakeUpstreamNews(const instance_id& from, upstream_news news);
   void OnHomeBegins(fencing_token token);
   void OnHomeEnds();
@@ -96,6 +102,7 @@
   route_table routes_;
   // The document behind `routes_`, for peers that lack it.
   std::string config_document_;
+  domain_drains drains_;
   // Of the own failure domain, as the store listed them last, of any service.
   upstream_registry listed_upstreams_;
   upstream_registry upstreams_;
--- a/src/daemon/settings_rules.h
+++ b/src/daemon/settings_rules.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,21 @@
   return wrong;
 }
 
+template <class Id>
+std::string TakeIds(const toml::node& node, std::set<Id>* to) {
+  const toml::array* list = node.as_array();
+  if (!list)
+    return "must be an array of names";
+  for (const toml::node& entry : *list) {
+    Id id;
+    std::string wrong = TakeId(entry, &id);
+    if (!wrong.empty())
+      return wrong;
+    to->insert(id);
+  }
+  return "";
+}
+
 // One key of a file: how it is checked and where it goes.
 template <class Settings>
 struct settings_rule {
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -256,6 +256,9 @@
   void operator()(const delegated_start_result& result) const {
     frame.__set_delegated_result(ToWire(result));
   }
+  void operator()(const drained_domains& drained) const {
+    frame.__set_drained(ToWire(drained));
+  }
 };
 
 // Messages from the wire.
@@ -414,6 +417,8 @@
     return peer_frame(peer_message(FromWire(wire.delegated)));
   if (set.delegated_result)
     return peer_frame(peer_message(FromWire(wire.delegated_result)));
+  if (set.drained)
+    return peer_frame(peer_message(FromWire(wire.drained)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -4891,6 +4891,140 @@
 }
 
 
+drained_domains::~drained_domains() noexcept {
+}
+
+
+void drained_domains::__set_as_of(const int64_t val) {
+  this->as_of = val;
+}
+
+void drained_domains::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
+__isset.domains = true;
+}
+std::ostream& operator<<(std::ostream& out, const drained_domains& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t drained_domains::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->as_of);
+          this->__isset.as_of = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->domains.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += iprot->readString(this->domains[_i162]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t drained_domains::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("drained_domains");
+
+  xfer += oprot->writeFieldBegin("as_of", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->as_of);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.domains) {
+    xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+      std::vector<std::string> ::const_iterator _iter163;
+      for (_iter163 = this->domains.begin(); _iter163 != this->domains.end(); ++_iter163)
+      {
+        xfer += oprot->writeString((*_iter163));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(drained_domains &a, drained_domains &b) {
+  using ::std::swap;
+  swap(a.as_of, b.as_of);
+  swap(a.domains, b.domains);
+  swap(a.__isset, b.__isset);
+}
+
+drained_domains::drained_domains(const drained_domains& other164) {
+  as_of = other164.as_of;
+  domains = other164.domains;
+  __isset = other164.__isset;
+}
+drained_domains& drained_domains::operator=(const drained_domains& other165) {
+  as_of = other165.as_of;
+  domains = other165.domains;
+  __isset = other165.__isset;
+  return *this;
+}
+void drained_domains::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "drained_domains(";
+  out << "as_of=" << to_string(as_of);
+  out << ", " << "domains="; (__isset.domains ? (out << to_string(domains)) : (out << "<null>"));
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -4979,6 +5113,11 @@
   this->delegated_result = val;
 __isset.delegated_result = true;
 }
+
+void frame::__set_drained(const drained_domains& val) {
+  this->drained = val;
+__isset.drained = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -5143,6 +5282,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->drained.read(iprot);
+          this->__isset.drained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5245,6 +5392,11 @@
     xfer += this->delegated_result.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.drained) {
+    xfer += oprot->writeFieldBegin("drained", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->drained.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5269,48 +5421,51 @@
   swap(a.upstreams, b.upstreams);
   swap(a.delegated, b.delegated);
   swap(a.delegated_result, b.delegated_result);
+  swap(a.drained, b.drained);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other158) {
-  hello_message = other158.hello_message;
-  proof_message = other158.proof_message;
-  demand = other158.demand;
-  grant = other158.grant;
-  release = other158.release;
-  status_message = other158.status_message;
-  wanted = other158.wanted;
-  document_message = other158.document_message;
-  request = other158.request;
-  reply = other158.reply;
-  run = other158.run;
-  cancel = other158.cancel;
-  report = other158.report;
-  home = other158.home;
-  upstreams = other158.upstreams;
-  delegated = other158.delegated;
-  delegated_result = other158.delegated_result;
-  __isset = other158.__isset;
-}
-frame& frame::operator=(const frame& other159) {
-  hello_message = other159.hello_message;
-  proof_message = other159.proof_message;
-  demand = other159.demand;
-  grant = other159.grant;
-  release = other159.release;
-  status_message = other159.status_message;
-  wanted = other159.wanted;
-  document_message = other159.document_message;
-  request = other159.request;
-  reply = other159.reply;
-  run = other159.run;
-  cancel = other159.cancel;
-  report = other159.report;
-  home = other159.home;
-  upstreams = other159.upstreams;
-  delegated = other159.delegated;
-  delegated_result = other159.delegated_result;
-  __isset = other159.__isset;
+frame::frame(const frame& other166) {
+  hello_message = other166.hello_message;
+  proof_message = other166.proof_message;
+  demand = other166.demand;
+  grant = other166.grant;
+  release = other166.release;
+  status_message = other166.status_message;
+  wanted = other166.wanted;
+  document_message = other166.document_message;
+  request = other166.request;
+  reply = other166.reply;
+  run = other166.run;
+  cancel = other166.cancel;
+  report = other166.report;
+  home = other166.home;
+  upstreams = other166.upstreams;
+  delegated = other166.delegated;
+  delegated_result = other166.delegated_result;
+  drained = other166.drained;
+  __isset = other166.__isset;
+}
+frame& frame::operator=(const frame& other167) {
+  hello_message = other167.hello_message;
+  proof_message = other167.proof_message;
+  demand = other167.demand;
+  grant = other167.grant;
+  release = other167.release;
+  status_message = other167.status_message;
+  wanted = other167.wanted;
+  document_message = other167.document_message;
+  request = other167.request;
+  reply = other167.reply;
+  run = other167.run;
+  cancel = other167.cancel;
+  report = other167.report;
+  home = other167.home;
+  upstreams = other167.upstreams;
+  delegated = other167.delegated;
+  delegated_result = other167.delegated_result;
+  drained = other167.drained;
+  __isset = other167.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5333,6 +5488,7 @@
   out << ", " << "upstreams="; (__isset.upstreams ? (out << to_string(upstreams)) : (out << "<null>"));
   out << ", " << "delegated="; (__isset.delegated ? (out << to_string(delegated)) : (out << "<null>"));
   out << ", " << "delegated_result="; (__isset.delegated_result ? (out << to_string(delegated_result)) : (out << "<null>"));
+  out << ", " << "drained="; (__isset.drained ? (out << to_string(drained)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -88,6 +88,8 @@
 
 class upstream_news;
 
+class drained_domains;
+
 class frame;
 
 typedef struct _hello__isset {
@@ -1999,8 +2001,59 @@
 
 std::ostream& operator<<(std::ostream& out, const upstream_news& obj);
 
+typedef struct _drained_domains__isset {
+  _drained_domains__isset() : as_of(false), domains(false) {}
+  bool as_of :1;
+  bool domains :1;
+} _drained_domains__isset;
+
+class drained_domains : public virtual ::apache::thrift::TBase {
+ public:
+
+  drained_domains(const drained_domains&);
+  drained_domains& operator=(const drained_domains&);
+  drained_domains() noexcept
+                  : as_of(0) {
+  }
+
+  virtual ~drained_domains() noexcept;
+  int64_t as_of;
+  std::vector<std::string>  domains;
+
+  _drained_domains__isset __isset;
+
+  void __set_as_of(const int64_t val);
+
+  void __set_domains(const std::vector<std::string> & val);
+
+  bool operator == (const drained_domains & rhs) const
+  {
+    if (!(as_of == rhs.as_of))
+      return false;
+    if (__isset.domains != rhs.__isset.domains)
+      return false;
+    else if (__isset.domains && !(domains == rhs.domains))
+      return false;
+    return true;
+  }
+  bool operator != (const drained_domains &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const drained_domains & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(drained_domains &a, drained_domains &b);
+
+std::ostream& operator<<(std::ostream& out, const drained_domains& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -2018,6 +2071,7 @@
   bool upstreams :1;
   bool delegated :1;
   bool delegated_result :1;
+  bool drained :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -2046,6 +2100,7 @@
   upstream_news upstreams;
   delegated_start delegated;
   delegated_start_result delegated_result;
+  drained_domains drained;
 
   _frame__isset __isset;
 
@@ -2083,6 +2138,8 @@
 
   void __set_delegated_result(const delegated_start_result& val);
 
+  void __set_drained(const drained_domains& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -2153,6 +2210,10 @@
       return false;
     else if (__isset.delegated_result && !(delegated_result == rhs.delegated_result))
       return false;
+    if (__isset.drained != rhs.__isset.drained)
+      return false;
+    else if (__isset.drained && !(drained == rhs.drained))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -234,6 +234,13 @@
   3: optional list<string> gone
 }
 
+// All failure domains that operators have drained, as of that version of the
+// store.
+struct drained_domains {
+  1: i64 as_of
+  2: optional list<string> domains
+}
+
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -253,4 +260,5 @@
   15: optional upstream_news upstreams
   16: optional delegated_start delegated
   17: optional delegated_start_result delegated_result
+  18: optional drained_domains drained
 }
--- a/src/protocol/peer_message.cc
+++ b/src/protocol/peer_message.cc
@@ -24,6 +24,7 @@
           [](const delegated_start_result&) {
             return "delegated_start_result";
           },
+          [](const drained_domains&) { return "drained_domains"; },
       },
       message);
 }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -96,7 +96,8 @@
                                   home_status,
                                   upstream_news,
                                   delegated_start,
-                                  delegated_start_result>;
+                                  delegated_start_result,
+                                  drained_domains>;
 
 // A literal, for counts and logs.
 const char* KindOf(const peer_message& message);
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -158,7 +158,7 @@
          failed ? task_verdict::kFailed : task_verdict::kDone});
   }
   bool known = wire.refusal >= 0 &&
-               wire.refusal <= static_cast<int8_t>(run_refusal::kBusy);
+               wire.refusal <= static_cast<int8_t>(run_refusal::kDrained);
   report.refusal =
       known ? static_cast<run_refusal>(wire.refusal) : run_refusal::kSuperseded;
   report.not_run = wire.not_run;
@@ -297,4 +297,23 @@
   return result;
 }
 
+wire::drained_domains ToWire(const drained_domains& drained) {
+  wire::drained_domains wire;
+  wire.as_of = static_cast<int64_t>(drained.as_of.value());
+  std::vector<std::string> domains;
+  for (const failure_domain_id& domain : drained.domains)
+    domains.push_back(domain.str());
+  if (!domains.empty())
+    wire.__set_domains(domains);
+  return wire;
+}
+
+drained_domains FromWire(const wire::drained_domains& wire) {
+  drained_domains drained;
+  drained.as_of = store_version(static_cast<uint64_t>(wire.as_of));
+  for (const std::string& domain : wire.domains)
+    drained.domains.emplace(domain);
+  return drained;
+}
+
 }  // namespace jasminedyke
--- a/src/protocol/run_codec.h
+++ b/src/protocol/run_codec.h
@@ -13,6 +13,7 @@
 class upstream_news;
 class delegated_start;
 class delegated_start_result;
+class drained_domains;
 }  // namespace jasminedyke::wire
 
 namespace jasminedyke {
@@ -24,6 +25,7 @@
 wire::upstream_news ToWire(const upstream_news& news);
 wire::delegated_start ToWire(const delegated_start& delegated);
 wire::delegated_start_result ToWire(const delegated_start_result& result);
+wire::drained_domains ToWire(const drained_domains& drained);
 
 // Numbers that make no sense come out as the field's default.
 run_request FromWire(const wire::run_request& wire);
@@ -34,6 +36,7 @@
 upstream_news FromWire(const wire::upstream_news& wire);
 delegated_start FromWire(const wire::delegated_start& wire);
 delegated_start_result FromWire(const wire::delegated_start_result& wire);
+drained_domains FromWire(const wire::drained_domains& wire);
 
 }  // namespace jasminedyke
 
--- a/src/runs/home_directory.cc
+++ b/src/runs/home_directory.cc
@@ -86,7 +86,7 @@
   };
   std::vector<candidate> candidates;
   for (const auto& [group, home] : homes_) {
-    if (home.status.total_cpu_millis == 0)
+    if (home.status.total_cpu_millis == 0 || drained_.contains(group.domain))
       continue;
     duration cost = home.status.wait + WaitForPlaces(home.status, cpu_millis);
     if (group.domain != own)
@@ -104,6 +104,16 @@
   return ranked;
 }
 
+void home_directory::SetDrained(const std::set<failure_domain_id>& domains) {
+  drained_ = domains;
+}
+
+bool home_directory::AllDrained() const {
+  return !homes_.empty() && std::ranges::all_of(homes_, [&](const auto& entry) {
+    return drained_.contains(entry.first.domain);
+  });
+}
+
 fencing_token home_directory::HighestToken(const home_group& group) const {
   auto found = tokens_.find(group);
   return found == tokens_.end() ? fencing_token() : found->second;
--- a/src/runs/home_directory.h
+++ b/src/runs/home_directory.h
@@ -32,12 +32,17 @@
   // Null if no home is known that serves.
   const known_home* Find(const home_group& group) const;
 
-  // The homes that serve, best first for a job from `own` that needs
+  // The homes that take jobs, best first for a job from `own` that needs
   // `cpu_millis` at once: a home elsewhere goes first only if the wait that it
   // saves pays for the way. Those that went quiet come last.
   std::vector<known_home> Ranked(const failure_domain_id& own,
                                  int64_t cpu_millis = 0) const;
 
+  // Nothing is sent to homes in these failure domains.
+  void SetDrained(const std::set<failure_domain_id>& domains);
+  // Homes are known, and all are in drained failure domains.
+  bool AllDrained() const;
+
   // Work was sent there: until the home's next word it has less room.
   void NoteSent(const home_group& group, int64_t cpu_millis);
 
@@ -51,6 +56,7 @@
   scheduler& clock_;
   std::map<home_group, known_home> homes_;
   std::map<home_group, fencing_token> tokens_;
+  std::set<failure_domain_id> drained_;
 };
 
 }  // namespace jasminedyke
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -18,6 +18,8 @@
 // begin 0.2 s after the first instances, after a planned stop at once. When
 // there has been none for longer, nothing says that one is near.
 constexpr duration kWaitForFirstHome = std::chrono::milliseconds(500);
+// Operators drain a failure domain for work that takes many seconds.
+constexpr duration kRetryAfterDrained = std::chrono::seconds(5);
 
 // Work of the longest chain of steps, by the caller's own estimates.
 duration LongestChain(const std::vector<job_step>& steps) {
@@ -96,7 +98,9 @@
   std::vector<known_home> homes = homes_.Ranked(domain_, need);
   if (!homes.empty())
     home_known_at_ = clock_.now();
+  bool all_drained = homes_.AllDrained();
   job.awaits_first_home = homes.empty() && job.refused_by.empty() &&
+                          !all_drained &&
                           clock_.now() - home_known_at_ < kWaitForFirstHome;
   if (job.awaits_first_home)
     return;
@@ -125,6 +129,8 @@
   }
   job.homeless_since = clock_.now();
   run_answer answer{run_outcome::kNotRun, reason, retry_after};
+  if (all_drained)
+    answer = {run_outcome::kNotRun, run_refusal::kDrained, kRetryAfterDrained};
   if (job.maybe_started)
     answer.outcome = run_outcome::kUnknown;
   // From a timer, as the caller of this may still use the job.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -54,6 +54,7 @@
       settings_(own),
       send_(std::move(send)),
       on_fenced_(std::move(on_fenced)),
+      gate_(own.finish_time),
       dispatch_timer_(clock),
       report_timer_(clock),
       sweep_timer_(clock) {}
@@ -70,6 +71,7 @@
   begun_ = clock_.now();
   confirmed_ = false;
   knew_upstreams_ = !registry_.empty();
+  gate_.Restart();
   SetUpstreams(registry_, false);
   Sweep();
 }
@@ -109,6 +111,11 @@
   ScheduleDispatch();
 }
 
+void run_home::SetDomainState(domain_state state) {
+  gate_.Set(state, clock_.now());
+  ScheduleDispatch();
+}
+
 void run_home::OnRequest(const instance_id& from, const run_request& request) {
   if (!serving_) {
     run_report report{request.job, request.submission, {}};
@@ -516,7 +523,10 @@
     FindOpenUpstreams();
   for (const waiting_job& waiting : in_order) {
     home_job& job = *waiting.job;
-    if (!CanStart(job))
+    start_permit permit = gate_.Permit(!job.IsUntouched(), clock_.now());
+    if (permit == start_permit::kHandBack)
+      HandBack(job);
+    if (permit != start_permit::kStart || !CanStart(job))
       continue;
     if (job.request.may_pass && job.IsUntouched() && !HasPlacesFor(job))
       PassOn(job);
@@ -547,6 +557,13 @@
   CancelJob(job);
 }
 
+// Its owner sends it to another failure domain, or answers at once if parts of
+// it have run here.
+void run_home::HandBack(home_job& job) {
+  Refuse(job, run_refusal::kDrained, kLeastRetryAfter);
+  CancelJob(job);
+}
+
 // True if all tasks of the job could be placed at once.
 bool run_home::HasPlacesFor(const home_job& job) const {
   std::map<const upstream_session*, resource_amount> taken;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -19,6 +19,7 @@
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
 #include "runs/run_messages.h"
+#include "runs/start_gate.h"
 #include "runs/upstream_session.h"
 #include "runs/upstream_standing.h"
 
@@ -54,6 +55,8 @@
     upstream_session::limits upstreams;
     // What this instance's network link carries each way; 0 if not known.
     double link_bytes_per_second = 0;
+    // Of jobs that have begun when operators drain the failure domain.
+    duration finish_time = duration::zero();
   };
 
   run_home(scheduler& clock,
@@ -74,6 +77,9 @@
   // from an earlier home.
   void SetUpstreams(const upstream_registry& upstreams, bool confirmed);
 
+  // What operators want of this failure domain.
+  void SetDomainState(domain_state state);
+
   void OnRequest(const instance_id& from, const run_request& request);
   void OnCancel(const instance_id& from, const run_cancel& cancel);
   // The link to an entry instance broke, or it has a new incarnation.
@@ -148,6 +154,7 @@
   std::vector<waiting_job> WaitingInOrder();
   void FindOpenUpstreams();
   void PassOn(home_job& job);
+  void HandBack(home_job& job);
   bool HasPlacesFor(const home_job& job) const;
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
@@ -181,6 +188,7 @@
   fenced_handler on_fenced_;
   bool serving_ = false;
   fencing_token token_;
+  start_gate gate_;
   upstream_registry registry_;
   std::map<upstream_id, std::unique_ptr<upstream_session>> sessions_;
   std::map<upstream_id, upstream_standing> standings_;
--- a/src/runs/run_messages.cc
+++ b/src/runs/run_messages.cc
@@ -16,6 +16,8 @@
       return "superseded";
     case run_refusal::kBusy:
       return "busy";
+    case run_refusal::kDrained:
+      return "drained";
   }
   return "none";
 }
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -98,6 +98,7 @@
   kNotHome,     // the receiver is no home, or no longer
   kSuperseded,  // the job was submitted again through another instance
   kBusy,        // no places now, and the job may go to another group
+  kDrained,     // operators drained the group's failure domain
 };
 
 // Ends of tasks; or a refusal, which holds for the whole job here.
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -89,6 +89,8 @@
     other->cluster->SetMembers(members_);
   if (linked_from_start)
     Introduce(node);
+  if (!store.outage)
+    node.cluster->OnDrainedDomains(drained);
   node.cluster->SetUpstreams(fleet.registry);
   return node;
 }
@@ -120,6 +122,14 @@
   return Add(name.substr(0, dash), std::stoi(name.substr(dash + 1)));
 }
 
+void run_nodes::Drain(const std::set<failure_domain_id>& domains) {
+  drained = {store_version(drained.as_of.value() + 1), domains};
+  for (run_node* node : Live()) {
+    if (!store.outage && !node->tables.cut)
+      node->cluster->OnDrainedDomains(drained);
+  }
+}
+
 void run_nodes::Cut(run_node& a, run_node& b) {
   network.Disconnect(a.peers, b.peers);
 }
--- a/tests/fakes/run_nodes.h
+++ b/tests/fakes/run_nodes.h
@@ -63,6 +63,8 @@
   // machine is dark, so nothing says that nobody listens.
   void Kill(run_node& node, bool silently = false);
   run_node& Restart(run_node& node);
+  // Operators drain just these; known where the store is in reach.
+  void Drain(const std::set<failure_domain_id>& domains);
   // Links between two instances.
   void Cut(run_node& a, run_node& b);
   void Heal(run_node& a, run_node& b);
@@ -82,6 +84,7 @@
   fake_network network{clock};
   fake_tables store{clock};
   fake_fleet fleet{clock};
+  drained_domains drained{store_version(1), {}};
   // Of all jobs ever submitted, by key; the newest answer.
   std::map<std::string, std::vector<run_answer>> answers;
   std::map<std::string, size_t> submissions;
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -168,6 +168,26 @@
   }
 }
 
+TEST_CASE("drained domains: rows that make no sense change nothing") {
+  table_snapshot table;
+  table.version = 140;
+  table.rows["config"] = {7, nlohmann::json::object()};
+  table.rows["evacuate/north"] = {120, nlohmann::json::object()};
+  table.rows["evacuate/south"] = {130, {{"later", "field"}}};
+  table.rows["evacuate/east"] = {131, "text"};
+  table.rows["evacuate/west"] = {132, nullptr};
+  table.rows["evacuate/nowhere"] = {133, nlohmann::json::object()};
+  table.rows["evacuate/"] = {134, nlohmann::json::object()};
+  table.rows["evacuated"] = {135, nlohmann::json::object()};
+  std::set<failure_domain_id> known;
+  for (const char* name : {"north", "south", "east", "west"})
+    known.emplace(name);
+  drained_domains drained = ParseDrainedDomains(table, known);
+  CHECK(drained.as_of == store_version(140));
+  CHECK(drained.domains ==
+        std::set{failure_domain_id("north"), failure_domain_id("south")});
+}
+
 TEST_CASE("platform_settings: a wrong file names each key and its line") {
   auto settings = ParsePlatformSettings(R"([instance]
 id = "edge-1"
