Isolate suspects only on idle upstreams, give up after two single losses

Conclusion: reserving upstreams for suspects costs more at full load than the neighbours that it saves.

--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -5045,9 +5045,9 @@
   this->lost = val;
 }
 
-void crash_suspect::__set_proven(const bool val) {
-  this->proven = val;
-__isset.proven = true;
+void crash_suspect::__set_lost_singly(const int32_t val) {
+  this->lost_singly = val;
+__isset.lost_singly = true;
 }
 std::ostream& operator<<(std::ostream& out, const crash_suspect& obj)
 {
@@ -5110,9 +5110,9 @@
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->proven);
-          this->__isset.proven = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lost_singly);
+          this->__isset.lost_singly = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5150,9 +5150,9 @@
   xfer += oprot->writeI32(this->lost);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.proven) {
-    xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_BOOL, 5);
-    xfer += oprot->writeBool(this->proven);
+  if (this->__isset.lost_singly) {
+    xfer += oprot->writeFieldBegin("lost_singly", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->lost_singly);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -5166,7 +5166,7 @@
   swap(a.step, b.step);
   swap(a.index, b.index);
   swap(a.lost, b.lost);
-  swap(a.proven, b.proven);
+  swap(a.lost_singly, b.lost_singly);
   swap(a.__isset, b.__isset);
 }
 
@@ -5175,7 +5175,7 @@
   step = other166.step;
   index = other166.index;
   lost = other166.lost;
-  proven = other166.proven;
+  lost_singly = other166.lost_singly;
   __isset = other166.__isset;
 }
 crash_suspect& crash_suspect::operator=(const crash_suspect& other167) {
@@ -5183,7 +5183,7 @@
   step = other167.step;
   index = other167.index;
   lost = other167.lost;
-  proven = other167.proven;
+  lost_singly = other167.lost_singly;
   __isset = other167.__isset;
   return *this;
 }
@@ -5194,7 +5194,7 @@
   out << ", " << "step=" << to_string(step);
   out << ", " << "index=" << to_string(index);
   out << ", " << "lost=" << to_string(lost);
-  out << ", " << "proven="; (__isset.proven ? (out << to_string(proven)) : (out << "<null>"));
+  out << ", " << "lost_singly="; (__isset.lost_singly ? (out << to_string(lost_singly)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -324,8 +324,8 @@
     suspect.step = static_cast<int32_t>(each.task.position.step);
     suspect.index = static_cast<int32_t>(each.task.position.index);
     suspect.lost = each.lost;
-    if (each.proven)
-      suspect.__set_proven(true);
+    if (each.lost_singly != 0)
+      suspect.__set_lost_singly(each.lost_singly);
     wire.suspects.push_back(suspect);
   }
   return wire;
@@ -338,7 +338,8 @@
         job_key(each.job),
         0,
         {static_cast<uint32_t>(each.step), static_cast<uint32_t>(each.index)}};
-    news.suspects.push_back({task, std::max(each.lost, 0), each.proven});
+    news.suspects.push_back(
+        {task, std::max(each.lost, 0), std::max(each.lost_singly, 0)});
   }
   return news;
 }
--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -7,8 +7,9 @@
 
 namespace {
 
-// After that no upstream is risked any more, proof or not.
+// After that no upstream is risked any more.
 constexpr int kMostLosses = 3;
+constexpr int kMostSingleLosses = 2;
 // Upstreams that are lost at one moment show so within a lease's length of each
 // other.
 constexpr duration kSharedWindow = std::chrono::milliseconds(1100);
@@ -25,20 +26,13 @@
 void crash_record::OnUpstreamLost(time_point now,
                                   const std::vector<task_name>& ran,
                                   size_t upstreams) {
-  if (ran.empty())
-    return;
   upstreams_ = upstreams;
   losses_.push_back(now);
-  bool shared = IsShared(now);
   for (const task_name& task : ran) {
     if (!entries_.contains(task) && entries_.size() >= kMostEntries)
       continue;
     entry& found = entries_[task];
-    bool alone = ran.size() == 1 && !shared;
-    if (++found.lost == 1)
-      found.seen_here = now;
-    else
-      found.proven = found.proven || alone;
+    found.seen.push_back(now);
     found.last = now;
   }
 }
@@ -52,12 +46,9 @@
     if (!entries_.contains(heard.task) && entries_.size() >= kMostEntries)
       continue;
     entry& found = entries_[heard.task];
-    if (heard.lost > found.lost)
-      found.seen_here.reset();
-    found.lost = std::max(found.lost, heard.lost);
-    found.proven = found.proven || heard.proven;
-    found.told = std::max(found.told, heard.lost);
-    found.last = now;
+    if (heard.lost <= found.Lost())
+      continue;
+    found = {heard.lost, heard.lost_singly, {}, now, heard.lost};
   }
 }
 
@@ -70,14 +61,25 @@
   return static_cast<size_t>(near) > std::max(kFewLosses, limit);
 }
 
+int crash_record::LostSingly(const entry& found) const {
+  auto here = std::ranges::count_if(
+      found.seen, [&](time_point lost) { return !IsShared(lost); });
+  return found.heard_singly + static_cast<int>(here);
+}
+
 crash_suspicion crash_record::Judge(const entry& found) const {
-  if (found.proven || found.lost >= kMostLosses)
+  int singly = LostSingly(found);
+  if (found.Lost() >= kMostLosses || singly >= kMostSingleLosses)
     return crash_suspicion::kCrasher;
-  bool excused =
-      found.lost == 1 && found.seen_here && IsShared(*found.seen_here);
+  bool excused = found.Lost() == 1 && singly == 0;
   return excused ? crash_suspicion::kNone : crash_suspicion::kSuspect;
 }
 
+crash_suspect crash_record::Describe(const task_name& task,
+                                     const entry& found) const {
+  return {task, found.Lost(), LostSingly(found)};
+}
+
 crash_suspicion crash_record::Of(const task_name& task, time_point now) const {
   auto found = entries_.find(task);
   if (found == entries_.end() || now - found->second.last >= kRemembered)
@@ -89,13 +91,13 @@
   crash_news news;
   for (auto& [task, found] : entries_) {
     crash_suspicion suspicion = Judge(found);
-    bool is_clear = suspicion == crash_suspicion::kCrasher ||
-                    now - found.last >= kSharedWindow;
-    if (found.told >= found.lost || suspicion == crash_suspicion::kNone ||
-        !is_clear)
+    bool is_certain = suspicion == crash_suspicion::kCrasher ||
+                      now - found.last >= kSharedWindow;
+    if (found.told >= found.Lost() || suspicion == crash_suspicion::kNone ||
+        !is_certain)
       continue;
-    found.told = found.lost;
-    news.suspects.push_back({task, found.lost, found.proven});
+    found.told = found.Lost();
+    news.suspects.push_back(Describe(task, found));
   }
   return news;
 }
@@ -104,7 +106,7 @@
   crash_news news;
   for (const auto& [task, found] : entries_) {
     if (Of(task, now) != crash_suspicion::kNone)
-      news.suspects.push_back({task, found.lost, found.proven});
+      news.suspects.push_back(Describe(task, found));
   }
   return news;
 }
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <deque>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "base/base.h"
@@ -17,17 +16,17 @@
 
 enum class crash_suspicion {
   kNone,
-  kSuspect,  // runs alone until it is cleared
+  kSuspect,  // runs alone, if an upstream is idle, until it is cleared
   kCrasher,  // never started again
 };
 
 // What instances tell each other of a task that is a suspect or worse.
 struct crash_suspect {
   task_name task;
-  // Upstreams that were lost under it.
+  // Upstreams that were lost under it, and those of them that were not lost
+  // together with many others.
   int lost = 0;
-  // It was alone on the last of them, after an earlier loss.
-  bool proven = false;
+  int lost_singly = 0;
 
   bool operator==(const crash_suspect&) const = default;
 };
@@ -39,18 +38,20 @@
 };
 
 // Queued again like any other, a task that crashes what starts it takes down
-// upstream after upstream, and each time all that runs beside it. So whoever ran
-// on a lost upstream is suspect and runs alone next: a loss then proves it, one
-// good run clears it, and its neighbours are safe meanwhile.
+// upstream after upstream, and each time all that runs beside it. So whoever
+// ran on a lost upstream is suspect. It runs alone next where an upstream is
+// idle, so that neighbours are safe; it does not wait for one, since at full
+// load the upstreams that are kept empty for suspects cost more than the
+// neighbours. One good run clears it, a second loss means that it is given up.
 //
 // Upstreams that are lost together (power, a cut, a restart of many) prove
-// nothing, or every task of a failure domain would want an upstream for itself.
-// A real crasher among them shows by its next loss.
+// nothing, or the tasks of a whole failure domain would be suspect. A real
+// crasher among them shows by its next losses.
 //
 // Bounded in size and time; a caller that sends a job again does so sooner.
 class crash_record {
  public:
-  // `ran` were there when it was lost, one of `upstreams` that the home has.
+  // `ran` were there when it was lost, one of so many that the home has.
   void OnUpstreamLost(time_point now,
                       const std::vector<task_name>& ran,
                       size_t upstreams);
@@ -71,20 +72,24 @@
 
  private:
   struct entry {
-    int lost = 0;
-    bool proven = false;
-    // The first loss, if it was seen here.
-    std::optional<time_point> seen_here;
+    // As told by others, and since then when here.
+    int heard = 0;
+    int heard_singly = 0;
+    std::vector<time_point> seen;
     time_point last;
     int told = 0;
+
+    int Lost() const { return heard + static_cast<int>(seen.size()); }
   };
 
+  int LostSingly(const entry& found) const;
   crash_suspicion Judge(const entry& found) const;
+  crash_suspect Describe(const task_name& task, const entry& found) const;
   // Many upstreams were lost at about that time.
   bool IsShared(time_point lost) const;
 
   std::map<task_name, entry> entries_;
-  // Of upstreams; first losses of tasks are judged by them.
+  // Of upstreams; those of tasks are judged by them.
   std::deque<time_point> losses_;
   size_t upstreams_ = 0;
 };
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -544,10 +544,8 @@
 
 void run_home::Dispatch() {
   std::vector<waiting_job> in_order = WaitingInOrder();
-  if (!in_order.empty()) {
+  if (!in_order.empty())
     placer_.Refresh();
-    placer_.ReserveForLone(LoneTasksWaiting(in_order));
-  }
   for (const waiting_job& waiting : in_order) {
     home_job& job = *waiting.job;
     start_permit permit = gate_.Permit(!job.IsUntouched(), clock_.now());
@@ -602,9 +600,11 @@
 }
 
 bool run_home::PlaceTask(home_job& job, home_task& task) {
-  bool alone = RunsAlone(job, task);
   upstream_session* session =
-      alone ? placer_.PlaceAlone(job, task) : placer_.Place(job, task);
+      IsSuspect(job, task) ? placer_.PlaceAlone(job, task) : nullptr;
+  bool alone = session != nullptr;
+  if (!alone)
+    session = placer_.Place(job, task);
   if (!session)
     return false;
   upstream_standing& standing = upstreams_.Standing(session->info().id);
@@ -640,23 +640,11 @@
                 job.request.spec, need, delegate);
 }
 
-bool run_home::RunsAlone(const home_job& job, const home_task& task) const {
+bool run_home::IsSuspect(const home_job& job, const home_task& task) const {
   return crashes_.Of({job.key, 0, task.demand.position}, clock_.now()) !=
          crash_suspicion::kNone;
 }
 
-size_t run_home::LoneTasksWaiting(
-    const std::vector<waiting_job>& waiting) const {
-  if (crashes_.size() == 0)
-    return 0;
-  size_t count = 0;
-  for (const waiting_job& each : waiting) {
-    for (const auto& [position, task] : each.job->tasks)
-      count += task.phase == task_phase::kQueued && RunsAlone(*each.job, task);
-  }
-  return count;
-}
-
 // A job whose owner has to send the starts waits while there is no link to it;
 // the owner sends the job again when there is one. Trying nevertheless would
 // fail at once and be tried again in each turn of the loop.
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -168,8 +168,7 @@
                home_job& job,
                home_task& task,
                const resource_amount& need);
-  bool RunsAlone(const home_job& job, const home_task& task) const;
-  size_t LoneTasksWaiting(const std::vector<waiting_job>& waiting) const;
+  bool IsSuspect(const home_job& job, const home_task& task) const;
   void Sweep();
   void RefuseHopeless();
   void DropCancelled();
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -50,20 +50,6 @@
   }
 }
 
-void task_placer::ReserveForLone(size_t tasks) {
-  std::vector<open_upstream*> emptiest;
-  for (open_upstream& open : open_) {
-    if (open.good)
-      emptiest.push_back(&open);
-  }
-  std::ranges::stable_sort(emptiest, {}, [](const open_upstream* open) {
-    return open->session->info().capacity.cpu_millis - open->room.cpu_millis;
-  });
-  emptiest.resize(std::min(tasks, emptiest.size()));
-  for (open_upstream* open : emptiest)
-    open->for_lone_task = true;
-}
-
 bool task_placer::HasPlacesFor(const home_job& job) const {
   std::map<const upstream_session*, resource_amount> taken;
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
@@ -71,8 +57,7 @@
     if (task.demand.need.cpu_millis > largest_cpu_)
       return false;
     for (const open_upstream& open : open_) {
-      if (!open.good || open.for_lone_task ||
-          !task.demand.need.Fits(open.room) ||
+      if (!open.good || !task.demand.need.Fits(open.room) ||
           !MayRun(*open.session, job, task))
         continue;
       resource_amount& used = taken[open.session];
@@ -86,9 +71,9 @@
 }
 
 bool task_placer::MayTry(const open_upstream& open) {
-  return open.good || (open.session->idle() &&
-                       upstreams_.Standing(open.session->info().id)
-                           .MayTry(clock_.now()));
+  return open.good ||
+         (open.session->idle() &&
+          upstreams_.Standing(open.session->info().id).MayTry(clock_.now()));
 }
 
 bool task_placer::PaysOffRack(const home_job& job,
@@ -108,8 +93,8 @@
   bool pays_off_rack = PaysOffRack(job, task);
   for (open_upstream& open : open_) {
     const upstream_session& session = *open.session;
-    if (open.for_lone_task || !task.demand.need.Fits(open.room) ||
-        !MayRun(session, job, task) || session.info().id == task.avoid)
+    if (!task.demand.need.Fits(open.room) || !MayRun(session, job, task) ||
+        session.info().id == task.avoid)
       continue;
     double slowness = SlownessOn(session, task);
     if ((slowness > 1 && !pays_off_rack) || !MayTry(open))
@@ -127,16 +112,10 @@
 
 upstream_session* task_placer::PlaceAlone(const home_job& job,
                                           const home_task& task) {
-  auto fits = [&](const open_upstream& open) {
-    return open.good && open.session->idle() &&
-           task.demand.need.Fits(open.room) &&
-           MayRun(*open.session, job, task);
-  };
   auto chosen = std::ranges::find_if(open_, [&](const open_upstream& open) {
-    return open.for_lone_task && fits(open);
+    return open.good && open.session->idle() &&
+           task.demand.need.Fits(open.room) && MayRun(*open.session, job, task);
   });
-  if (chosen == open_.end())
-    chosen = std::ranges::find_if(open_, fits);
   if (chosen == open_.end())
     return nullptr;
   chosen->room = {};
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -26,13 +26,9 @@
   task_placer(scheduler& clock, home_upstreams& upstreams)
       : clock_(clock), upstreams_(upstreams) {}
 
-  // Looks at all upstreams anew. What was reserved is free again.
+  // Looks at all upstreams anew.
   void Refresh();
 
-  // Keeps the upstreams with the least work from other tasks: so many tasks
-  // must run alone, and at full load no upstream would ever be idle.
-  void ReserveForLone(size_t tasks);
-
   // True if all tasks of the job could be placed at once.
   bool HasPlacesFor(const home_job& job) const;
 
@@ -50,7 +46,6 @@
     resource_amount room;
     // Else it gets a single trial at most.
     bool good = true;
-    bool for_lone_task = false;
   };
 
   bool MayTry(const open_upstream& open);
--- a/tests/fakes/load_day.cc
+++ b/tests/fakes/load_day.cc
@@ -142,6 +142,7 @@
         result.in_time += served && took <= objective ? 1 : 0;
         result.late += served && took > objective ? 1 : 0;
         result.refused += served ? 0 : 1;
+        result.failed += answer.outcome == run_outcome::kFailed ? 1 : 0;
         result.refused_late += !served && took > objective / 4 ? 1 : 0;
       });
 }
--- a/tests/fakes/load_day.h
+++ b/tests/fakes/load_day.h
@@ -29,6 +29,7 @@
   int in_time = 0;  // within the objective
   int late = 0;
   int refused = 0;
+  int failed = 0;  // of the refused, told that the job can't be done
   // Refused only after this class's patience: a quarter of its objective.
   int refused_late = 0;
 
