Tell of crashing tasks at once; count what vanished with its home

Cause: a job whose home dies after each crash took down four and more upstreams: the loss was told 1.1 s later, and a run that its home took along was counted by nobody.

Change: losses are told at once, of upstreams that are lost together only the first few; a suspect of whose run a successor finds nothing counts as lost again.

--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -37,6 +37,14 @@
   }
 }
 
+void crash_record::OnSuspectVanished(const task_name& task, time_point now) {
+  auto found = entries_.find(task);
+  if (found == entries_.end())
+    return;
+  found->second.seen.push_back(now);
+  found->second.last = now;
+}
+
 void crash_record::OnRunEnded(const task_name& task) {
   entries_.erase(task);
 }
@@ -87,14 +95,10 @@
   return Judge(found->second);
 }
 
-crash_news crash_record::TakeNews(time_point now) {
+crash_news crash_record::TakeNews() {
   crash_news news;
   for (auto& [task, found] : entries_) {
-    crash_suspicion suspicion = Judge(found);
-    bool is_certain = suspicion == crash_suspicion::kCrasher ||
-                      now - found.last >= kSharedWindow;
-    if (found.told >= found.Lost() || suspicion == crash_suspicion::kNone ||
-        !is_certain)
+    if (found.told >= found.Lost() || Judge(found) == crash_suspicion::kNone)
       continue;
     found.told = found.Lost();
     news.suspects.push_back(Describe(task, found));
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -55,15 +55,18 @@
   void OnUpstreamLost(time_point now,
                       const std::vector<task_name>& ran,
                       size_t upstreams);
+  // Of a run under an earlier home nothing is found. Of others that says
+  // little, but that of a suspect probably took its upstream down.
+  void OnSuspectVanished(const task_name& task, time_point now);
   // A run ended, and its upstream lives.
   void OnRunEnded(const task_name& task);
   // From another instance.
   void Take(const crash_news& news, time_point now);
 
   crash_suspicion Of(const task_name& task, time_point now) const;
-  // What others have not been told yet. A suspect is told once it is clear that
-  // its upstream was not lost with many.
-  crash_news TakeNews(time_point now);
+  // What others have not been told yet. At once, as the home may be lost next;
+  // of upstreams that are lost together only the first few are told of.
+  crash_news TakeNews();
   // For one that knows nothing yet.
   crash_news All(time_point now) const;
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -414,8 +414,16 @@
             {"runs", ran.size()},
             {"draining", session.info().draining ? 1 : 0}});
   // It had said that it would go.
-  if (!session.info().draining)
-    crashes_.OnUpstreamLost(clock_.now(), ran, upstreams_.sessions().size());
+  if (session.info().draining)
+    return;
+  crashes_.OnUpstreamLost(clock_.now(), ran, upstreams_.sessions().size());
+  TellCrashes();
+}
+
+void run_home::TellCrashes() {
+  crash_news news = crashes_.TakeNews();
+  if (!news.suspects.empty() && tell_crashes_)
+    tell_crashes_(news);
 }
 
 void run_home::TakeCrashNews(const crash_news& news) {
@@ -519,10 +527,14 @@
     return;
   for (auto& [key, job] : jobs_) {
     for (auto& [position, task] : job.tasks) {
-      if (task.phase == task_phase::kUnclear)
-        task.phase = task_phase::kQueued;
+      if (task.phase != task_phase::kUnclear)
+        continue;
+      task.phase = task_phase::kQueued;
+      crashes_.OnSuspectVanished({key, 0, position}, clock_.now());
+      GiveUpCrasher(job, task);
     }
   }
+  TellCrashes();
 }
 
 void run_home::StopStrays() {
@@ -685,9 +697,6 @@
                 [&](const auto& entry) { return now >= entry.second; });
   upstreams_.Forget(registry_);
   crashes_.Forget(now);
-  crash_news news = crashes_.TakeNews(now);
-  if (!news.suspects.empty() && tell_crashes_)
-    tell_crashes_(news);
   RefuseHopeless();
   StopStuck();
   WatchSpecTraffic();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -135,6 +135,7 @@
   void DropIfOver(const job_key& key);
   void OnTaskDone(home_job& job, home_task& task);
   void OnTaskFailed(home_job& job, home_task& task);
+  void TellCrashes();
   void Requeue(home_job& job, home_task& task);
   bool GiveUpCrasher(home_job& job, home_task& task);
   void Report(home_job& job, const home_task& task, task_verdict verdict);
--- a/tests/run_home/run_home_test.cc
+++ b/tests/run_home/run_home_test.cc
@@ -1,5 +1,6 @@
 // Where a home starts tasks.
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -226,4 +227,80 @@
   }
 }
 
+TEST_CASE("run_home: an upstream's capacity shrinks and grows while it runs") {
+  // Three tasks run when the upstream says that it has room for one only. It
+  // does not guard itself, so a further start would bring it over. The others
+  // wait, are not refused as fitting nowhere, and start at once when it grows.
+  home_fixture f;
+  f.fleet.Add("u1", "north").guarded = false;
+  f.Begin();
+  auto resize = [&](int64_t cpu_millis) {
+    f.InfoOf("u1").capacity.cpu_millis = cpu_millis;
+    f.home.SetUpstreams(f.fleet.registry, true);
+  };
+  auto most_running = [&] {
+    return f.fleet.upstreams.at(upstream_id("u1"))->running.size();
+  };
+  run_request request = f.Request(8, Demand());
+  request.to_objective = milliseconds(1000);
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(10));
+  REQUIRE(most_running() == 3);
+  SUBCASE("to room for one") {
+    resize(12'000);
+    f.clock.Advance(milliseconds(60));
+    for (int i = 0; i < 40; ++i) {
+      f.clock.Advance(milliseconds(2));
+      CHECK(most_running() <= 1);
+    }
+  }
+  SUBCASE("to room for none") {
+    resize(5'000);
+    f.clock.Advance(milliseconds(100));
+    CHECK(most_running() == 0);
+    CHECK(std::ranges::none_of(f.reports, [](const run_report& report) {
+      return report.refusal != run_refusal::kNone;
+    }));
+  }
+  size_t before = f.StartsOn("u1");
+  resize(32'000);
+  f.clock.Advance(milliseconds(5));
+  CHECK(f.StartsOn("u1") >= before + 2);
+  f.clock.Advance(milliseconds(300));
+  CHECK(f.StartsOn("u1") == 8);
+}
+
+TEST_CASE("run_home: what is being stopped still takes room") {
+  // The caller leaves amid three runs; the upstream has the room only when each
+  // run's end is listed, 20 ms later.
+  home_fixture f;
+  f.fleet.Add("u1", "north").guarded = false;
+  f.Begin();
+  f.home.OnRequest(kOwner, f.Request(3, Demand()));
+  f.clock.Advance(milliseconds(10));
+  f.home.OnCancel(kOwner, {job_key("00000000000000aa"), submission_id(1)});
+  run_request next = f.Request(3, Demand());
+  next.job = job_key("00000000000000bb");
+  f.home.OnRequest(kOwner, next);
+  for (int i = 0; i < 40; ++i) {
+    f.clock.Advance(milliseconds(1));
+    CHECK(f.fleet.upstreams.at(upstream_id("u1"))->running.size() <= 3);
+  }
+  CHECK(f.StartsOn("u1") == 6);
+}
+
+TEST_CASE("run_home: no job is refused as fitting nowhere for a shrink") {
+  // It can't be in time any more when the upstream has shrunk: it is refused
+  // for load, so its caller comes back.
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.Begin();
+  f.InfoOf("u1").capacity.cpu_millis = 5'000;
+  f.home.SetUpstreams(f.fleet.registry, true);
+  f.home.OnRequest(kOwner, f.Request(1, Demand()));
+  f.clock.Advance(milliseconds(600));
+  REQUIRE(f.reports.size() == 1);
+  CHECK(f.reports[0].refusal == run_refusal::kOverload);
+}
+
 }  // namespace jasminedyke
