--- a/tests/crash_record/crashing_task_test.cc
+++ b/tests/crash_record/crashing_task_test.cc
@@ -20,8 +20,7 @@
   crashing_job() {
     for (const char* domain : {"north", "south"}) {
       for (int i = 0; i < 8; ++i) {
-        fake_upstream& upstream =
-            fleet.Add(domain + std::to_string(i), domain);
+        fake_upstream& upstream = fleet.Add(domain + std::to_string(i), domain);
         upstream.crashes = [](const task_name& task) {
           return task.job.str() == kCrasher && task.position.index == 0;
         };
