--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -37,12 +37,13 @@
   }
 }
 
-void crash_record::OnSuspectVanished(const task_name& task, time_point now) {
+bool crash_record::OnSuspectVanished(const task_name& task, time_point now) {
   auto found = entries_.find(task);
   if (found == entries_.end())
-    return;
+    return false;
   found->second.seen.push_back(now);
   found->second.last = now;
+  return true;
 }
 
 void crash_record::OnRunEnded(const task_name& task) {
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -441,6 +441,7 @@
            {{"job", job.key.str()},
             {"task", task.demand.position.index},
             {"last_upstream", task.upstream.str()}});
+  TellCrashes();
   task.phase = task_phase::kDone;
   Report(job, task, task_verdict::kFailed);
   return true;
@@ -530,11 +531,12 @@
       if (task.phase != task_phase::kUnclear)
         continue;
       task.phase = task_phase::kQueued;
-      crashes_.OnSuspectVanished({key, 0, position}, clock_.now());
-      GiveUpCrasher(job, task);
+      bool suspect =
+          crashes_.OnSuspectVanished({key, 0, position}, clock_.now());
+      if (suspect && !GiveUpCrasher(job, task))
+        TellCrashes();
     }
   }
-  TellCrashes();
 }
 
 void run_home::StopStrays() {
