Convict tasks only of crashes that are known; hold others back

On a link of 2 Mbit/s two upstreams in turn had been out of reach for longer than their lease while its task ran there, which counted as two crashes.

Change: a loss is a crash when another incarnation answers at the address; one that answers again takes the loss back. Two losses that are unclear hold the task back: its job is answered at once as given up, not as failed.

Ruled out: counting the registration's end, which a cut brings about as well.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -1,5 +1,6 @@
 #include "cluster/run_cluster.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -12,6 +13,11 @@
 // A link is silent for no longer than this, so its other end can tell a dead
 // peer from a quiet one within four of them.
 constexpr duration kHeartbeatInterval = std::chrono::milliseconds(250);
+// With hundreds of peers the heartbeats are most of what an idle instance does:
+// a third of 0.12 cores with 300. So they get rarer, up to what still leaves
+// two of them in the silence after which a peer counts as dead.
+constexpr duration kHeartbeatPerPeer = std::chrono::microseconds(1500);
+constexpr duration kLongestHeartbeatInterval = std::chrono::milliseconds(450);
 // How old a job owner's knowledge of a home's room may be: a task of 60 ms gets
 // room or loses it in about this time. With 100 ms, owners of all failure
 // domains sent too much to the same home at once: mean worth of the heavy days
@@ -367,7 +373,11 @@
   SendToAll(OwnStatus());
   if (addresses_.ForgetLeft())
     peers_.SetWanted(addresses_.Wanted());
-  heartbeat_timer_.StartAfter(kHeartbeatInterval, [this] { Heartbeat(); });
+  duration by_peers =
+      kHeartbeatPerPeer * static_cast<int64_t>(peers_.peers_up().size());
+  heartbeat_timer_.StartAfter(
+      std::clamp(by_peers, kHeartbeatInterval, kLongestHeartbeatInterval),
+      [this] { Heartbeat(); });
 }
 
 void run_cluster::TellHomeStatus() {
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -5045,9 +5045,9 @@
   this->lost = val;
 }
 
-void crash_suspect::__set_lost_singly(const int32_t val) {
-  this->lost_singly = val;
-__isset.lost_singly = true;
+void crash_suspect::__set_crashed(const int32_t val) {
+  this->crashed = val;
+__isset.crashed = true;
 }
 std::ostream& operator<<(std::ostream& out, const crash_suspect& obj)
 {
@@ -5111,8 +5111,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->lost_singly);
-          this->__isset.lost_singly = true;
+          xfer += iprot->readI32(this->crashed);
+          this->__isset.crashed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5150,9 +5150,9 @@
   xfer += oprot->writeI32(this->lost);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.lost_singly) {
-    xfer += oprot->writeFieldBegin("lost_singly", ::apache::thrift::protocol::T_I32, 5);
-    xfer += oprot->writeI32(this->lost_singly);
+  if (this->__isset.crashed) {
+    xfer += oprot->writeFieldBegin("crashed", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->crashed);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -5166,7 +5166,7 @@
   swap(a.step, b.step);
   swap(a.index, b.index);
   swap(a.lost, b.lost);
-  swap(a.lost_singly, b.lost_singly);
+  swap(a.crashed, b.crashed);
   swap(a.__isset, b.__isset);
 }
 
@@ -5175,7 +5175,7 @@
   step = other166.step;
   index = other166.index;
   lost = other166.lost;
-  lost_singly = other166.lost_singly;
+  crashed = other166.crashed;
   __isset = other166.__isset;
 }
 crash_suspect& crash_suspect::operator=(const crash_suspect& other167) {
@@ -5183,7 +5183,7 @@
   step = other167.step;
   index = other167.index;
   lost = other167.lost;
-  lost_singly = other167.lost_singly;
+  crashed = other167.crashed;
   __isset = other167.__isset;
   return *this;
 }
@@ -5194,7 +5194,7 @@
   out << ", " << "step=" << to_string(step);
   out << ", " << "index=" << to_string(index);
   out << ", " << "lost=" << to_string(lost);
-  out << ", " << "lost_singly="; (__isset.lost_singly ? (out << to_string(lost_singly)) : (out << "<null>"));
+  out << ", " << "crashed="; (__isset.crashed ? (out << to_string(crashed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -2057,12 +2057,12 @@
 std::ostream& operator<<(std::ostream& out, const drained_domains& obj);
 
 typedef struct _crash_suspect__isset {
-  _crash_suspect__isset() : job(false), step(false), index(false), lost(false), lost_singly(false) {}
+  _crash_suspect__isset() : job(false), step(false), index(false), lost(false), crashed(false) {}
   bool job :1;
   bool step :1;
   bool index :1;
   bool lost :1;
-  bool lost_singly :1;
+  bool crashed :1;
 } _crash_suspect__isset;
 
 class crash_suspect : public virtual ::apache::thrift::TBase {
@@ -2075,7 +2075,7 @@
                   step(0),
                   index(0),
                   lost(0),
-                  lost_singly(0) {
+                  crashed(0) {
   }
 
   virtual ~crash_suspect() noexcept;
@@ -2083,7 +2083,7 @@
   int32_t step;
   int32_t index;
   int32_t lost;
-  int32_t lost_singly;
+  int32_t crashed;
 
   _crash_suspect__isset __isset;
 
@@ -2095,7 +2095,7 @@
 
   void __set_lost(const int32_t val);
 
-  void __set_lost_singly(const int32_t val);
+  void __set_crashed(const int32_t val);
 
   bool operator == (const crash_suspect & rhs) const
   {
@@ -2107,9 +2107,9 @@
       return false;
     if (!(lost == rhs.lost))
       return false;
-    if (__isset.lost_singly != rhs.__isset.lost_singly)
+    if (__isset.crashed != rhs.__isset.crashed)
       return false;
-    else if (__isset.lost_singly && !(lost_singly == rhs.lost_singly))
+    else if (__isset.crashed && !(crashed == rhs.crashed))
       return false;
     return true;
   }
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -246,7 +246,7 @@
   2: i32 step
   3: i32 index
   4: i32 lost
-  5: optional i32 lost_singly
+  5: optional i32 crashed
 }
 
 // Tasks that were running on upstreams when these were lost.
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -158,7 +158,7 @@
          failed ? task_verdict::kFailed : task_verdict::kDone});
   }
   bool known = wire.refusal >= 0 &&
-               wire.refusal <= static_cast<int8_t>(run_refusal::kDrained);
+               wire.refusal <= static_cast<int8_t>(run_refusal::kUpstreamsLost);
   report.refusal =
       known ? static_cast<run_refusal>(wire.refusal) : run_refusal::kSuperseded;
   report.not_run = wire.not_run;
@@ -324,8 +324,8 @@
     suspect.step = static_cast<int32_t>(each.task.position.step);
     suspect.index = static_cast<int32_t>(each.task.position.index);
     suspect.lost = each.lost;
-    if (each.lost_singly != 0)
-      suspect.__set_lost_singly(each.lost_singly);
+    if (each.crashed != 0)
+      suspect.__set_crashed(each.crashed);
     wire.suspects.push_back(suspect);
   }
   return wire;
@@ -339,7 +339,7 @@
         0,
         {static_cast<uint32_t>(each.step), static_cast<uint32_t>(each.index)}};
     news.suspects.push_back(
-        {task, std::max(each.lost, 0), std::max(each.lost_singly, 0)});
+        {task, std::max(each.lost, 0), std::max(each.crashed, 0)});
   }
   return news;
 }
--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -9,7 +9,7 @@
 
 // After that no upstream is risked any more.
 constexpr int kMostLosses = 3;
-constexpr int kMostSingleLosses = 2;
+constexpr int kMostCrashes = 2;
 // Upstreams that are lost at one moment show so within a lease's length of each
 // other.
 constexpr duration kSharedWindow = std::chrono::milliseconds(1100);
@@ -25,23 +25,42 @@
 
 void crash_record::OnUpstreamLost(time_point now,
                                   const std::vector<task_name>& ran,
-                                  size_t upstreams) {
+                                  size_t upstreams,
+                                  bool crashed) {
   upstreams_ = upstreams;
   losses_.push_back(now);
   for (const task_name& task : ran) {
     if (!entries_.contains(task) && entries_.size() >= kMostEntries)
       continue;
     entry& found = entries_[task];
-    found.seen.push_back(now);
+    found.seen.push_back({now, crashed});
     found.last = now;
   }
 }
 
+void crash_record::OnFoundAgain(const std::vector<task_name>& ran,
+                                bool crashed) {
+  for (const task_name& task : ran) {
+    auto found = entries_.find(task);
+    if (found == entries_.end())
+      continue;
+    std::vector<loss>& seen = found->second.seen;
+    auto unclear = std::ranges::find(seen, false, &loss::crashed);
+    if (unclear == seen.end())
+      continue;
+    if (crashed)
+      unclear->crashed = true;
+    else
+      seen.erase(unclear);
+    found->second.told = 0;
+  }
+}
+
 bool crash_record::OnSuspectVanished(const task_name& task, time_point now) {
   auto found = entries_.find(task);
   if (found == entries_.end())
     return false;
-  found->second.seen.push_back(now);
+  found->second.seen.push_back({now, false});
   found->second.last = now;
   return true;
 }
@@ -55,9 +74,9 @@
     if (!entries_.contains(heard.task) && entries_.size() >= kMostEntries)
       continue;
     entry& found = entries_[heard.task];
-    if (heard.lost <= found.Lost())
-      continue;
-    found = {heard.lost, heard.lost_singly, {}, now, heard.lost};
+    bool is_news = heard.lost > found.Lost() || heard.crashed > Crashed(found);
+    if (is_news)
+      found = {heard.lost, heard.crashed, {}, now, heard.lost};
   }
 }
 
@@ -72,21 +91,29 @@
 
 int crash_record::LostSingly(const entry& found) const {
   auto here = std::ranges::count_if(
-      found.seen, [&](time_point lost) { return !IsShared(lost); });
-  return found.heard_singly + static_cast<int>(here);
+      found.seen, [&](const loss& each) { return !IsShared(each.at); });
+  return found.heard + static_cast<int>(here);
+}
+
+int crash_record::Crashed(const entry& found) const {
+  auto here = std::ranges::count_if(found.seen, [&](const loss& each) {
+    return each.crashed && !IsShared(each.at);
+  });
+  return found.heard_crashed + static_cast<int>(here);
 }
 
 crash_suspicion crash_record::Judge(const entry& found) const {
-  int singly = LostSingly(found);
-  if (found.Lost() >= kMostLosses || singly >= kMostSingleLosses)
+  if (Crashed(found) >= kMostCrashes)
     return crash_suspicion::kCrasher;
-  bool excused = found.Lost() == 1 && singly == 0;
-  return excused ? crash_suspicion::kNone : crash_suspicion::kSuspect;
+  int singly = LostSingly(found);
+  if (found.Lost() >= kMostLosses || singly >= kMostCrashes)
+    return crash_suspicion::kHeld;
+  return singly == 1 ? crash_suspicion::kSuspect : crash_suspicion::kNone;
 }
 
 crash_suspect crash_record::Describe(const task_name& task,
                                      const entry& found) const {
-  return {task, found.Lost(), LostSingly(found)};
+  return {task, found.Lost(), Crashed(found)};
 }
 
 crash_suspicion crash_record::Of(const task_name& task, time_point now) const {
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -17,16 +17,17 @@
 enum class crash_suspicion {
   kNone,
   kSuspect,  // runs alone, if an upstream is idle, until it is cleared
+  kHeld,     // not started for now
   kCrasher,  // never started again
 };
 
 // What instances tell each other of a task that is a suspect or worse.
 struct crash_suspect {
   task_name task;
-  // Upstreams that were lost under it, and those of them that were not lost
-  // together with many others.
+  // Upstreams that were lost under it, and those of them that are known to have
+  // crashed, not together with many others.
   int lost = 0;
-  int lost_singly = 0;
+  int crashed = 0;
 
   bool operator==(const crash_suspect&) const = default;
 };
@@ -41,8 +42,13 @@
 // upstream after upstream, and each time all that runs beside it. So whoever
 // ran on a lost upstream is suspect. It runs alone next where an upstream is
 // idle, so that neighbours are safe; it does not wait for one, since at full
-// load the upstreams that are kept empty for suspects cost more than the
-// neighbours. One good run clears it, a second loss means that it is given up.
+// load upstreams that are kept empty for suspects cost more than the
+// neighbours. One good run clears it, a second crash convicts it.
+//
+// An upstream that only is out of reach looks the same until it is heard of
+// again, under a new id if it crashed. A caller must not be told that a job
+// can't be done because a link was full, so losses that are not known to be
+// crashes keep a task from being started but don't convict it.
 //
 // Upstreams that are lost together (power, a cut, a restart of many) prove
 // nothing, or the tasks of a whole failure domain would be suspect. A real
@@ -54,10 +60,14 @@
   // `ran` were there when it was lost, one of so many that the home has.
   void OnUpstreamLost(time_point now,
                       const std::vector<task_name>& ran,
-                      size_t upstreams);
+                      size_t upstreams,
+                      bool crashed);
+  // More is known now of an earlier loss: the first unclear one of each task.
+  void OnFoundAgain(const std::vector<task_name>& ran, bool crashed);
   // Of a run under an earlier home nothing is found. Of others that says
-  // little, but that of a suspect probably took its upstream down.
-  void OnSuspectVanished(const task_name& task, time_point now);
+  // little, but that of a suspect probably took its upstream down. False if it
+  // was none.
+  bool OnSuspectVanished(const task_name& task, time_point now);
   // A run ended, and its upstream lives.
   void OnRunEnded(const task_name& task);
   // From another instance.
@@ -74,11 +84,16 @@
   size_t size() const { return entries_.size(); }
 
  private:
+  struct loss {
+    time_point at;
+    bool crashed = false;
+  };
+
   struct entry {
-    // As told by others, and since then when here.
+    // As told by others, and since then seen here.
     int heard = 0;
-    int heard_singly = 0;
-    std::vector<time_point> seen;
+    int heard_crashed = 0;
+    std::vector<loss> seen;
     time_point last;
     int told = 0;
 
@@ -86,6 +101,7 @@
   };
 
   int LostSingly(const entry& found) const;
+  int Crashed(const entry& found) const;
   crash_suspicion Judge(const entry& found) const;
   crash_suspect Describe(const task_name& task, const entry& found) const;
   // Many upstreams were lost at about that time.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -407,19 +407,34 @@
 }
 
 void run_home::OnLost(upstream_session& session,
-                      const std::vector<task_name>& ran) {
+                      const std::vector<task_name>& ran,
+                      bool crashed) {
   ++metrics_.upstreams_lost;
   LogEvent(log_level::kInfo, "upstream_lost",
            {{"upstream", session.info().id.str()},
             {"runs", ran.size()},
+            {"crashed", crashed ? 1 : 0},
             {"draining", session.info().draining ? 1 : 0}});
   // It had said that it would go.
   if (session.info().draining)
     return;
-  crashes_.OnUpstreamLost(clock_.now(), ran, upstreams_.sessions().size());
+  crashes_.OnUpstreamLost(clock_.now(), ran, upstreams_.sessions().size(),
+                          crashed);
   TellCrashes();
 }
 
+void run_home::OnFoundAgain(upstream_session& session,
+                            const std::vector<task_name>& ran,
+                            bool crashed) {
+  LogEvent(log_level::kInfo, "upstream_found_again",
+           {{"upstream", session.info().id.str()},
+            {"runs", ran.size()},
+            {"crashed", crashed ? 1 : 0}});
+  crashes_.OnFoundAgain(ran, crashed);
+  TellCrashes();
+  ScheduleDispatch();
+}
+
 void run_home::TellCrashes() {
   crash_news news = crashes_.TakeNews();
   if (!news.suspects.empty() && tell_crashes_)
@@ -432,9 +447,7 @@
 
 // True if the task crashes whatever starts it: its job fails at once.
 bool run_home::GiveUpCrasher(home_job& job, home_task& task) {
-  task_name name{job.key, 0, task.demand.position};
-  if (job.cancelled ||
-      crashes_.Of(name, clock_.now()) != crash_suspicion::kCrasher)
+  if (job.cancelled || SuspicionOf(job, task) != crash_suspicion::kCrasher)
     return false;
   ++metrics_.crashers;
   LogEvent(log_level::kWarning, "task_crashes_upstreams",
@@ -564,9 +577,13 @@
     home_job& job = *waiting.job;
     start_permit permit = gate_.Permit(!job.IsUntouched(), clock_.now());
     if (permit == start_permit::kHandBack)
-      HandBack(job);
+      HandBack(job, run_refusal::kDrained);
     if (permit != start_permit::kStart || !CanStart(job))
       continue;
+    if (IsHeld(job)) {
+      HandBack(job, run_refusal::kUpstreamsLost);
+      continue;
+    }
     if (job.request.may_pass && job.IsUntouched() && !placer_.HasPlacesFor(job))
       PassOn(job);
     else
@@ -584,10 +601,10 @@
   CancelJob(job);
 }
 
-// Its owner sends it to another failure domain, or answers at once if parts of
-// it have run here.
-void run_home::HandBack(home_job& job) {
-  Refuse(job, run_refusal::kDrained, kLeastRetryAfter);
+// Its owner sends it elsewhere, or answers at once if parts of it have run
+// here.
+void run_home::HandBack(home_job& job, run_refusal reason) {
+  Refuse(job, reason, kLeastRetryAfter);
   CancelJob(job);
 }
 
@@ -614,8 +631,8 @@
 }
 
 bool run_home::PlaceTask(home_job& job, home_task& task) {
-  upstream_session* session =
-      IsSuspect(job, task) ? placer_.PlaceAlone(job, task) : nullptr;
+  bool suspect = SuspicionOf(job, task) != crash_suspicion::kNone;
+  upstream_session* session = suspect ? placer_.PlaceAlone(job, task) : nullptr;
   bool alone = session != nullptr;
   if (!alone)
     session = placer_.Place(job, task);
@@ -654,9 +671,17 @@
                 job.request.spec, need, delegate);
 }
 
-bool run_home::IsSuspect(const home_job& job, const home_task& task) const {
-  return crashes_.Of({job.key, 0, task.demand.position}, clock_.now()) !=
-         crash_suspicion::kNone;
+crash_suspicion run_home::SuspicionOf(const home_job& job,
+                                      const home_task& task) const {
+  return crashes_.Of({job.key, 0, task.demand.position}, clock_.now());
+}
+
+// A further start of one of its tasks might take down a further upstream.
+bool run_home::IsHeld(const home_job& job) const {
+  return std::ranges::any_of(job.tasks, [&](const auto& entry) {
+    return entry.second.phase == task_phase::kQueued &&
+           SuspicionOf(job, entry.second) == crash_suspicion::kHeld;
+  });
 }
 
 // A job whose owner has to send the starts waits while there is no link to it;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -116,7 +116,11 @@
                   run_number run,
                   run_end how) override;
   void OnLost(upstream_session& session,
-              const std::vector<task_name>& ran) override;
+              const std::vector<task_name>& ran,
+              bool crashed) override;
+  void OnFoundAgain(upstream_session& session,
+                    const std::vector<task_name>& ran,
+                    bool crashed) override;
   void OnNotStarted(upstream_session& session,
                     const task_name& task,
                     run_number run,
@@ -162,14 +166,15 @@
   };
   std::vector<waiting_job> WaitingInOrder();
   void PassOn(home_job& job);
-  void HandBack(home_job& job);
+  void HandBack(home_job& job, run_refusal reason);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
   void StartOn(upstream_session& session,
                home_job& job,
                home_task& task,
                const resource_amount& need);
-  bool IsSuspect(const home_job& job, const home_task& task) const;
+  crash_suspicion SuspicionOf(const home_job& job, const home_task& task) const;
+  bool IsHeld(const home_job& job) const;
   void Sweep();
   void RefuseHopeless();
   void DropCancelled();
--- a/src/runs/run_messages.cc
+++ b/src/runs/run_messages.cc
@@ -18,6 +18,8 @@
       return "busy";
     case run_refusal::kDrained:
       return "drained";
+    case run_refusal::kUpstreamsLost:
+      return "upstreams_lost";
   }
   return "none";
 }
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -93,12 +93,13 @@
 
 enum class run_refusal {
   kNone,
-  kOverload,    // it would not end within its caller's limit
-  kNoUpstream,  // no upstream of this group can run it now
-  kNotHome,     // the receiver is no home, or no longer
-  kSuperseded,  // the job was submitted again through another instance
-  kBusy,        // no places now, and the job may go to another group
-  kDrained,     // operators drained the group's failure domain
+  kOverload,       // it would not end within its caller's limit
+  kNoUpstream,     // no upstream of this group can run it now
+  kNotHome,        // the receiver is no home, or no longer
+  kSuperseded,     // the job was submitted again through another instance
+  kBusy,           // no places now, and the job may go to another group
+  kDrained,        // operators drained the group's failure domain
+  kUpstreamsLost,  // upstreams were lost under a task of it, again and again
 };
 
 // Ends of tasks; or a refusal, which holds for the whole job here.
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -426,6 +426,7 @@
   in_doubt_ = false;
   lapse_timer_.Stop();
   upstream_clock_.Take(reply.clock, sent);
+  TellFoundAgain(false);
   TakeEnds(reply);
   TakeRunning(reply);
   JudgeUnlisted(sent, reply);
@@ -501,12 +502,22 @@
   }
   runs_.clear();
   occupied_ = {};
-  if (!ran.empty())
-    owner_.OnLost(*this, ran);
+  if (gone_)
+    TellFoundAgain(true);
+  if (!ran.empty()) {
+    owner_.OnLost(*this, ran, gone_);
+    if (!gone_)
+      missing_ = std::move(ran);
+  }
   for (const auto& [task, run] : ended)
     owner_.OnRunEnded(*this, task, run, how);
 }
 
+void upstream_session::TellFoundAgain(bool crashed) {
+  if (!missing_.empty())
+    owner_.OnFoundAgain(*this, std::exchange(missing_, {}), crashed);
+}
+
 void upstream_session::NoteLease(upstream_time until) {
   lease_end_ = std::max(lease_end_, until);
   given_until_ = std::max(given_until_, until);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -43,10 +43,15 @@
                             const task_name& task,
                             run_number run,
                             run_end how) = 0;
-    // The upstream died, or was out of reach for longer than its lease, while
-    // these ran there. The end of each follows.
+    // The upstream crashed (`crashed`), or was out of reach for longer than its
+    // lease, while these ran there. The end of each follows.
     virtual void OnLost(upstream_session& session,
-                        const std::vector<task_name>& ran) = 0;
+                        const std::vector<task_name>& ran,
+                        bool crashed) = 0;
+    // What became of an upstream that was out of reach when these ran there.
+    virtual void OnFoundAgain(upstream_session& session,
+                              const std::vector<task_name>& ran,
+                              bool crashed) = 0;
     // Proven never to have begun; `why` is what the upstream said.
     virtual void OnNotStarted(upstream_session& session,
                               const task_name& task,
@@ -185,6 +190,7 @@
   bool LeaseIsOver() const;
   void CheckLapse();
   void EndAll(run_end how);
+  void TellFoundAgain(bool crashed);
   void Remove(run_map::iterator found);
   void NoteLease(upstream_time until);
 
@@ -197,6 +203,8 @@
   // Of all upstreams of the home.
   answer_times& times_;
   owner& owner_;
+  // What ran when the upstream went out of reach, until it is heard of again.
+  std::vector<task_name> missing_;
   // At most one run of a task. `occupied_` is the sum of all needs.
   run_map runs_;
   resource_amount occupied_;
