Drain failure domains in the soak

Operators drain and take back domains at random beside the other faults, with luck of their own so that old seeds play what they played; in the end nothing may start in a drained domain.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,14 +4,16 @@
 Runs entry instances and a stand-in of the platform as processes, sends jobs,
 and injects faults from outside: a proxy in front of the store and of each
 upstream delays, resets, silences or cuts connections one way; instances are
-paused, killed, stopped and started by signals. Faults overlap. It checks, from
-what callers and upstreams see, that
+paused, killed, stopped and started by signals; operators drain failure domains
+and take them back. Faults overlap. It checks, from what callers and upstreams
+see, that
 
 - no task has two runs at one time;
 - a job whose every attempt was refused as not run never began;
 - a job answered as succeeded had each task end done;
 - an instance that is asked to stop ends by itself, with status 0;
-- after all faults every instance serves a job again.
+- after all faults every instance serves a job again;
+- nothing starts in a drained failure domain then, and jobs go to the other one.
 
 Exit status 1 and the seed on the first broken promise. Only processes that it
 started are ended, by their ids.
@@ -19,6 +21,7 @@
 
 import argparse
 import asyncio
+import base64
 import json
 import os
 import random
@@ -30,6 +33,9 @@
 
 TASKS = 4
 RESEND_S = 1.3
+DOMAINS = ("domain-0", "domain-1")
+# From the order to drain a domain until nothing starts there, with room.
+DRAIN_S = 1.0
 ADVERTISE_OFFSET = 1000
 PROXY_MODES = ["pass", "delay", "reset", "silent", "one_way"]
 
@@ -84,12 +90,16 @@
 
     def __init__(self):
         self.running, self.begun, self.done, self.broken = {}, set(), set(), []
+        # Nothing may start in this failure domain, which has long been drained.
+        self.drained = None
 
     def take(self, line):
         event, task, worker = line.split()
         job = task.split(".")[0]
         if event == "begin":
             self.begun.add(job)
+            if self.drained and worker.startswith(self.drained):
+                self.broken.append(f"{task} starts on {worker}, whose domain is drained")
             if task in self.running:
                 self.broken.append(f"{task} runs on {self.running[task]} and {worker}")
             self.running[task] = worker
@@ -125,7 +135,7 @@
         with open(path, "w") as file:
             file.write(
                 f'[instance]\nid = "entry-{number}"\n'
-                f'failure_domain = "domain-{number % 2}"\ncores = 1\n'
+                f'failure_domain = "{DOMAINS[number % 2]}"\ncores = 1\n'
                 f'[listen]\ncallers = "127.0.0.1:{self.port(number, 0)}"\n'
                 f'balancer = "127.0.0.1:{self.port(number, 1)}"\n'
                 f'peers = "127.0.0.1:{self.port(number, 2)}"\n'
@@ -149,7 +159,7 @@
         self.platform = await asyncio.create_subprocess_exec(
             f"{self.folder}/fleet_standin", "--store-port", str(self.args.port),
             "--first-worker-port", str(self.args.port + 1), "--workers", str(workers),
-            "--advertise-offset", str(ADVERTISE_OFFSET), "--zones", "domain-0", "domain-1",
+            "--advertise-offset", str(ADVERTISE_OFFSET), "--zones", *DOMAINS,
             stdout=asyncio.subprocess.PIPE)
         self.proxies = [Proxy(self.args.port + ADVERTISE_OFFSET + i, self.args.port + i)
                         for i in range(1 + 2 * workers)]
@@ -190,6 +200,20 @@
                 return
             await asyncio.sleep(RESEND_S)
 
+    async def drain(self, domain, on):
+        """As operators do: by a row of the store, past the proxy in front of it."""
+        row = {"table": "op", "part": "", "key": f"evacuate/{domain}"}
+        if on:
+            change = {"writes": [dict(row, value=base64.b64encode(b"{}").decode())]}
+        else:
+            change = {"remove": [row]}
+        body = json.dumps(change)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.args.port)
+        writer.write((f"POST /api/rows-tx HTTP/1.1\r\nHost: store\r\nConnection: close\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+        await reader.read()
+        writer.close()
+
     def signal(self, number, which):
         try:
             self.instances[number].send_signal(which)
@@ -215,6 +239,16 @@
             await self.replace(number, signal.SIGKILL if kind == "kill" else signal.SIGTERM)
             self.paused.discard(number)
 
+    async def drains(self):
+        """With luck of its own: what a seed plays besides stays the same."""
+        luck = random.Random(f"drains {self.seed}")
+        while True:
+            await asyncio.sleep(luck.uniform(0.2, 3.0))
+            domain = luck.choice(DOMAINS)
+            await self.drain(domain, True)
+            await asyncio.sleep(luck.uniform(0.1, 2.0))
+            await self.drain(domain, False)
+
     async def replace(self, number, which):
         process = self.instances[number]
         self.signal(number, signal.SIGCONT)
@@ -234,6 +268,7 @@
         await asyncio.sleep(2)
         tasks, loop = set(), asyncio.get_running_loop()
         end = loop.time() + self.args.seconds
+        drains = asyncio.create_task(self.drains())
         while loop.time() < end and not self.promises.broken:
             make = self.fault if self.random.random() < 0.06 else self.caller
             task = asyncio.create_task(make())
@@ -242,9 +277,13 @@
             self.finished.append(task)
             await asyncio.sleep(0.05)
         await asyncio.gather(*tasks)
+        drains.cancel()
+        for domain in DOMAINS:
+            await self.drain(domain, False)
         for task in self.finished:
             task.result()
         await self.check_recovery()
+        await self.check_drain()
         self.promises.check_answers(self.answers)
 
     async def check_recovery(self):
@@ -264,6 +303,18 @@
             else:
                 self.promises.broken.append(f"entry-{number} serves no job after the faults")
 
+    async def check_drain(self):
+        """Without faults: jobs through all instances go to the other domain."""
+        await self.drain(DOMAINS[0], True)
+        await asyncio.sleep(DRAIN_S)
+        self.promises.drained = DOMAINS[0]
+        for number in range(self.args.instances):
+            job = f"{self.seed % 2**32:08x}d{number:07x}"
+            if (outcome := await self.post(number, job)) != "succeeded":
+                self.promises.broken.append(f"entry-{number} answers {outcome} beside a drain")
+        self.promises.drained = None
+        await self.drain(DOMAINS[0], False)
+
     async def stop(self):
         for process in [*self.instances.values(), self.platform]:
             if process.returncode is None:
