--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -56,7 +56,7 @@
   for (const auto& [why, count] : metrics.refused_starts)
     out.Counter("starts_refused_total", static_cast<double>(count),
                 {{"reason", ToString(why)}});
-  for (const auto& [why, count] : metrics.refused_jobs)
+  for (const auto& [why, count] : home.refused_jobs())
     out.Counter("home_refusals_total", static_cast<double>(count),
                 {{"reason", ToString(why)}});
   for (const auto& [queue, values] : metrics.room_wait)
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -73,6 +73,8 @@
   job_outlook Outlook() const;
 };
 
+using home_job_map = std::map<job_key, home_job>;
+
 // Core-seconds, by the caller's guess.
 double CoreSeconds(const task_demand& demand);
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -18,8 +18,6 @@
 // A predecessor ends as soon as it hears of its successor; its leases last a
 // second more on a clock that is 2 % slow.
 constexpr duration kUnconfirmedTime = std::chrono::milliseconds(1500);
-// What a home that dies may not have told; the tasks would run once more.
-constexpr duration kReportPause = std::chrono::milliseconds(20);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // For a job whose queue is long: callers come back no sooner than that.
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
@@ -46,12 +44,11 @@
       port_(port),
       group_(group),
       settings_(own),
-      send_(std::move(send)),
       on_fenced_(std::move(on_fenced)),
       gate_(own.finish_time),
       placer_(clock, upstreams_),
+      reports_(clock, jobs_, std::move(send)),
       dispatch_timer_(clock),
-      report_timer_(clock),
       sweep_timer_(clock) {}
 
 run_home::~run_home() = default;
@@ -80,7 +77,7 @@
   orphaned_at_.clear();
   sweep_timer_.Stop();
   dispatch_timer_.Stop();
-  report_timer_.Stop();
+  reports_.Stop();
   dispatch_due_ = false;
 }
 
@@ -111,13 +108,7 @@
 
 void run_home::OnRequest(const instance_id& from, const run_request& request) {
   if (!serving_) {
-    run_report report{request.job, request.submission, {}};
-    report.refusal = run_refusal::kNotHome;
-    report.sending = request.sending;
-    // It may have been home when the job was sent first.
-    report.not_run = std::ranges::none_of(
-        request.tasks, [](const task_demand& t) { return t.maybe_started; });
-    send_(from, report);
+    reports_.SendNotHome(from, request);
     return;
   }
   auto [found, is_new] = jobs_.try_emplace(request.job);
@@ -330,7 +321,7 @@
 void run_home::OnTaskDone(home_job& job, home_task& task) {
   task.phase = task_phase::kDone;
   if (!job.cancelled)
-    Report(job, task, task_verdict::kDone);
+    reports_.Report(job, task, task_verdict::kDone);
 }
 
 void run_home::OnTaskFailed(home_job& job, home_task& task) {
@@ -342,7 +333,7 @@
   }
   task.phase = task_phase::kDone;
   if (!job.cancelled)
-    Report(job, task, task_verdict::kFailed);
+    reports_.Report(job, task, task_verdict::kFailed);
 }
 
 void run_home::Requeue(home_job& job, home_task& task) {
@@ -353,57 +344,8 @@
   ScheduleDispatch();
 }
 
-// Owners can do something with an end only when it is the job's last one here,
-// or a failure. The others wait a moment for it: one message for a job of four
-// tasks instead of four.
-void run_home::Report(home_job& job,
-                      const home_task& task,
-                      task_verdict verdict) {
-  job.unreported.push_back({task.demand.position, verdict});
-  bool all_done = std::ranges::all_of(job.tasks, [](const auto& entry) {
-    return entry.second.phase == task_phase::kDone;
-  });
-  if (all_done || verdict == task_verdict::kFailed)
-    SendReport(job);
-  else if (!report_timer_.active())
-    report_timer_.StartAfter(kReportPause, [this] { SendReports(); });
-}
-
-void run_home::SendReport(home_job& job) {
-  run_report report{job.key, job.request.submission, {}};
-  report.tasks = std::exchange(job.unreported, {});
-  send_(job.owner, report);
-}
-
-void run_home::SendReports() {
-  for (auto& [key, job] : jobs_) {
-    if (!job.unreported.empty() && !job.cancelled)
-      SendReport(job);
-  }
-}
-
 void run_home::Refuse(home_job& job, run_refusal reason, duration retry_after) {
-  LogEvent(log_level::kInfo, "home_refuses",
-           {{"job", job.key.str()},
-            {"owner", job.owner.str()},
-            {"reason", ToString(reason)},
-            {"not_run", job.IsUntouched() ? 1 : 0},
-            {"retry_after_ms", ToMilliseconds(retry_after)},
-            {"to_objective_ms", ToMilliseconds(job.objective - clock_.now())},
-            {"token", token_.value()}});
-  ReportRefusal(job, reason, retry_after);
-}
-
-void run_home::ReportRefusal(const home_job& job,
-                             run_refusal reason,
-                             duration retry_after) {
-  ++metrics_.refused_jobs[reason];
-  run_report report{job.key, job.request.submission, {}};
-  report.refusal = reason;
-  report.sending = job.request.sending;
-  report.not_run = job.IsUntouched();
-  report.retry_after = retry_after;
-  send_(job.owner, report);
+  reports_.Refuse(job, reason, retry_after, token_);
 }
 
 void run_home::OnLost(upstream_session& session,
@@ -456,7 +398,7 @@
             {"last_upstream", task.upstream.str()}});
   TellCrashes();
   task.phase = task_phase::kDone;
-  Report(job, task, task_verdict::kFailed);
+  reports_.Report(job, task, task_verdict::kFailed);
   return true;
 }
 
@@ -597,7 +539,7 @@
 // domain's upstreams lost, 0.70 of the urgent jobs were in time; 0.80 with jobs
 // passed on and homes chosen by their room (tests/run_load).
 void run_home::PassOn(home_job& job) {
-  ReportRefusal(job, run_refusal::kBusy, duration::zero());
+  reports_.SendRefusal(job, run_refusal::kBusy, duration::zero());
   CancelJob(job);
 }
 
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -17,6 +17,7 @@
 #include "runs/byte_rate.h"
 #include "runs/crash_record.h"
 #include "runs/home_job.h"
+#include "runs/home_reports.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
@@ -41,7 +42,6 @@
   uint64_t upstreams_lost = 0;
   uint64_t crashers = 0;
   std::map<start_result, uint64_t> refused_starts;
-  std::map<run_refusal, uint64_t> refused_jobs;
   // From a task's arrival until it is ordered, and from then until it is done.
   latency_by_queue room_wait;
   latency_by_queue run_time;
@@ -53,8 +53,7 @@
 // orphans alive.
 class run_home : public upstream_session::owner {
  public:
-  using send_report =
-      std::function<void(const instance_id&, const run_report&)>;
+  using send_report = home_reports::send_report;
   using fenced_handler = std::function<void()>;
   using crash_handler = std::function<void(const crash_news&)>;
 
@@ -100,6 +99,9 @@
 
   home_status Status() const;
   const run_home_metrics& metrics() const { return metrics_; }
+  const std::map<run_refusal, uint64_t>& refused_jobs() const {
+    return reports_.refused();
+  }
   size_t jobs() const { return jobs_.size(); }
 
  private:
@@ -109,8 +111,6 @@
     bool stopping = false;
   };
 
-  using job_map = std::map<job_key, home_job>;
-
   void OnRunEnded(upstream_session& session,
                   const task_name& task,
                   run_number run,
@@ -142,13 +142,7 @@
   void TellCrashes();
   void Requeue(home_job& job, home_task& task);
   bool GiveUpCrasher(home_job& job, home_task& task);
-  void Report(home_job& job, const home_task& task, task_verdict verdict);
-  void SendReport(home_job& job);
-  void SendReports();
   void Refuse(home_job& job, run_refusal reason, duration retry_after);
-  void ReportRefusal(const home_job& job,
-                     run_refusal reason,
-                     duration retry_after);
   // All that an earlier home may have started is known or over.
   bool AllSettled() const;
   void QueueUnclear();
@@ -189,7 +183,6 @@
   upstream_port& port_;
   home_group group_;
   settings settings_;
-  send_report send_;
   fenced_handler on_fenced_;
   bool serving_ = false;
   fencing_token token_;
@@ -197,7 +190,8 @@
   upstream_registry registry_;
   home_upstreams upstreams_;
   task_placer placer_;
-  job_map jobs_;
+  home_job_map jobs_;
+  home_reports reports_;
   // Until their end is certain: a job that claims one later than allowed must
   // wait for it, or its task would run twice at one time.
   std::map<task_name, stray_run> strays_;
@@ -219,7 +213,6 @@
   answer_times answer_times_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
-  scoped_timer report_timer_;
   scoped_timer sweep_timer_;
 };
 
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -11,6 +11,7 @@
 #include "runs/domain_drains.h"
 #include "runs/home_directory.h"
 #include "runs/home_job.h"
+#include "runs/home_reports.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
