Agree on what the parts for hard load tell each other

Cause: five parts are built side by side; each would add to the inner protocol and regenerate its code. All new messages and fields are declared here once (birth of an upstream, waits by priority, speeds, wanted work), and queue and job ids move to base so that decisions in src/policy can name them. Nothing uses the new fields yet; 205 unit tests pass.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -48,6 +48,10 @@
 using failure_domain_id = text_id<struct failure_domain_tag>;
 using team_id = text_id<struct team_tag>;
 using class_id = text_id<struct class_tag>;
+// A class of work on the operators' platform.
+using queue_id = text_id<struct queue_tag>;
+// Chosen by the caller; the same key again means the same job.
+using job_key = text_id<struct job_key_tag>;
 using change_id = text_id<struct change_tag>;
 
 // Random at each start of a daemon; two runs of one instance differ in it.
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -78,6 +78,8 @@
 
 class run_report;
 
+class priority_wait;
+
 class home_status;
 
 class delegated_start;
@@ -94,6 +96,12 @@
 
 class crash_news;
 
+class upstream_speed;
+
+class speed_news;
+
+class work_wanted;
+
 class frame;
 
 typedef struct _hello__isset {
@@ -1491,7 +1499,7 @@
 std::ostream& operator<<(std::ostream& out, const task_report& obj);
 
 typedef struct _run_report__isset {
-  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false), sending(false) {}
+  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false), sending(false), asked_by(false) {}
   bool job :1;
   bool submission :1;
   bool tasks :1;
@@ -1499,6 +1507,7 @@
   bool not_run :1;
   bool retry_after_us :1;
   bool sending :1;
+  bool asked_by :1;
 } _run_report__isset;
 
 class run_report : public virtual ::apache::thrift::TBase {
@@ -1512,7 +1521,8 @@
                refusal(0),
                not_run(0),
                retry_after_us(0),
-               sending(0) {
+               sending(0),
+               asked_by() {
   }
 
   virtual ~run_report() noexcept;
@@ -1523,6 +1533,7 @@
   bool not_run;
   int64_t retry_after_us;
   int32_t sending;
+  std::string asked_by;
 
   _run_report__isset __isset;
 
@@ -1540,6 +1551,8 @@
 
   void __set_sending(const int32_t val);
 
+  void __set_asked_by(const std::string& val);
+
   bool operator == (const run_report & rhs) const
   {
     if (!(job == rhs.job))
@@ -1566,6 +1579,10 @@
       return false;
     else if (__isset.sending && !(sending == rhs.sending))
       return false;
+    if (__isset.asked_by != rhs.__isset.asked_by)
+      return false;
+    else if (__isset.asked_by && !(asked_by == rhs.asked_by))
+      return false;
     return true;
   }
   bool operator != (const run_report &rhs) const {
@@ -1584,8 +1601,58 @@
 
 std::ostream& operator<<(std::ostream& out, const run_report& obj);
 
+typedef struct _priority_wait__isset {
+  _priority_wait__isset() : priority(false), wait_us(false) {}
+  bool priority :1;
+  bool wait_us :1;
+} _priority_wait__isset;
+
+class priority_wait : public virtual ::apache::thrift::TBase {
+ public:
+
+  priority_wait(const priority_wait&) noexcept;
+  priority_wait& operator=(const priority_wait&) noexcept;
+  priority_wait() noexcept
+                : priority(0),
+                  wait_us(0) {
+  }
+
+  virtual ~priority_wait() noexcept;
+  int32_t priority;
+  int64_t wait_us;
+
+  _priority_wait__isset __isset;
+
+  void __set_priority(const int32_t val);
+
+  void __set_wait_us(const int64_t val);
+
+  bool operator == (const priority_wait & rhs) const
+  {
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(wait_us == rhs.wait_us))
+      return false;
+    return true;
+  }
+  bool operator != (const priority_wait &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const priority_wait & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(priority_wait &a, priority_wait &b);
+
+std::ostream& operator<<(std::ostream& out, const priority_wait& obj);
+
 typedef struct _home_status__isset {
-  _home_status__isset() : failure_domain(false), group(false), token(false), serving(false), settled(false), free_cpu_millis(false), total_cpu_millis(false), wait_us(false), yielding(false), owners_start(false) {}
+  _home_status__isset() : failure_domain(false), group(false), token(false), serving(false), settled(false), free_cpu_millis(false), total_cpu_millis(false), wait_us(false), yielding(false), owners_start(false), waits(false) {}
   bool failure_domain :1;
   bool group :1;
   bool token :1;
@@ -1596,6 +1663,7 @@
   bool wait_us :1;
   bool yielding :1;
   bool owners_start :1;
+  bool waits :1;
 } _home_status__isset;
 
 class home_status : public virtual ::apache::thrift::TBase {
@@ -1627,6 +1695,7 @@
   int64_t wait_us;
   bool yielding;
   bool owners_start;
+  std::vector<priority_wait>  waits;
 
   _home_status__isset __isset;
 
@@ -1650,6 +1719,8 @@
 
   void __set_owners_start(const bool val);
 
+  void __set_waits(const std::vector<priority_wait> & val);
+
   bool operator == (const home_status & rhs) const
   {
     if (!(failure_domain == rhs.failure_domain))
@@ -1676,6 +1747,10 @@
       return false;
     else if (__isset.owners_start && !(owners_start == rhs.owners_start))
       return false;
+    if (__isset.waits != rhs.__isset.waits)
+      return false;
+    else if (__isset.waits && !(waits == rhs.waits))
+      return false;
     return true;
   }
   bool operator != (const home_status &rhs) const {
@@ -1860,7 +1935,7 @@
 std::ostream& operator<<(std::ostream& out, const delegated_start_result& obj);
 
 typedef struct _upstream_row__isset {
-  _upstream_row__isset() : id(false), address(false), upstream_service(false), rack(false), labels(false), capacity(false), draining(false) {}
+  _upstream_row__isset() : id(false), address(false), upstream_service(false), rack(false), labels(false), capacity(false), draining(false), birth(false) {}
   bool id :1;
   bool address :1;
   bool upstream_service :1;
@@ -1868,6 +1943,7 @@
   bool labels :1;
   bool capacity :1;
   bool draining :1;
+  bool birth :1;
 } _upstream_row__isset;
 
 class upstream_row : public virtual ::apache::thrift::TBase {
@@ -1880,7 +1956,8 @@
                  address(),
                  upstream_service(),
                  rack(),
-                 draining(0) {
+                 draining(0),
+                 birth(0) {
   }
 
   virtual ~upstream_row() noexcept;
@@ -1891,6 +1968,7 @@
   std::vector<std::string>  labels;
   amount capacity;
   bool draining;
+  int64_t birth;
 
   _upstream_row__isset __isset;
 
@@ -1908,6 +1986,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_birth(const int64_t val);
+
   bool operator == (const upstream_row & rhs) const
   {
     if (!(id == rhs.id))
@@ -1930,6 +2010,10 @@
       return false;
     else if (__isset.draining && !(draining == rhs.draining))
       return false;
+    if (__isset.birth != rhs.__isset.birth)
+      return false;
+    else if (__isset.birth && !(birth == rhs.birth))
+      return false;
     return true;
   }
   bool operator != (const upstream_row &rhs) const {
@@ -2171,8 +2255,166 @@
 
 std::ostream& operator<<(std::ostream& out, const crash_news& obj);
 
+typedef struct _upstream_speed__isset {
+  _upstream_speed__isset() : id(false), thousandths(false), birth(false) {}
+  bool id :1;
+  bool thousandths :1;
+  bool birth :1;
+} _upstream_speed__isset;
+
+class upstream_speed : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_speed(const upstream_speed&);
+  upstream_speed& operator=(const upstream_speed&);
+  upstream_speed() noexcept
+                 : id(),
+                   thousandths(0),
+                   birth(0) {
+  }
+
+  virtual ~upstream_speed() noexcept;
+  std::string id;
+  int32_t thousandths;
+  int64_t birth;
+
+  _upstream_speed__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_thousandths(const int32_t val);
+
+  void __set_birth(const int64_t val);
+
+  bool operator == (const upstream_speed & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(thousandths == rhs.thousandths))
+      return false;
+    if (__isset.birth != rhs.__isset.birth)
+      return false;
+    else if (__isset.birth && !(birth == rhs.birth))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_speed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_speed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_speed &a, upstream_speed &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_speed& obj);
+
+typedef struct _speed_news__isset {
+  _speed_news__isset() : speeds(false) {}
+  bool speeds :1;
+} _speed_news__isset;
+
+class speed_news : public virtual ::apache::thrift::TBase {
+ public:
+
+  speed_news(const speed_news&);
+  speed_news& operator=(const speed_news&);
+  speed_news() noexcept {
+  }
+
+  virtual ~speed_news() noexcept;
+  std::vector<upstream_speed>  speeds;
+
+  _speed_news__isset __isset;
+
+  void __set_speeds(const std::vector<upstream_speed> & val);
+
+  bool operator == (const speed_news & rhs) const
+  {
+    if (!(speeds == rhs.speeds))
+      return false;
+    return true;
+  }
+  bool operator != (const speed_news &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const speed_news & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(speed_news &a, speed_news &b);
+
+std::ostream& operator<<(std::ostream& out, const speed_news& obj);
+
+typedef struct _work_wanted__isset {
+  _work_wanted__isset() : failure_domain(false), group(false), cpu_millis(false) {}
+  bool failure_domain :1;
+  bool group :1;
+  bool cpu_millis :1;
+} _work_wanted__isset;
+
+class work_wanted : public virtual ::apache::thrift::TBase {
+ public:
+
+  work_wanted(const work_wanted&);
+  work_wanted& operator=(const work_wanted&);
+  work_wanted() noexcept
+              : failure_domain(),
+                group(0),
+                cpu_millis(0) {
+  }
+
+  virtual ~work_wanted() noexcept;
+  std::string failure_domain;
+  int32_t group;
+  int64_t cpu_millis;
+
+  _work_wanted__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_group(const int32_t val);
+
+  void __set_cpu_millis(const int64_t val);
+
+  bool operator == (const work_wanted & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(cpu_millis == rhs.cpu_millis))
+      return false;
+    return true;
+  }
+  bool operator != (const work_wanted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const work_wanted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(work_wanted &a, work_wanted &b);
+
+std::ostream& operator<<(std::ostream& out, const work_wanted& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false), speeds(false), work(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -2192,6 +2434,8 @@
   bool delegated_result :1;
   bool drained :1;
   bool crashes :1;
+  bool speeds :1;
+  bool work :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -2222,6 +2466,8 @@
   delegated_start_result delegated_result;
   drained_domains drained;
   crash_news crashes;
+  speed_news speeds;
+  work_wanted work;
 
   _frame__isset __isset;
 
@@ -2263,6 +2509,10 @@
 
   void __set_crashes(const crash_news& val);
 
+  void __set_speeds(const speed_news& val);
+
+  void __set_work(const work_wanted& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -2341,6 +2591,14 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.speeds != rhs.__isset.speeds)
+      return false;
+    else if (__isset.speeds && !(speeds == rhs.speeds))
+      return false;
+    if (__isset.work != rhs.__isset.work)
+      return false;
+    else if (__isset.work && !(work == rhs.work))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -179,6 +179,15 @@
   5: optional bool not_run
   6: optional i64 retry_after_us
   7: optional i32 sending
+  // With a job that is handed back: the failure domain whose home asked for
+  // work.
+  8: optional string asked_by
+}
+
+// How long a job of a priority would wait for room.
+struct priority_wait {
+  1: i32 priority
+  2: i64 wait_us
 }
 
 struct home_status {
@@ -192,6 +201,8 @@
   8: i64 wait_us
   9: optional bool yielding
   10: optional bool owners_start
+  // By rising priority numbers.
+  11: optional list<priority_wait> waits
 }
 
 // The home has the job's owner send a start, as only that one has the
@@ -224,6 +235,8 @@
   5: optional list<string> labels
   6: amount capacity
   7: optional bool draining
+  // Of the incarnation that registered; none: the upstream does not tell.
+  8: optional i64 birth
 }
 
 // Upstreams of the sender's failure domain that are new or changed, and those
@@ -254,6 +267,26 @@
   1: list<crash_suspect> suspects
 }
 
+// How fast an upstream runs tasks, in thousandths of the usual speed.
+struct upstream_speed {
+  1: string id
+  2: i32 thousandths
+  3: optional i64 birth
+}
+
+// What a home has learnt of its upstreams, for its successor.
+struct speed_news {
+  1: list<upstream_speed> speeds
+}
+
+// The home of the sender's group has room and asks another home for jobs that
+// have not begun.
+struct work_wanted {
+  1: string failure_domain
+  2: i32 group
+  3: i64 cpu_millis
+}
+
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -275,4 +308,6 @@
   17: optional delegated_start_result delegated_result
   18: optional drained_domains drained
   19: optional crash_news crashes
+  20: optional speed_news speeds
+  21: optional work_wanted work
 }
--- a/src/runs/run_types.h
+++ b/src/runs/run_types.h
@@ -13,14 +13,14 @@
 
 namespace jasminedyke {
 
-// Chosen by the caller; the same key again means the same job.
-using job_key = text_id<struct job_key_tag>;
-// A class of work as operators configure it.
-using queue_id = text_id<struct queue_tag>;
 // A group of upstreams that run the same software.
 using service_id = text_id<struct service_tag>;
 using rack_id = text_id<struct rack_tag>;
 
+// When an incarnation of an upstream started, in milliseconds since 1970 by its
+// own word; 0 if it does not tell. Two incarnations under one id differ in it.
+using upstream_birth = number_id<struct upstream_birth_tag>;
+
 // Counts the starts of one task, from 1. An upstream refuses a number that is
 // not higher than one that it has ended.
 using run_number = number_id<struct run_number_tag>;
