Tell from the logs why jobs missed their objective

An operator could see that jobs were late and not why: job_answered has the times, the home's part (wait for room, lost runs, run time) was nowhere. The home now writes one line (job_late) for a job that is late at its last end or when its caller leaves; job_answered says the callers' failure domain, how often the job's group changed its home and, of jobs not served, whether a home told of places. `jasminedykectl losses` gives each loss one cause, `trace` prints one job's lines.

Tests: unit_tests 218 of 218.

--- a/src/jasminedykectl/main.cc
+++ b/src/jasminedykectl/main.cc
@@ -15,6 +15,7 @@
 #include "base/base.h"
 #include "http/http.h"
 #include "jasminedykectl/fetch.h"
+#include "ledger/ledger.h"
 #include "version.h"
 
 namespace {
@@ -52,6 +53,7 @@
   bool class_idempotent = false;
   int64_t quota_slots = 0;
   std::vector<std::string> tokens;
+  std::vector<std::string> log_files;
 };
 
 socket_address Address(const std::string& text, const char* option) {
@@ -190,6 +192,34 @@
                Fetch(Address(opt.platform, "--platform"), request, kPatience));
 }
 
+template <typename reader>
+void ReadLogs(const options& opt, reader& read) {
+  for (const std::string& file : opt.log_files) {
+    std::ifstream stream(file);
+    if (!stream)
+      throw std::runtime_error("can't read " + file);
+    for (std::string text; std::getline(stream, text);) {
+      if (auto line = ParseLogLine(text))
+        read.Take(*line);
+    }
+  }
+}
+
+int Losses(const options& opt) {
+  loss_ledger ledger;
+  ReadLogs(opt, ledger);
+  std::fputs(ledger.Table().c_str(), stdout);
+  return kExitOk;
+}
+
+int Trace(const options& opt) {
+  job_trace trace(opt.id);
+  ReadLogs(opt, trace);
+  std::string text = trace.Text();
+  std::fputs(text.c_str(), stdout);
+  return text.empty() ? kExitFailed : kExitOk;
+}
+
 using action = int (*)(const options&);
 
 // Adds a subcommand whose action's result becomes the exit status.
@@ -304,6 +334,18 @@
   AddChangeOptions(delete_team, opt);
 }
 
+void AddLogCommands(CLI::App& app, options& opt, int* status) {
+  CLI::App* losses = AddCommand(
+      app, "losses", "why jobs missed their objective, from instances' logs",
+      Losses, opt, status);
+  CLI::App* trace = AddCommand(
+      app, "trace", "what instances' logs say of one job", Trace, opt, status);
+  trace->add_option("id", opt.id, "job id")->required();
+  for (CLI::App* command : {losses, trace})
+    command->add_option("files", opt.log_files, "logs of all instances")
+        ->required();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -325,6 +367,7 @@
   app.add_flag("--json", opt.as_json, "print answers as they came");
   AddCallerCommands(app, opt, &status);
   AddOperatorCommands(app, opt, &status);
+  AddLogCommands(app, opt, &status);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -25,6 +25,8 @@
   task_demand demand;
   task_phase phase = task_phase::kQueued;
   time_point queued_at;
+  // When it was ordered first, whatever became of that.
+  time_point first_ordered_at;
   // The last number that was used, 0 if none.
   uint64_t last_run = 0;
   int failures = 0;
@@ -32,6 +34,10 @@
   upstream_id upstream;
   time_point ordered_at;
   bool stopping = false;
+  // While `kDone`.
+  time_point ended_at;
+  // Calls to its upstream stayed unanswered during its last run.
+  bool answers_lost = false;
   // Began under an earlier home; nobody here knows when.
   bool adopted = false;
   // Not to be tried again where it has just failed or got stuck.
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -10,6 +10,27 @@
 // What a home that dies may not have told; the tasks would run once more.
 constexpr duration kReportPause = std::chrono::milliseconds(20);
 
+// Where the time of one task went, until its end or until now.
+struct task_times {
+  time_point end;
+  duration room_wait = duration::zero();
+  duration lost = duration::zero();
+  duration run = duration::zero();
+};
+
+task_times TimesOf(const home_task& task, time_point now) {
+  task_times times;
+  times.end = task.phase == task_phase::kDone ? task.ended_at : now;
+  bool waits = task.phase == task_phase::kQueued;
+  time_point ordered = waits ? times.end : task.ordered_at;
+  bool ever_ordered = task.first_ordered_at != time_point();
+  time_point first = ever_ordered ? task.first_ordered_at : ordered;
+  times.room_wait = first - task.queued_at;
+  times.lost = ordered - first;
+  times.run = times.end - ordered;
+  return times;
+}
+
 }  // namespace
 
 home_reports::home_reports(scheduler& clock,
@@ -24,12 +45,53 @@
   bool all_done = std::ranges::all_of(job.tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kDone;
   });
+  if (all_done)
+    LogLate(job);
   if (all_done || verdict == task_verdict::kFailed)
     Send(job);
   else if (!timer_.active())
     timer_.StartAfter(kReportPause, [this] { SendAll(); });
 }
 
+// Steps of a job follow each other, so that the time of each is that of its
+// last task.
+void home_reports::LogLate(const home_job& job) const {
+  time_point now = clock_.now();
+  if (now <= job.objective || job.tasks.empty())
+    return;
+  std::map<uint32_t, const home_task*> last_of_step;
+  time_point came = now;
+  for (const auto& [position, task] : job.tasks) {
+    came = std::min(came, task.queued_at);
+    const home_task*& last = last_of_step[position.step];
+    if (!last || TimesOf(task, now).end >= TimesOf(*last, now).end)
+      last = &task;
+  }
+  task_times sum;
+  duration expected = duration::zero();
+  for (const auto& [step, task] : last_of_step) {
+    task_times times = TimesOf(*task, now);
+    sum.room_wait += times.room_wait;
+    sum.lost += times.lost;
+    sum.run += times.run;
+    expected += task->demand.estimate;
+  }
+  const home_task& last = *last_of_step.rbegin()->second;
+  duration age =
+      job.request.age + job.request.to_objective + (now - job.objective);
+  LogEvent(log_level::kInfo, "job_late",
+           {{"job", job.key.str()},
+            {"age_ms", ToMilliseconds(age)},
+            {"came_ms", ToMilliseconds(age - (now - came))},
+            {"room_wait_ms", ToMilliseconds(sum.room_wait)},
+            {"lost_ms", ToMilliseconds(sum.lost)},
+            {"run_ms", ToMilliseconds(sum.run)},
+            {"expected_ms", ToMilliseconds(expected)},
+            {"upstream", last.upstream.str()},
+            {"runs", last.last_run},
+            {"answers_lost", last.answers_lost ? 1 : 0}});
+}
+
 void home_reports::Send(home_job& job) {
   run_report report{job.key, job.request.submission, {}};
   report.tasks = std::exchange(job.unreported, {});
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -24,6 +24,9 @@
   // here, or a failure. The others wait a moment for it: one message for a job
   // of four tasks instead of four.
   void Report(home_job& job, const home_task& task, task_verdict verdict);
+  // Says where the time went of a job that is late, once its last task has
+  // ended or nobody waits for it any more.
+  void LogLate(const home_job& job) const;
   // The job is not served here; `token` is the home's, for the log.
   void Refuse(const home_job& job,
               run_refusal reason,
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -206,6 +206,7 @@
   ++metrics_.left;
   LogEvent(log_level::kInfo, "caller_left",
            {{"job", key.str()},
+            {"queue", found->second.asked.queue.str()},
             {"ms", ToMilliseconds(clock_.now() - found->second.accepted)},
             {"home", found->second.home.str()}});
   CancelAtHome(found->second);
@@ -298,6 +299,7 @@
     if (!home || home->instance == job.home)
       continue;
     ++metrics_.moved;
+    ++job.moved;
     job.home = home->instance;
     job.keeps_spec = home->status.owners_start;
     SendTasks(job, true);
@@ -344,6 +346,14 @@
 void job_desk::LogAnswer(const open_job& job, const run_answer& answer) const {
   const known_home* home = homes_.Find(job.group);
   duration age = home ? clock_.now() - home->heard : duration::zero();
+  int64_t need = ReadyCpuMillis(job);
+  bool served = answer.outcome == run_outcome::kSucceeded;
+  bool room_left =
+      !served &&
+      std::ranges::any_of(
+          homes_.Ranked(domain_, need), [&](const known_home& other) {
+            return home_directory::HasPlaces(other.status, need);
+          });
   LogEvent(log_level::kInfo, "job_answered",
            {{"job", job.asked.key.str()},
             {"queue", job.asked.queue.str()},
@@ -353,7 +363,10 @@
             {"objective_ms", ToMilliseconds(job.objective - job.accepted)},
             {"group", job.group.ToString()},
             {"home", job.home.str()},
+            {"failure_domain", domain_.str()},
             {"passed_by", job.passed_by.size()},
+            {"moved", job.moved},
+            {"room_left", room_left ? 1 : 0},
             {"token", home ? home->status.token.value() : 0},
             {"home_heard_ms_ago", ToMilliseconds(age)},
             {"done", job.finished.size()},
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -121,6 +121,8 @@
     // That home has the starts sent from here.
     bool keeps_spec = false;
     time_point homeless_since;
+    // How often its group got another home.
+    int moved = 0;
     std::set<home_group> refused_by;
     // Groups that handed the job back because another one seemed to have
     // places.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -188,6 +188,7 @@
   task.phase = task_phase::kOrdered;
   task.upstream = upstream;
   task.ordered_at = clock_.now();
+  task.first_ordered_at = task.ordered_at;
   task.adopted = true;
   job.ran = true;
 }
@@ -200,6 +201,7 @@
   // A newer submission of the same key is not meant.
   if (job.owner != from || job.request.submission != cancel.submission)
     return;
+  reports_.LogLate(job);
   CancelJob(job);
   DropIfOver(cancel.job);
 }
@@ -273,6 +275,7 @@
     return;
   task->last_run = std::max(task->last_run, run.value());
   job->ran = true;
+  task->answers_lost = session.UnansweredSince(task->ordered_at);
   if (ordered_here)
     NoteEnd(*job, *task, how);
   if (how != run_end::kDone && !task->stopping) {
@@ -320,6 +323,7 @@
 
 void run_home::OnTaskDone(home_job& job, home_task& task) {
   task.phase = task_phase::kDone;
+  task.ended_at = clock_.now();
   if (!job.cancelled)
     reports_.Report(job, task, task_verdict::kDone);
 }
@@ -599,6 +603,8 @@
   task.stopping = false;
   task.upstream = session.info().id;
   task.ordered_at = clock_.now();
+  if (task.last_run == 0)
+    task.first_ordered_at = task.ordered_at;
   task.adopted = false;
   NoteLatency(metrics_.room_wait, job.request.queue,
               task.ordered_at - task.queued_at, task.ordered_at);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -109,6 +109,9 @@
   resource_amount room() const { return info_.capacity - occupied_; }
   bool idle() const { return runs_.empty(); }
   bool gone() const { return gone_; }
+  bool UnansweredSince(time_point since) const {
+    return last_unanswered_ && *last_unanswered_ >= since;
+  }
   // How far a run has come, in per cent, as last listed.
   std::optional<int> Progress(const task_name& task) const;
 
