--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -225,6 +225,8 @@
     row.capacity = ToWire(info.capacity);
     if (info.draining)
       row.__set_draining(true);
+    if (info.birth != upstream_birth())
+      row.__set_birth(static_cast<int64_t>(info.birth.value()));
     wire.rows.push_back(row);
   }
   std::vector<std::string> gone;
@@ -247,6 +249,7 @@
     info.labels = {row.labels.begin(), row.labels.end()};
     info.capacity = FromWire(row.capacity);
     info.draining = row.draining;
+    info.birth = upstream_birth(static_cast<uint64_t>(row.birth));
     news.rows.push_back(info);
   }
   for (const std::string& id : wire.gone)
--- a/src/runs/home_upstreams.h
+++ b/src/runs/home_upstreams.h
@@ -34,6 +34,8 @@
   // Usable and good.
   bool TakesWork(const upstream_session& session) const;
   upstream_standing& Standing(const upstream_id& id) { return standings_[id]; }
+  // Another incarnation has its own.
+  void ForgetStanding(const upstream_id& id) { standings_.erase(id); }
   // Of those that take work.
   double UsableCores() const;
   // Some upstream has the size and labels for each task of the job that is not
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -377,6 +377,10 @@
   ScheduleDispatch();
 }
 
+void run_home::OnReborn(upstream_session& session) {
+  upstreams_.ForgetStanding(session.info().id);
+}
+
 void run_home::TellCrashes() {
   crash_news news = crashes_.TakeNews();
   if (!news.suspects.empty() && tell_crashes_)
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -121,6 +121,7 @@
   void OnFoundAgain(upstream_session& session,
                     const std::vector<task_name>& ran,
                     bool crashed) override;
+  void OnReborn(upstream_session& session) override;
   void OnNotStarted(upstream_session& session,
                     const task_name& task,
                     run_number run,
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -23,8 +23,10 @@
 #include "runs/start_gate.h"
 #include "runs/task_placer.h"
 #include "runs/upstream_clock.h"
+#include "runs/upstream_life.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
+#include "runs/upstream_runs.h"
 #include "runs/upstream_session.h"
 #include "runs/upstream_standing.h"
 
--- a/src/runs/upstream_clock.h
+++ b/src/runs/upstream_clock.h
@@ -24,6 +24,11 @@
   // A reading came after `when`.
   bool HeardSince(time_point when) const { return known_ && heard_ > when; }
 
+  // `reading` is of another clock: one asked later can't show less.
+  bool IsRestarted(upstream_time reading, time_point asked) const {
+    return known_ && asked >= heard_ && reading < reading_;
+  }
+
   // Certainly not ahead of, and certainly not behind, the upstream's clock.
   // Only if `known()`.
   upstream_time Earliest() const;
--- /dev/null
+++ b/src/runs/upstream_life.cc
@@ -0,0 +1,155 @@
+#include "runs/upstream_life.h"
+
+#include <algorithm>
+
+namespace jasminedyke {
+
+namespace {
+
+// Answers get lost in spells of seconds, with less than a second between two
+// losses on an upstream at work.
+constexpr duration kLossMemory = std::chrono::seconds(3);
+// Beyond a time on the upstream's clock, before something counts as over.
+constexpr int64_t kClockMarginMs = 30;
+// An order that is not answered may be carried out seconds later. By then the
+// upstream may have another clock, on which the order's time limit lies far
+// ahead.
+constexpr duration kLongestOnTheWay = std::chrono::seconds(15);
+
+}  // namespace
+
+upstream_life::upstream_life(scheduler& scheduler, upstream_birth born)
+    : birth(born),
+      refused_until(scheduler.now()),
+      clock(scheduler),
+      hold(scheduler),
+      spare_hold(scheduler),
+      look_timer(scheduler),
+      start_timer(scheduler),
+      lapse_timer(scheduler),
+      scheduler_(scheduler) {}
+
+upstream_life::upstream_life(scheduler& scheduler,
+                             upstream_birth born,
+                             const upstream_life& before)
+    : upstream_life(scheduler, born) {
+  follows = true;
+  settled = before.settled;
+  runs = before.runs.Carried();
+}
+
+// An answer to a call that was made in the present life comes from this one or
+// from a later one, whichever birth it tells.
+answer_of upstream_life::WhoAnswers(const upstream_id& id,
+                                    time_point sent,
+                                    const hold_reply& reply) {
+  if (!reply.birth) {
+    if (!birth_answered)
+      return answer_of::kPresent;
+    LogBirth(id, "upstream_birth_missing", upstream_birth());
+    return answer_of::kNobody;
+  }
+  bool is_first =
+      birth == upstream_birth() && !clock.IsRestarted(reply.clock, sent);
+  if (is_first)
+    birth = *reply.birth;
+  if (*reply.birth == birth) {
+    birth_answered = true;
+    return answer_of::kPresent;
+  }
+  if (*reply.birth < birth)
+    LogBirth(id, "upstream_birth_backwards", *reply.birth);
+  return answer_of::kNext;
+}
+
+void upstream_life::LogBirth(const upstream_id& id,
+                             const char* event,
+                             upstream_birth told) const {
+  LogEvent(log_level::kInfo, event,
+           {{"upstream", id.str()},
+            {"birth", birth.value()},
+            {"told", told.value()}});
+}
+
+bool upstream_life::LosesAnswers() const {
+  return last_unanswered && scheduler_.now() - *last_unanswered < kLossMemory;
+}
+
+bool upstream_life::LeaseIsOver() const {
+  return !clock.known() || clock.Earliest().ms > lease_end.ms + kClockMarginMs;
+}
+
+void upstream_life::NoteForeignLease(upstream_time given,
+                                     const lease_limits& bounds) {
+  lease_end =
+      std::max(lease_end, {given.ms + WholeMilliseconds(bounds.longest_lease)});
+}
+
+std::vector<listed_end> upstream_life::TakeEnds(const hold_reply& reply) {
+  std::vector<listed_end> ends;
+  for (const listed_end& end : reply.ended) {
+    // Two calls may bring the same end.
+    if (end.sequence <= acknowledged)
+      continue;
+    acknowledged = end.sequence;
+    newest_ends = std::max(newest_ends, reply.clock);
+    const run_record* known = runs.Find(end.task);
+    // The end of an earlier run says nothing about the present one.
+    if (known && end.run < known->run)
+      continue;
+    runs.Remove(end.task);
+    ends.push_back(end);
+  }
+  return ends;
+}
+
+// Replies may overtake each other: this one may have been written before the
+// end that another one brought, and the run would look like a stranger's.
+bool upstream_life::IsStale(const hold_reply& reply) const {
+  uint64_t last_end = reply.ended.empty() ? 0 : reply.ended.back().sequence;
+  return reply.clock < newest_ends ||
+         (reply.clock == newest_ends && last_end < acknowledged);
+}
+
+std::vector<listed_run> upstream_life::TakeRunning(
+    const hold_reply& reply,
+    const lease_limits& bounds) {
+  std::vector<listed_run> strangers;
+  for (const listed_run& listed : reply.running) {
+    run_record* known = runs.Find(listed.task);
+    if (!known) {
+      if (IsStale(reply))
+        continue;
+      runs.PutFound(listed, scheduler_.now());
+      strangers.push_back(listed);
+      continue;
+    }
+    if (listed.run < known->run)
+      continue;
+    // The order that began it brought a lease by an earlier one's clock.
+    if (known->carried)
+      NoteForeignLease(reply.clock, bounds);
+    known->NoteListed(listed, scheduler_.now());
+  }
+  return strangers;
+}
+
+bool upstream_life::MayBeginLater(const run_record& record,
+                                  time_point now) const {
+  return birth != upstream_birth() && !gone &&
+         (record.IsUnclear() || record.carried) &&
+         now - record.since < kLongestOnTheWay;
+}
+
+std::vector<run_over> upstream_life::TakeAllOver(time_point now) {
+  std::vector<run_over> over;
+  for (const auto& [task, record] : runs.all()) {
+    if (!MayBeginLater(record, now))
+      over.push_back({task, record.run});
+  }
+  for (const run_over& each : over)
+    runs.Remove(each.task);
+  return over;
+}
+
+}  // namespace jasminedyke
--- a/src/runs/upstream_port.h
+++ b/src/runs/upstream_port.h
@@ -105,6 +105,8 @@
   upstream_time clock;
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
+  // Of the incarnation that answers; nothing if it does not tell.
+  std::optional<upstream_birth> birth = std::nullopt;
 };
 
 // Calls to upstreams by id. Each callback comes once, never from within the
--- /dev/null
+++ b/src/runs/upstream_runs.cc
@@ -0,0 +1,127 @@
+#include "runs/upstream_runs.h"
+
+#include <algorithm>
+
+namespace jasminedyke {
+
+namespace {
+
+// Beyond a time on the upstream's clock, before something counts as over.
+constexpr int64_t kClockMarginMs = 30;
+
+bool IsOver(const run_record& record,
+            time_point sent,
+            const hold_reply& reply) {
+  if (!record.IsUnclear())
+    return record.since < sent;
+  bool refused = record.refused_since && sent >= *record.refused_since;
+  bool too_late =
+      !record.carried && reply.clock.ms > record.not_after.ms + kClockMarginMs;
+  return refused || too_late;
+}
+
+}  // namespace
+
+bool IsListed(const hold_reply& reply, const task_name& task, run_number run) {
+  return std::ranges::any_of(reply.running, [&](const listed_run& listed) {
+    return listed.task == task && listed.run >= run;
+  });
+}
+
+void run_record::NoteListed(const listed_run& listed, time_point now) {
+  seen = true;
+  carried = false;
+  percent = listed.percent;
+  if (!IsUnclear())
+    return;
+  phase = run_phase::kRunning;
+  since = now;
+}
+
+run_record* upstream_runs::Find(const task_name& task) {
+  auto found = runs_.find(task);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+const run_record* upstream_runs::Find(const task_name& task) const {
+  auto found = runs_.find(task);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+void upstream_runs::Put(const task_name& task, const run_record& record) {
+  runs_[task] = record;
+  occupied_ += record.need;
+}
+
+void upstream_runs::PutFound(const listed_run& listed, time_point now) {
+  run_record record;
+  record.run = listed.run;
+  record.phase = run_phase::kFound;
+  record.since = now;
+  record.seen = true;
+  Put(listed.task, record);
+}
+
+void upstream_runs::Adopt(run_record& record, const resource_amount& need) {
+  record.phase = run_phase::kRunning;
+  record.need = need;
+  occupied_ += need;
+}
+
+void upstream_runs::Remove(const task_name& task) {
+  auto found = runs_.find(task);
+  if (found == runs_.end())
+    return;
+  occupied_ -= found->second.need;
+  runs_.erase(found);
+}
+
+bool upstream_runs::HasFound() const {
+  return std::ranges::any_of(runs_, [](const auto& entry) {
+    return entry.second.phase == run_phase::kFound;
+  });
+}
+
+bool upstream_runs::HasUnclear() const {
+  return std::ranges::any_of(
+      runs_, [](const auto& entry) { return entry.second.IsUnclear(); });
+}
+
+std::vector<task_name> upstream_runs::InDoubt(time_point now,
+                                              duration patience) const {
+  std::vector<task_name> in_doubt;
+  for (const auto& [task, record] : runs_) {
+    if (record.IsUnclear() &&
+        (record.carried || now - record.since >= patience))
+      in_doubt.push_back(task);
+  }
+  return in_doubt;
+}
+
+std::vector<run_over> upstream_runs::Unlisted(time_point sent,
+                                              const hold_reply& reply) const {
+  std::vector<run_over> over;
+  for (const auto& [task, record] : runs_) {
+    if (!IsListed(reply, task, record.run) && IsOver(record, sent, reply))
+      over.push_back({task, record.run, record.IsUnclear() && !record.carried});
+  }
+  return over;
+}
+
+upstream_runs upstream_runs::Carried() const {
+  upstream_runs carried;
+  for (const auto& [task, record] : runs_) {
+    if (record.seen)
+      continue;
+    run_record next = record;
+    if (next.IsUnclear())
+      next.phase = run_phase::kUnproven;
+    next.carried = true;
+    next.refused_since.reset();
+    next.stop_in_flight = false;
+    carried.Put(task, next);
+  }
+  return carried;
+}
+
+}  // namespace jasminedyke
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -33,14 +33,9 @@
 // as fast as a start, and an upstream that answers nothing must not be flooded.
 constexpr duration kStartRecheck = std::chrono::milliseconds(40);
 constexpr duration kLongestStartRecheck = std::chrono::milliseconds(320);
-// Answers get lost in spells of seconds. Between two losses on an upstream at
-// work, with 8 % lost and 20 calls a second, lie 0.6 s.
-constexpr duration kLossMemory = std::chrono::seconds(3);
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
 constexpr duration kLongestHoldRetry = std::chrono::milliseconds(1000);
-// Beyond a time on the upstream's clock, before something counts as over.
-constexpr int64_t kClockMarginMs = 30;
 // After an upstream has refused work as unwell: at first, and at most.
 constexpr duration kFirstRefusalPause = std::chrono::milliseconds(200);
 constexpr duration kLongestRefusalPause = std::chrono::seconds(4);
@@ -49,14 +44,6 @@
 // row within its renewal interval; then its lease runs out.
 constexpr duration kSettleWithoutAnswer = std::chrono::milliseconds(2500);
 
-// An earlier run of the task says nothing of this one: the reply was written
-// before this one could begin.
-bool IsListed(const hold_reply& reply, const task_name& task, run_number run) {
-  return std::ranges::any_of(reply.running, [&](const listed_run& listed) {
-    return listed.task == task && listed.run >= run;
-  });
-}
-
 }  // namespace
 
 upstream_session::upstream_session(scheduler& clock,
@@ -74,15 +61,9 @@
       limits_(bounds),
       times_(times),
       owner_(told),
-      refused_until_(clock.now()),
       begun_(clock.now()),
-      upstream_clock_(clock),
-      hold_(clock),
-      spare_hold_(clock),
-      look_timer_(clock),
-      start_timer_(clock),
-      lapse_timer_(clock) {
-  SendHold(hold_);
+      life_(std::make_unique<upstream_life>(clock, info.birth)) {
+  SendHold(life_->hold);
 }
 
 upstream_session::~upstream_session() {
@@ -90,7 +71,16 @@
 }
 
 void upstream_session::SetInfo(const upstream_info& info) {
+  bool is_told = info.birth != upstream_birth() && info.birth != info_.birth;
+  bool is_outdated = is_told && info.birth < life_->birth &&
+                     life_->IsRegisteredAs(info_.birth);
+  if (is_outdated) {
+    life_->LogBirth(info_.id, "upstream_row_outdated", info.birth);
+    return;
+  }
   info_ = info;
+  if (is_told)
+    TakeRegisteredBirth();
   largest_capacity_.cpu_millis =
       std::max(largest_capacity_.cpu_millis, info.capacity.cpu_millis);
   largest_capacity_.memory_mb =
@@ -99,21 +89,55 @@
       std::max(largest_capacity_.accelerators, info.capacity.accelerators);
 }
 
-bool upstream_session::usable() const {
-  return settled_ && upstream_clock_.known() && !gone_ && !info_.draining &&
-         failed_holds_ == 0 && !in_doubt_ && clock_.now() >= refused_until_ &&
-         !HasFoundRuns();
+void upstream_session::TakeRegisteredBirth() {
+  // It may be of another kind.
+  largest_capacity_ = info_.capacity;
+  // An instance of an older release passes registrations on without it.
+  if (life_->birth == upstream_birth()) {
+    life_->birth = info_.birth;
+    return;
+  }
+  if (info_.birth <= life_->birth)
+    return;
+  BeginLife(info_.birth);
+  SendHold(life_->hold);
 }
 
-bool upstream_session::HasFoundRuns() const {
-  return std::ranges::any_of(runs_, [](const auto& entry) {
-    return entry.second.phase == run_phase::kFound;
-  });
+// What is known to run in the earlier incarnation is over. What was ordered of
+// it without an answer may have run there, and the order may still arrive: it
+// is over once the new one refuses it.
+void upstream_session::BeginLife(upstream_birth birth) {
+  life_->LogBirth(info_.id, "upstream_reborn", birth);
+  // No answer to a call of before reaches us any more.
+  port_.Drop(info_.id);
+  ++lives_;
+  std::unique_ptr<upstream_life> old = std::move(life_);
+  life_ = std::make_unique<upstream_life>(clock_, birth, *old);
+  if (life_->runs.HasUnclear())
+    WatchStarts(times_.Patience(kStartPatience));
+  std::vector<task_name> ran;
+  for (const auto& [task, record] : old->runs.all())
+    ran.push_back(task);
+  owner_.OnReborn(*this);
+  TellFoundAgain(true);
+  if (!ran.empty())
+    owner_.OnLost(*this, ran, true);
+  for (const auto& [task, record] : old->runs.all()) {
+    if (record.seen)
+      owner_.OnRunEnded(*this, task, record.run, run_end::kLapsed);
+  }
+}
+
+bool upstream_session::usable() const {
+  return life_->settled && life_->clock.known() && !life_->gone &&
+         life_->IsRegisteredAs(info_.birth) && !info_.draining &&
+         life_->failed_holds == 0 && !life_->in_doubt &&
+         clock_.now() >= life_->refused_until && !life_->runs.HasFound();
 }
 
 std::optional<int> upstream_session::Progress(const task_name& task) const {
-  auto found = runs_.find(task);
-  return found == runs_.end() ? std::nullopt : found->second.percent;
+  const run_record* found = life_->runs.Find(task);
+  return found ? found->percent : std::nullopt;
 }
 
 void upstream_session::Start(const task_name& task,
@@ -127,25 +151,28 @@
   order.spec = spec;
   order.token = token_;
   order.delegate = delegate;
-  order.not_after = upstream_clock_.Latest();
+  order.not_after = life_->clock.Latest();
   order.not_after.ms += WholeMilliseconds(kStartLimit);
   run_record record;
   record.run = run;
   record.need = need;
   record.since = clock_.now();
+  record.ordered = life_->clock.Earliest();
   record.not_after = order.not_after;
-  runs_[task] = record;
-  occupied_ += need;
+  life_->runs.Put(task, record);
   NoteLease(order.not_after);
   // Its end must not wait for an idle upstream's next hold.
-  if (!hold_.in_flight && failed_holds_ == 0)
-    hold_.timer.StartAfter(duration::zero(), [this] { SendHold(hold_); });
+  if (!life_->hold.in_flight && life_->failed_holds == 0)
+    life_->hold.timer.StartAfter(duration::zero(),
+                                 [this] { SendHold(life_->hold); });
   SendSpareHold();
-  if (!start_timer_.active())
+  if (!life_->start_timer.active())
     WatchStarts(times_.Patience(kStartPatience));
   port_.Start(info_.id, order,
-              [this, task, run, sent = clock_.now()](const start_reply& reply) {
-                OnStarted(task, run, sent, reply);
+              [this, task, run, life = lives_,
+               sent = clock_.now()](const start_reply& reply) {
+                if (life == lives_)
+                  OnStarted(task, run, sent, reply);
               });
 }
 
@@ -154,23 +181,24 @@
                                  time_point sent,
                                  const start_reply& reply) {
   if (reply.clock) {
-    upstream_clock_.Take(*reply.clock, sent);
+    life_->clock.Take(*reply.clock, sent);
     times_.Note(clock_.now() - sent);
-    in_doubt_ = false;
+    life_->in_doubt = false;
   }
-  auto found = runs_.find(task);
-  if (found == runs_.end() || found->second.run != run)
+  run_record* found = life_->runs.Find(task);
+  if (!found || found->run != run)
     return;
-  run_record& record = found->second;
+  run_record& record = *found;
   // A hold may have listed it before the start's own answer arrived.
   bool was_starting = record.phase == run_phase::kStarting;
   switch (reply.result) {
     case start_result::kStarted:
-      refusal_pause_ = duration::zero();
+      life_->refusal_pause = duration::zero();
       record.phase = run_phase::kRunning;
       record.since = clock_.now();
+      NoteSeen(record, reply);
       if (record.stop_wanted)
-        SendStop(task);
+        SendStop(record, task);
       return;
     case start_result::kUnknown:
       NoteUnanswered();
@@ -185,7 +213,7 @@
       owner_.OnFenced(*this);
       return;
     case start_result::kGone:
-      gone_ = true;
+      life_->gone = true;
       EndAll(run_end::kLapsed);
       return;
     case start_result::kUnwell:
@@ -194,44 +222,53 @@
     case start_result::kNoRoom:
       // Something occupies room that we don't know of yet; the next hold
       // lists it.
-      refused_until_ = clock_.now() + kHoldRetry;
+      life_->refused_until = clock_.now() + kHoldRetry;
       break;
     default:
       break;
   }
   if (!was_starting)
     return;
-  Remove(found);
+  life_->runs.Remove(task);
   owner_.OnNotStarted(*this, task, run, reply.result);
 }
 
+// The answer to a start tells no birth. One whose clock shows less than it did
+// when the order was sent is of a later incarnation.
+void upstream_session::NoteSeen(run_record& record, const start_reply& reply) {
+  record.seen = reply.clock && *reply.clock >= record.ordered;
+  if (!record.seen && life_->birth != upstream_birth())
+    SendLook();
+}
+
 // One that does not take orders must not be offered each task in turn.
 void upstream_session::Suspect() {
-  refusal_pause_ =
-      std::clamp(refusal_pause_ * 2, kFirstRefusalPause, kLongestRefusalPause);
-  refused_until_ = clock_.now() + refusal_pause_;
+  life_->refusal_pause = std::clamp(life_->refusal_pause * 2,
+                                    kFirstRefusalPause, kLongestRefusalPause);
+  life_->refused_until = clock_.now() + life_->refusal_pause;
 }
 
 void upstream_session::Stop(const task_name& task) {
-  auto found = runs_.find(task);
-  if (found == runs_.end())
+  run_record* found = life_->runs.Find(task);
+  if (!found)
     return;
-  found->second.stop_wanted = true;
-  SendStop(task);
+  found->stop_wanted = true;
+  SendStop(*found, task);
 }
 
-void upstream_session::SendStop(const task_name& task) {
-  run_record& record = runs_.at(task);
+void upstream_session::SendStop(run_record& record, const task_name& task) {
   if (record.stop_in_flight)
     return;
   record.stop_in_flight = true;
   port_.Stop(info_.id,
              {task, record.run, token_, times_.Patience(kAnswerPatience)},
-             [this, task, run = record.run](call_result result) {
-               auto found = runs_.find(task);
-               if (found != runs_.end() && found->second.run == run) {
-                 found->second.stop_in_flight = false;
-                 OnStopAnswered(found->second, result);
+             [this, task, run = record.run, life = lives_](call_result result) {
+               if (life != lives_)
+                 return;
+               run_record* found = life_->runs.Find(task);
+               if (found && found->run == run) {
+                 found->stop_in_flight = false;
+                 OnStopAnswered(*found, result);
                }
                if (result == call_result::kFenced)
                  owner_.OnFenced(*this);
@@ -248,31 +285,22 @@
 }
 
 void upstream_session::WatchStarts(duration pause) {
-  start_timer_.StartAfter(pause, [this, pause] {
+  life_->start_timer.StartAfter(pause, [this, pause] {
     CheckStarts();
-    bool any_unclear = std::ranges::any_of(
-        runs_, [](const auto& entry) { return entry.second.IsUnclear(); });
-    if (any_unclear)
+    if (life_->runs.HasUnclear())
       WatchStarts(std::clamp(pause * 2, kStartRecheck, kLongestStartRecheck));
   });
 }
 
-bool upstream_session::IsInDoubt(const run_record& record,
-                                 time_point now) const {
-  return record.IsUnclear() &&
-         now - record.since >= times_.Patience(kStartPatience);
-}
-
 void upstream_session::CheckStarts() {
-  bool any = false;
-  for (const auto& [task, record] : runs_) {
-    if (!IsInDoubt(record, clock_.now()))
-      continue;
-    any = true;
-    in_doubt_ = in_doubt_ || !upstream_clock_.HeardSince(record.since);
-  }
-  if (!any)
+  std::vector<task_name> in_doubt =
+      life_->runs.InDoubt(clock_.now(), times_.Patience(kStartPatience));
+  if (in_doubt.empty())
     return;
+  for (const task_name& task : in_doubt) {
+    if (!life_->clock.HeardSince(life_->runs.Find(task)->since))
+      life_->in_doubt = true;
+  }
   NoteUnanswered();
   SendLook();
 }
@@ -283,31 +311,26 @@
 // number it refuses the order whenever it comes.
 void upstream_session::RefuseUnlistedStarts(time_point sent,
                                             const hold_reply& reply) {
-  for (const auto& [task, record] : runs_) {
-    if (IsInDoubt(record, sent) && !record.refused_since &&
-        !IsListed(reply, task, record.run))
-      SendStop(task);
+  duration patience = times_.Patience(kStartPatience);
+  for (const task_name& task : life_->runs.InDoubt(sent, patience)) {
+    run_record* record = life_->runs.Find(task);
+    if (!record->refused_since && !IsListed(reply, task, record->run))
+      SendStop(*record, task);
   }
 }
 
-bool upstream_session::LosesAnswers() const {
-  return last_unanswered_ && clock_.now() - *last_unanswered_ < kLossMemory;
-}
-
 void upstream_session::Adopt(const task_name& task,
                              const resource_amount& need) {
-  auto found = runs_.find(task);
-  if (found == runs_.end() || found->second.phase != run_phase::kFound)
+  run_record* found = life_->runs.Find(task);
+  if (!found || found->phase != run_phase::kFound)
     return;
-  found->second.phase = run_phase::kRunning;
-  found->second.need = need;
-  occupied_ += need;
-  if (!HasFoundRuns())
+  life_->runs.Adopt(*found, need);
+  if (!life_->runs.HasFound())
     owner_.OnRoom(*this);
 }
 
 bool upstream_session::Answers() const {
-  return upstream_clock_.HeardSince(clock_.now() - kProlongUnanswered);
+  return life_->clock.HeardSince(clock_.now() - kProlongUnanswered);
 }
 
 // While runs of an earlier owner are unclaimed, theirs must be allowed to
@@ -315,11 +338,12 @@
 hold_order upstream_session::MakeHold() {
   hold_order order;
   order.token = token_;
-  order.acknowledged = acknowledged_;
+  // The next incarnation must not forget ends of its own by our number.
+  order.acknowledged = life_->MayBeOver() ? 0 : life_->acknowledged;
   order.patience = times_.Patience(kAnswerPatience);
-  if (settled_ && upstream_clock_.known() && !HasFoundRuns() &&
-      !runs_.empty() && (Answers() || failed_holds_ == 0)) {
-    order.lease_until = upstream_clock_.Latest();
+  if (life_->settled && life_->clock.known() && !life_->runs.HasFound() &&
+      !life_->runs.empty() && (Answers() || life_->failed_holds == 0)) {
+    order.lease_until = life_->clock.Latest();
     order.lease_until->ms += WholeMilliseconds(limits_.longest_lease);
     NoteLease(*order.lease_until);
   }
@@ -327,22 +351,28 @@
 }
 
 void upstream_session::SendHold(waiting_hold& hold) {
-  if (hold.in_flight || gone_)
+  if (hold.in_flight || life_->gone)
     return;
   hold_order order = MakeHold();
-  if (settled_ && failed_holds_ == 0) {
-    order.wait = runs_.empty()       ? kIdleHoldWait
+  // One that waits would hide another incarnation as long.
+  bool may_wait = life_->answered || !life_->follows;
+  if (life_->settled && life_->failed_holds == 0 && may_wait &&
+      !life_->MayBeOver()) {
+    order.wait = life_->runs.empty() ? kIdleHoldWait
                  : order.lease_until ? kHoldWait
                                      : kHoldRetry;
   }
   hold.in_flight = true;
-  hold.idle = runs_.empty();
+  hold.idle = life_->runs.empty();
   hold.timer.Stop();
   port_.Hold(info_.id, order,
-             [this, &hold, sent = clock_.now()](const hold_reply& reply) {
+             [this, &hold, life = lives_,
+              sent = clock_.now()](const hold_reply& reply) {
+               if (life != lives_)
+                 return;
                hold.in_flight = false;
                if (reply.result == call_result::kOk)
-                 OnHeld(hold, sent, reply);
+                 OnAnswered(hold, sent, reply);
                else
                  OnHoldFailed(hold, sent, reply.result);
              });
@@ -352,80 +382,120 @@
 // room that they free stayed empty as long. Where all upstreams are late none
 // of it is lost, and a second hold for each end doubles what is on the link.
 void upstream_session::SendSpareHold() {
-  bool wanted = settled_ && failed_holds_ == 0 && LosesAnswers() &&
-                !times_.AllLate() && !runs_.empty() && !HasFoundRuns();
+  bool wanted = life_->settled && life_->failed_holds == 0 &&
+                life_->LosesAnswers() && !times_.AllLate() &&
+                !life_->runs.empty() && !life_->runs.HasFound();
   if (wanted)
-    SendHold(spare_hold_);
+    SendHold(life_->spare_hold);
 }
 
 void upstream_session::SendLook() {
-  if (gone_ || runs_.empty())
+  if (life_->gone || life_->runs.empty())
     return;
-  if (look_in_flight_) {
-    look_again_ = true;
+  if (life_->look_in_flight) {
+    life_->look_again = true;
     return;
   }
   hold_order order = MakeHold();
-  look_in_flight_ = true;
-  look_again_ = false;
-  port_.Hold(info_.id, order,
-             [this, sent = clock_.now()](const hold_reply& reply) {
-               look_in_flight_ = false;
-               if (reply.result == call_result::kOk) {
-                 times_.Note(clock_.now() - sent);
-                 TakeHold(sent, reply);
-               } else
-                 OnLookFailed(sent);
-               if (look_again_)
-                 SendLook();
-             });
+  life_->look_in_flight = true;
+  life_->look_again = false;
+  port_.Hold(
+      info_.id, order,
+      [this, life = lives_, sent = clock_.now()](const hold_reply& reply) {
+        if (life != lives_)
+          return;
+        life_->look_in_flight = false;
+        OnLooked(sent, reply);
+        if (life_->look_again)
+          SendLook();
+      });
+}
+
+void upstream_session::OnLooked(time_point sent, const hold_reply& reply) {
+  if (reply.result != call_result::kOk) {
+    OnLookFailed(sent);
+    return;
+  }
+  times_.Note(clock_.now() - sent);
+  switch (life_->WhoAnswers(info_.id, sent, reply)) {
+    case answer_of::kPresent:
+      TakeHold(sent, reply);
+      return;
+    case answer_of::kNext:
+      BeginLife(*reply.birth);
+      OnHeld(life_->hold, sent, reply);
+      return;
+    case answer_of::kNobody:
+      OnLookFailed(sent);
+      return;
+  }
 }
 
 // The hold that waits may show it only seconds later.
 void upstream_session::OnLookFailed(time_point sent) {
   NoteUnanswered();
-  if (!upstream_clock_.HeardSince(sent))
-    ++failed_holds_;
-  look_timer_.StartAfter(RetryPause(), [this] { SendLook(); });
+  life_->unanswered = true;
+  if (!life_->clock.HeardSince(sent))
+    ++life_->failed_holds;
+  life_->look_timer.StartAfter(RetryPause(), [this] { SendLook(); });
   CheckLapse();
 }
 
 duration upstream_session::RetryPause() const {
-  int doublings = std::clamp(failed_holds_ - 1, 0, 5);
+  int doublings = std::clamp(life_->failed_holds - 1, 0, 5);
   return std::min(kLongestHoldRetry, kHoldRetry * (1 << doublings));
 }
 
 void upstream_session::WatchLease() {
-  if (runs_.empty() || failed_holds_ > 0)
+  if (life_->runs.empty() || life_->failed_holds > 0)
     return;
-  duration left =
-      std::chrono::milliseconds(given_until_.ms - upstream_clock_.Latest().ms);
+  duration left = std::chrono::milliseconds(life_->given_until.ms -
+                                            life_->clock.Latest().ms);
   duration pause = std::max(duration::zero(), left - kLeaseMargin);
   // A lost one would hide ends for its whole wait.
-  if (hold_.in_flight && hold_.idle)
+  if (life_->hold.in_flight && life_->hold.idle)
     pause = std::min(pause, kHoldWait);
-  look_timer_.StartAfter(pause, [this] { SendLook(); });
+  life_->look_timer.StartAfter(pause, [this] { SendLook(); });
+}
+
+void upstream_session::OnAnswered(waiting_hold& hold,
+                                  time_point sent,
+                                  const hold_reply& reply) {
+  switch (life_->WhoAnswers(info_.id, sent, reply)) {
+    case answer_of::kPresent:
+      OnHeld(hold, sent, reply);
+      return;
+    case answer_of::kNext:
+      BeginLife(*reply.birth);
+      OnHeld(life_->hold, sent, reply);
+      return;
+    case answer_of::kNobody:
+      OnHoldFailed(hold, sent, call_result::kUnknown);
+      return;
+  }
 }
 
 void upstream_session::OnHeld(waiting_hold& hold,
                               time_point sent,
                               const hold_reply& reply) {
-  // An earlier owner may have prolonged its runs up to now.
-  if (!settled_)
-    lease_end_ =
-        std::max(lease_end_,
-                 {reply.clock.ms + WholeMilliseconds(limits_.longest_lease)});
-  settled_ = true;
+  // An earlier owner, or an order for an earlier incarnation, may have
+  // prolonged its runs up to now.
+  bool is_first = life_->follows && !life_->answered;
+  if (!life_->settled || is_first)
+    life_->NoteForeignLease(reply.clock, limits_);
+  life_->settled = true;
   TakeHold(sent, reply);
   NextHold(hold, !reply.ended.empty());
 }
 
 void upstream_session::TakeHold(time_point sent, const hold_reply& reply) {
   bool was_usable = usable();
-  failed_holds_ = 0;
-  in_doubt_ = false;
-  lapse_timer_.Stop();
-  upstream_clock_.Take(reply.clock, sent);
+  life_->failed_holds = 0;
+  life_->answered = true;
+  life_->unanswered = false;
+  life_->in_doubt = false;
+  life_->lapse_timer.Stop();
+  life_->clock.Take(reply.clock, sent);
   TellFoundAgain(false);
   TakeEnds(reply);
   TakeRunning(reply);
@@ -436,9 +506,9 @@
 }
 
 void upstream_session::NextHold(waiting_hold& hold, bool any_end) {
-  bool is_main = &hold == &hold_;
-  if (is_main && any_end && runs_.empty())
-    hold.timer.StartAfter(kIdlePause, [this] { SendHold(hold_); });
+  bool is_main = &hold == &life_->hold;
+  if (is_main && any_end && life_->runs.empty())
+    hold.timer.StartAfter(kIdlePause, [this] { SendHold(life_->hold); });
   else if (is_main)
     SendHold(hold);
   SendSpareHold();
@@ -453,19 +523,20 @@
     return;
   }
   if (result == call_result::kGone) {
-    gone_ = true;
-    settled_ = true;
+    life_->gone = true;
+    life_->settled = true;
     EndAll(run_end::kLapsed);
     return;
   }
   NoteUnanswered();
+  life_->unanswered = true;
   // A single lost answer does not take an upstream out of use that answers
   // other calls.
-  if (upstream_clock_.HeardSince(sent)) {
+  if (life_->clock.HeardSince(sent)) {
     NextHold(hold, false);
     return;
   }
-  ++failed_holds_;
+  ++life_->failed_holds;
   hold.timer.StartAfter(RetryPause(), [this, &hold] { SendHold(hold); });
   CheckLapse();
 }
@@ -473,44 +544,35 @@
 // Runs after failed holds until the upstream answers again or nothing of ours
 // can be running there.
 void upstream_session::CheckLapse() {
-  if (!settled_ && clock_.now() - begun_ >= kSettleWithoutAnswer)
+  if (!life_->settled && clock_.now() - begun_ >= kSettleWithoutAnswer)
     SettleWithoutAnswer();
-  if (settled_ && LeaseIsOver()) {
+  if (life_->settled && life_->LeaseIsOver()) {
     EndAll(run_end::kLapsed);
-    return;
+    if (life_->runs.empty())
+      return;
   }
-  if (!lapse_timer_.active())
-    lapse_timer_.StartAfter(kHoldRetry, [this] { CheckLapse(); });
+  if (!life_->lapse_timer.active())
+    life_->lapse_timer.StartAfter(kHoldRetry, [this] { CheckLapse(); });
 }
 
 void upstream_session::SettleWithoutAnswer() {
-  settled_ = true;
+  life_->settled = true;
   owner_.OnRoom(*this);
 }
 
-bool upstream_session::LeaseIsOver() const {
-  return !upstream_clock_.known() ||
-         upstream_clock_.Earliest().ms > lease_end_.ms + kClockMarginMs;
-}
-
 void upstream_session::EndAll(run_end how) {
-  std::vector<std::pair<task_name, run_number>> ended;
+  std::vector<run_over> ended = life_->TakeAllOver(clock_.now());
   std::vector<task_name> ran;
-  for (const auto& [task, record] : runs_) {
-    ended.emplace_back(task, record.run);
-    ran.push_back(task);
-  }
-  runs_.clear();
-  occupied_ = {};
-  if (gone_)
+  for (const run_over& over : ended)
+    ran.push_back(over.task);
+  if (life_->gone)
     TellFoundAgain(true);
-  if (!ran.empty()) {
-    owner_.OnLost(*this, ran, gone_);
-    if (!gone_)
-      missing_ = std::move(ran);
-  }
-  for (const auto& [task, run] : ended)
-    owner_.OnRunEnded(*this, task, run, how);
+  if (!ran.empty() && missing_.empty())
+    owner_.OnLost(*this, ran, life_->gone);
+  if (!life_->gone)
+    missing_.insert(missing_.end(), ran.begin(), ran.end());
+  for (const run_over& over : ended)
+    owner_.OnRunEnded(*this, over.task, over.run, how);
 }
 
 void upstream_session::TellFoundAgain(bool crashed) {
@@ -519,91 +581,40 @@
 }
 
 void upstream_session::NoteLease(upstream_time until) {
-  lease_end_ = std::max(lease_end_, until);
-  given_until_ = std::max(given_until_, until);
+  life_->lease_end = std::max(life_->lease_end, until);
+  life_->given_until = std::max(life_->given_until, until);
   WatchLease();
 }
 
 void upstream_session::TakeEnds(const hold_reply& reply) {
-  for (const listed_end& end : reply.ended) {
-    // Two calls may bring the same end.
-    if (end.sequence <= acknowledged_)
-      continue;
-    acknowledged_ = end.sequence;
-    newest_ends_ = std::max(newest_ends_, reply.clock);
-    auto found = runs_.find(end.task);
-    bool known = found != runs_.end();
-    // The end of an earlier run says nothing about the present one.
-    if (known && end.run < found->second.run)
-      continue;
-    if (known)
-      Remove(found);
-    // Also of runs that are unknown here: an earlier owner may have started
-    // them for a job that is still wanted.
+  // Also of runs that are unknown here: an earlier owner may have started
+  // them for a job that is still wanted.
+  for (const listed_end& end : life_->TakeEnds(reply))
     owner_.OnRunEnded(*this, end.task, end.run, end.how);
-  }
 }
 
 void upstream_session::TakeRunning(const hold_reply& reply) {
-  // Replies may overtake each other: this one may have been written before the
-  // end that another one brought, and the run would look like a stranger's.
-  uint64_t last_end = reply.ended.empty() ? 0 : reply.ended.back().sequence;
-  bool is_stale = reply.clock < newest_ends_ ||
-                  (reply.clock == newest_ends_ && last_end < acknowledged_);
-  std::vector<listed_run> found_runs;
+  std::vector<listed_run> strangers = life_->TakeRunning(reply, limits_);
   for (const listed_run& listed : reply.running) {
-    auto found = runs_.find(listed.task);
-    if (found == runs_.end()) {
-      if (is_stale)
-        continue;
-      run_record record;
-      record.run = listed.run;
-      record.phase = run_phase::kFound;
-      record.since = clock_.now();
-      runs_.emplace(listed.task, record);
-      found_runs.push_back(listed);
-      continue;
-    }
-    run_record& record = found->second;
-    if (listed.run < record.run)
-      continue;
-    record.percent = listed.percent;
-    if (record.IsUnclear()) {
-      record.phase = run_phase::kRunning;
-      record.since = clock_.now();
-    }
-    if (record.stop_wanted)
-      SendStop(listed.task);
+    run_record* record = life_->runs.Find(listed.task);
+    if (record && record->stop_wanted && listed.run >= record->run)
+      SendStop(*record, listed.task);
   }
-  for (const listed_run& found : found_runs)
+  for (const listed_run& found : strangers)
     owner_.OnFound(*this, found.task, found.run);
 }
 
 void upstream_session::JudgeUnlisted(time_point sent, const hold_reply& reply) {
-  std::vector<std::pair<task_name, run_number>> unlisted;
-  for (const auto& [task, record] : runs_) {
-    bool too_late = reply.clock.ms > record.not_after.ms + kClockMarginMs ||
-                    (record.refused_since && sent >= *record.refused_since);
-    bool can_judge = record.IsUnclear() ? too_late : record.since < sent;
-    if (!IsListed(reply, task, record.run) && can_judge)
-      unlisted.emplace_back(task, record.run);
-  }
-  for (const auto& [task, run] : unlisted) {
-    auto found = runs_.find(task);
-    if (found == runs_.end())
+  for (const run_over& over : life_->runs.Unlisted(sent, reply)) {
+    // Gone by what the owner did when told of another one.
+    if (!life_->runs.Find(over.task))
       continue;
-    bool never_began = found->second.IsUnclear();
-    Remove(found);
-    if (never_began)
-      owner_.OnNotStarted(*this, task, run, start_result::kUnknown);
+    life_->runs.Remove(over.task);
+    if (over.never_began)
+      owner_.OnNotStarted(*this, over.task, over.run, start_result::kUnknown);
     else
-      owner_.OnRunEnded(*this, task, run, run_end::kLapsed);
+      owner_.OnRunEnded(*this, over.task, over.run, run_end::kLapsed);
   }
 }
 
-void upstream_session::Remove(run_map::iterator found) {
-  occupied_ -= found->second.need;
-  runs_.erase(found);
-}
-
 }  // namespace jasminedyke
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -5,7 +5,7 @@
 #define SRC_RUNS_UPSTREAM_SESSION_H_
 
 #include <cstdint>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,9 +13,10 @@
 #include "base/base.h"
 #include "runs/answer_times.h"
 #include "runs/run_types.h"
-#include "runs/upstream_clock.h"
+#include "runs/upstream_life.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
+#include "runs/upstream_runs.h"
 
 namespace jasminedyke {
 
@@ -24,9 +25,14 @@
 // answers get lost there are two, or each lost one would hide all ends until it
 // times out.
 //
+// Behind one id there may be one incarnation of the upstream after another:
+// `upstream_life`. The session stays, as its owner and the work that was
+// ordered of the earlier one do.
+//
 // A run is over for us only when that is proven: the upstream listed its end,
 // or did not list it in answer to a hold sent when it could no longer begin,
-// or has not had its lease prolonged for longer than the lease. Until then its
+// or has not had its lease prolonged for longer than the lease, or another
+// incarnation answers or has registered. Until then its
 // task must not start anywhere else, or it could run twice at one time.
 //
 // A start that stays unanswered is looked for after a moment; one that is not
@@ -34,6 +40,8 @@
 // within some 10 ms what the order's own time limit would prove after 500.
 class upstream_session {
  public:
+  using limits = lease_limits;
+
   // Told of the session's runs. Calls of the session from within these
   // functions are allowed; destroying it is not.
   class owner {
@@ -52,6 +60,9 @@
     virtual void OnFoundAgain(upstream_session& session,
                               const std::vector<task_name>& ran,
                               bool crashed) = 0;
+    // The upstream crashed and is back under its id, as another incarnation.
+    // What is lost with the earlier one follows.
+    virtual void OnReborn(upstream_session& session) = 0;
     // Proven never to have begun; `why` is what the upstream said.
     virtual void OnNotStarted(upstream_session& session,
                               const task_name& task,
@@ -68,11 +79,6 @@
     virtual void OnFenced(upstream_session& session) = 0;
   };
 
-  struct limits {
-    // The longest lease that upstreams grant.
-    duration longest_lease = std::chrono::milliseconds(1000);
-  };
-
   upstream_session(scheduler& clock,
                    upstream_port& port,
                    const upstream_info& info,
@@ -85,6 +91,7 @@
   upstream_session& operator=(const upstream_session&) = delete;
 
   const upstream_info& info() const { return info_; }
+  // As it registers now. Another birth is another incarnation.
   void SetInfo(const upstream_info& info);
   // The most of each that it ever had: what has shrunk may grow again.
   const resource_amount& largest_capacity() const { return largest_capacity_; }
@@ -102,57 +109,21 @@
   void Adopt(const task_name& task, const resource_amount& need);
 
   // What runs there is known, or can't be running any more.
-  bool settled() const { return settled_; }
+  bool settled() const { return life_->settled; }
   // Can be given tasks now.
   bool usable() const;
   // Capacity that no run occupies or may occupy.
-  resource_amount room() const { return info_.capacity - occupied_; }
-  bool idle() const { return runs_.empty(); }
-  bool gone() const { return gone_; }
+  resource_amount room() const {
+    return info_.capacity - life_->runs.occupied();
+  }
+  bool idle() const { return life_->runs.empty(); }
+  bool gone() const { return life_->gone; }
   // How far a run has come, in per cent, as last listed.
   std::optional<int> Progress(const task_name& task) const;
 
  private:
-  enum class run_phase {
-    kFound,     // listed, of an earlier owner, not yet adopted
-    kStarting,  // ordered, no answer yet
-    kUnproven,  // the order was not answered; it may run or may not
-    kRunning,
-  };
-
-  struct run_record {
-    run_number run;
-    resource_amount need;
-    run_phase phase = run_phase::kStarting;
-    // When the order was sent, and for `kRunning` when we learnt that it runs,
-    // on our clock. Only what is asked later can show that it ended: a hold
-    // that waited may list a run that began long after the hold was sent.
-    time_point since;
-    // An order that was not carried out by then never will be.
-    upstream_time not_after;
-    // The upstream confirmed the run's stop then: it can't begin any more.
-    std::optional<time_point> refused_since;
-    bool stop_wanted = false;
-    bool stop_in_flight = false;
-    std::optional<int> percent;
-
-    // Not known to have begun.
-    bool IsUnclear() const {
-      return phase == run_phase::kStarting || phase == run_phase::kUnproven;
-    }
-  };
-  using run_map = std::map<task_name, run_record>;
-
-  // A call that waits at the upstream for the next end.
-  struct waiting_hold {
-    explicit waiting_hold(scheduler& clock) : timer(clock) {}
-
-    bool in_flight = false;
-    // Nothing ran when it was sent: it waits long and brings no lease.
-    bool idle = true;
-    scoped_timer timer;
-  };
-
+  void TakeRegisteredBirth();
+  void BeginLife(upstream_birth birth);
   void SendHold(waiting_hold& hold);
   // Beside a hold that waits: when the lease would run out before it returns,
   // or to learn what became of a start.
@@ -160,21 +131,20 @@
   // Also notes the lease that the order brings.
   hold_order MakeHold();
   bool Answers() const;
+  void OnLooked(time_point sent, const hold_reply& reply);
   void OnLookFailed(time_point sent);
   duration RetryPause() const;
   void Suspect();
   void NextHold(waiting_hold& hold, bool any_end);
   void SendSpareHold();
   void WatchLease();
+  void OnAnswered(waiting_hold& hold, time_point sent, const hold_reply& reply);
   void OnHeld(waiting_hold& hold, time_point sent, const hold_reply& reply);
   void TakeHold(time_point sent, const hold_reply& reply);
   void OnHoldFailed(waiting_hold& hold, time_point sent, call_result result);
-  void NoteUnanswered() { last_unanswered_ = clock_.now(); }
-  // Some of its answers got lost lately.
-  bool LosesAnswers() const;
+  void NoteUnanswered() { life_->last_unanswered = clock_.now(); }
   void WatchStarts(duration pause);
   void CheckStarts();
-  bool IsInDoubt(const run_record& record, time_point now) const;
   void RefuseUnlistedStarts(time_point sent, const hold_reply& reply);
   void TakeEnds(const hold_reply& reply);
   void TakeRunning(const hold_reply& reply);
@@ -183,15 +153,13 @@
                  run_number run,
                  time_point sent,
                  const start_reply& reply);
-  void SendStop(const task_name& task);
+  void NoteSeen(run_record& record, const start_reply& reply);
+  void SendStop(run_record& record, const task_name& task);
   void OnStopAnswered(run_record& record, call_result result);
   void SettleWithoutAnswer();
-  bool HasFoundRuns() const;
-  bool LeaseIsOver() const;
   void CheckLapse();
   void EndAll(run_end how);
   void TellFoundAgain(bool crashed);
-  void Remove(run_map::iterator found);
   void NoteLease(upstream_time until);
 
   scheduler& clock_;
@@ -205,35 +173,10 @@
   owner& owner_;
   // What ran when the upstream went out of reach, until it is heard of again.
   std::vector<task_name> missing_;
-  // At most one run of a task. `occupied_` is the sum of all needs.
-  run_map runs_;
-  resource_amount occupied_;
-  bool settled_ = false;
-  bool gone_ = false;
-  bool look_in_flight_ = false;
-  // A look was wanted while one was under way, which may not show it.
-  bool look_again_ = false;
-  int failed_holds_ = 0;
-  // A start has had no answer for longer than usual, and no other call since.
-  bool in_doubt_ = false;
-  std::optional<time_point> last_unanswered_;
-  // Until then it gets nothing new, because it refused work.
-  time_point refused_until_;
-  duration refusal_pause_ = duration::zero();
   time_point begun_;
-  upstream_clock upstream_clock_;
-  // Nothing on the upstream outlives this time on its clock.
-  upstream_time lease_end_;
-  // What runs there lives until then, if our orders arrived.
-  upstream_time given_until_;
-  uint64_t acknowledged_ = 0;
-  // The upstream's clock in the newest reply that brought ends.
-  upstream_time newest_ends_;
-  waiting_hold hold_;
-  waiting_hold spare_hold_;
-  scoped_timer look_timer_;
-  scoped_timer start_timer_;
-  scoped_timer lapse_timer_;
+  std::unique_ptr<upstream_life> life_;
+  // Answers to calls of earlier ones are not taken.
+  int lives_ = 0;
 };
 
 }  // namespace jasminedyke
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -122,6 +122,8 @@
   for (const auto& [task, each] : running)
     reply.running.push_back({task, each.number, std::nullopt});
   reply.ended = ended;
+  if (birth != upstream_birth())
+    reply.birth = birth;
   return reply;
 }
 
@@ -131,6 +133,18 @@
   gone = true;
 }
 
+void fake_upstream::Rebirth(upstream_birth next) {
+  running.clear();
+  ended.clear();
+  refused_up_to.clear();
+  highest_token = fencing_token();
+  lease_end = upstream_time();
+  born_ = clock_.now();
+  last_end_ = 0;
+  birth = next;
+  ++lives;
+}
+
 fake_upstream& fake_fleet::Add(const std::string& id,
                                const std::string& domain) {
   auto upstream = std::make_unique<fake_upstream>(clock);
@@ -215,7 +229,8 @@
         bool waits = reply.result == call_result::kOk && reply.ended.empty() &&
                      fleet_.clock.now() < until;
         if (waits)
-          WaitForEnd(id, order, until, generation, done);
+          WaitForEnd(id, order, until, generation,
+                     fleet_.upstreams.at(id)->lives, done);
         else
           done(reply);
       });
@@ -227,33 +242,40 @@
     const hold_order& order,
     time_point until,
     uint64_t generation,
+    int life,
     const std::function<void(const hold_reply&)>& done) {
-  fleet_.clock.CallAfter(kLook, [this, id, order, until, generation, done] {
-    if (dead_ || generations_[id] != generation)
-      return;
-    hold_order look = order;
-    look.lease_until.reset();
-    hold_reply reply = fleet_.upstreams.at(id)->Hold(look);
-    bool over = reply.result != call_result::kOk || !reply.ended.empty() ||
-                fleet_.clock.now() >= until;
-    if (!over) {
-      WaitForEnd(id, order, until, generation, done);
-      return;
-    }
-    // A link that was cut meanwhile carries no answer either.
-    bool arrives = Fate(id) == call_fate::kAnswered;
-    if (arrives)
-      fleet_.clock.CallAfter(fleet_.detour(),
-                             [this, id, generation, done, reply] {
-                               if (!dead_ && generations_[id] == generation)
-                                 done(reply);
-                             });
-    else
-      fleet_.clock.CallAfter(order.patience, [this, id, generation, done] {
-        if (!dead_ && generations_[id] == generation)
+  fleet_.clock.CallAfter(
+      kLook, [this, id, order, until, generation, life, done] {
+        if (dead_ || generations_[id] != generation)
+          return;
+        // Its connection broke.
+        if (fleet_.upstreams.at(id)->lives != life) {
           done(hold_reply());
+          return;
+        }
+        hold_order look = order;
+        look.lease_until.reset();
+        hold_reply reply = fleet_.upstreams.at(id)->Hold(look);
+        bool over = reply.result != call_result::kOk || !reply.ended.empty() ||
+                    fleet_.clock.now() >= until;
+        if (!over) {
+          WaitForEnd(id, order, until, generation, life, done);
+          return;
+        }
+        // A link that was cut meanwhile carries no answer either.
+        bool arrives = Fate(id) == call_fate::kAnswered;
+        if (arrives)
+          fleet_.clock.CallAfter(fleet_.detour(),
+                                 [this, id, generation, done, reply] {
+                                   if (!dead_ && generations_[id] == generation)
+                                     done(reply);
+                                 });
+        else
+          fleet_.clock.CallAfter(order.patience, [this, id, generation, done] {
+            if (!dead_ && generations_[id] == generation)
+              done(hold_reply());
+          });
       });
-  });
 }
 
 }  // namespace jasminedyke
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -44,9 +44,14 @@
   start_reply Start(const run_order& order);
   call_result Stop(const stop_order& order);
   hold_reply Hold(const hold_order& order);
-  // All is lost; the id stays, another incarnation answers.
+  // All is lost; an upstream of another id answers at its address.
   void Crash();
+  // All is lost; it is back at once under its id, as another incarnation.
+  void Rebirth(upstream_birth next);
 
+  // Told with both lists, unless it is 0.
+  upstream_birth birth;
+  int lives = 1;
   std::map<task_name, run> running;
   std::vector<listed_end> ended;
   fencing_token highest_token;
@@ -138,6 +143,7 @@
                   const hold_order& order,
                   time_point until,
                   uint64_t generation,
+                  int life,
                   const std::function<void(const hold_reply&)>& done);
 
   fake_fleet& fleet_;
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -76,6 +76,10 @@
       {"/capacity/cpu", 1e300},
       {"/capacity/mem_mb", -5},
       {"/capacity/gpus", true},
+      {"/born", "1700000000123"},
+      {"/born", 1.5},
+      {"/born", nullptr},
+      {"/born", -1},
   };
   table_snapshot table;
   table.rows["good"] = {1, kGood};
@@ -99,6 +103,8 @@
   REQUIRE(registry.size() == 1);
   const upstream_info& info = registry.begin()->second;
   CHECK(info.draining);
+  // Deployments whose upstreams never come back under an id don't tell it.
+  CHECK(info.birth == upstream_birth());
   CHECK(info.rack == rack_id("r1-3"));
   CHECK(info.capacity == resource_amount{16000, 10, 1});
 }
@@ -122,6 +128,12 @@
   registry = rows.Parse(table);
   REQUIRE(registry.size() == 1);
   CHECK(registry.at(upstream_id("leaves")).draining);
+  // Back under its id after a crash.
+  table.rows["leaves"] = {5, kGood};
+  table.rows["leaves"].value["born"] = 1'700'000'000'123;
+  registry = rows.Parse(table);
+  CHECK(registry.at(upstream_id("leaves")).birth ==
+        upstream_birth(1'700'000'000'123));
 }
 
 TEST_CASE("wire_text: names of tasks") {
--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -92,7 +92,13 @@
   REQUIRE(reply.ended.size() == 1);
   CHECK(reply.ended[0].sequence == 58);
   CHECK(reply.ended[0].how == run_end::kDone);
-  for (const char* nonsense : {"", "[1", "{}", R"({"clock_ms":"soon"})"}) {
+  CHECK(!reply.birth);
+  canned_upstream born({200, {}, R"({"clock_ms":7,"born":1700000000123})"});
+  CHECK(born.Hold().birth == upstream_birth(1'700'000'000'123));
+  for (const char* nonsense :
+       {"", "[1", "{}", R"({"clock_ms":"soon"})",
+        R"({"clock_ms":7,"born":1.5})", R"({"clock_ms":7,"born":"1"})",
+        R"({"clock_ms":7,"born":null})", R"({"clock_ms":7,"born":-4})"}) {
     CAPTURE(nonsense);
     CHECK(canned_upstream({200, {}, nonsense}).Hold().result ==
           call_result::kUnknown);
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -82,11 +82,46 @@
   return home;
 }
 
+// Upstreams crash and are back under their ids at once; some registrations tell
+// of it only some steps later.
+struct rebirths_at_random {
+  void Begin() {
+    for (auto& [id, upstream] : d.fleet.upstreams) {
+      upstream->birth = upstream_birth(++last);
+      d.fleet.registry.at(id).birth = upstream->birth;
+    }
+    Tell();
+  }
+
+  void Step(std::mt19937_64& random) {
+    for (auto& [id, upstream] : d.fleet.upstreams) {
+      if (random() % 25 == 0)
+        upstream->Rebirth(upstream_birth(++last));
+      if (random() % 3 != 0)
+        d.fleet.registry.at(id).birth = upstream->birth;
+    }
+    Tell();
+  }
+
+  // The store's table has changed.
+  void Tell() {
+    if (d.store.outage)
+      return;
+    for (run_node* node : d.Live())
+      node->cluster->SetUpstreams(d.fleet.registry);
+  }
+
+  one_domain& d;
+  uint64_t last = 1'700'000'000'000;
+};
+
 // Instances die and come back, links break and heal, the store goes and
 // comes, calls to upstreams are lost, delayed or unanswered; callers come
 // back 1.3 s after a broken answer. Whatever the order, no task has two runs
 // at one time, and what was refused as not run did not run.
-void PlayRandomFaults(uint64_t seed, const run_home::settings& home) {
+void PlayRandomFaults(uint64_t seed,
+                      const run_home::settings& home,
+                      bool rebirths = false) {
   std::mt19937_64 random(seed);
   auto chance = [&](double p) {
     return std::uniform_real_distribution<>(0, 1)(random) < p;
@@ -107,6 +142,9 @@
   };
   std::vector<resend> again;
   std::vector<run_node*> dead;
+  rebirths_at_random reborn{d};
+  if (rebirths)
+    reborn.Begin();
   int jobs = 0;
   for (int step = 0; step < 120; ++step) {
     auto live = d.Live();
@@ -147,6 +185,8 @@
     }
     if (chance(0.03))
       d.store.outage = !d.store.outage;
+    if (rebirths)
+      reborn.Step(random);
     d.Run(milliseconds(20 + pick(60)));
     REQUIRE(!d.ran_twice);
   }
@@ -505,6 +545,44 @@
   CHECK(d.answers[kJob].size() == 1);
 }
 
+TEST_CASE("an upstream that crashes and returns under its id") {
+  // Its tasks start elsewhere at once, before the lease that they had is over,
+  // and the home's other instances learn of the incarnation.
+  one_domain d(milliseconds(300));
+  rebirths_at_random reborn{d};
+  reborn.Begin();
+  d.Run(milliseconds(200));
+  d.Submit(d.Home(), kJob, 4);
+  d.Run(milliseconds(150));
+  fake_upstream* busy = nullptr;
+  upstream_id id;
+  for (auto& [each, upstream] : d.fleet.upstreams) {
+    if (!upstream->running.empty()) {
+      busy = upstream.get();
+      id = each;
+    }
+  }
+  REQUIRE(busy);
+  upstream_birth next(++reborn.last);
+  SUBCASE("which a hold tells first") {
+    busy->Rebirth(next);
+  }
+  SUBCASE("which its registration tells first") {
+    busy->Rebirth(next);
+    d.fleet.registry.at(id).birth = next;
+    reborn.Tell();
+  }
+  d.Run(milliseconds(450));
+  d.CheckSucceeded();
+  CHECK(!d.ran_twice);
+  CHECK(d.Starts(kJob) > 4);
+  d.fleet.registry.at(id).birth = next;
+  reborn.Tell();
+  d.Run(milliseconds(300));
+  for (run_node* node : d.Live())
+    CHECK(node->cluster->upstreams().at(id).birth == next);
+}
+
 TEST_CASE("an upstream that is missing for good is forgotten") {
   one_domain d;
   run_node& home = d.Home();
@@ -723,6 +801,14 @@
   }
 }
 
+TEST_CASE("random faults while upstreams crash and return under their ids") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    PlayRandomFaults(seed, {}, true);
+    PlayRandomFaults(seed, ThinLink(), true);
+  }
+}
+
 TEST_CASE("random faults while owners send the starts") {
   for (uint64_t seed = 1; seed <= 100; ++seed) {
     CAPTURE(seed);
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -99,6 +99,7 @@
   info.labels = {"a", "r1-3"};
   info.capacity = {32'000, 64, 1};
   info.draining = true;
+  info.birth = upstream_birth(1'700'000'000'123);
   news.rows = {info};
   news.gone = {upstream_id("u2")};
   CHECK(ThroughTheWire(news) == news);
--- a/tests/run_home/run_home_test.cc
+++ b/tests/run_home/run_home_test.cc
@@ -270,6 +270,36 @@
   CHECK(f.StartsOn("u1") == 8);
 }
 
+TEST_CASE("run_home: what an incarnation did is not held against the next") {
+  // It failed all that it started. After a crash and return under its id it is
+  // given work like any other.
+  home_fixture f;
+  fake_upstream& upstream = f.fleet.Add("u1", "north");
+  upstream.birth = upstream_birth(1'700'000'000'000);
+  f.InfoOf("u1").birth = upstream.birth;
+  upstream.plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(5), run_end::kFailed);
+  };
+  f.Begin();
+  run_request request = f.Request(1, Demand());
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(20));
+  request.job = job_key("00000000000000ab");
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(40));
+  upstream.plan = nullptr;
+  upstream.starts.clear();
+  upstream.Rebirth(upstream_birth(1'700'000'001'000));
+  f.InfoOf("u1").birth = upstream.birth;
+  f.home.SetUpstreams(f.fleet.registry, true);
+  f.clock.Advance(milliseconds(100));
+  request = f.Request(3, Demand());
+  request.job = job_key("00000000000000ac");
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(20));
+  CHECK(f.StartsOn("u1") == 3);
+}
+
 TEST_CASE("run_home: what is being stopped still takes room") {
   // The caller leaves amid three runs; the upstream has the room only when each
   // run's end is listed, 20 ms later.
