Move found runs and claims out of run_home

Cause: runs that nobody claims were kept by task alone, so one of a task on a second upstream hid the first; a job that came again could take over a found run while its own ran elsewhere; and during the time for claims a run was left alone although its job was here and had no use for it.

--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -7,10 +7,6 @@
 
 namespace {
 
-// After a takeover the jobs' owners have so long to claim what runs; they
-// learn of the new home within a message's time, or re-open a link. The
-// leases last 0.6 s or more from the earlier home's last hold.
-constexpr duration kClaimTime = std::chrono::milliseconds(300);
 // A link that broke may be opened again by a living owner, which then sends
 // its jobs again. A caller whose instance died comes back after a second or
 // more, through another instance; by then its runs must be gone.
@@ -23,7 +19,6 @@
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Of the objective, counted from the job's arrival.
 constexpr int kUsefulLateness = 3;
-constexpr size_t kMaxEarlyEnds = 20'000;
 // Of this instance's link, the share that specifications in starts may take.
 // Jobs bring each specification in once, holds need as many bytes again, and
 // bursts must pass within the 96 ms that a caller of 60 ms tasks can lose; a
@@ -48,6 +43,7 @@
       gate_(own.finish_time),
       placer_(clock, upstreams_),
       reports_(clock, jobs_, std::move(send)),
+      claims_(clock, upstreams_),
       dispatch_timer_(clock),
       sweep_timer_(clock) {}
 
@@ -61,6 +57,7 @@
     return;
   serving_ = true;
   begun_ = clock_.now();
+  claims_.Begin();
   confirmed_ = false;
   knew_upstreams_ = !registry_.empty();
   gate_.Restart();
@@ -72,8 +69,7 @@
   serving_ = false;
   upstreams_.Clear();
   jobs_.clear();
-  strays_.clear();
-  early_ends_.clear();
+  claims_.Clear();
   orphaned_at_.clear();
   sweep_timer_.Stop();
   dispatch_timer_.Stop();
@@ -145,24 +141,23 @@
     task.demand = demand;
     if (is_new)
       task.queued_at = clock_.now();
-    if (auto end = early_ends_.find(name); end != early_ends_.end()) {
-      bool done = end->second == run_end::kDone && demand.maybe_started;
-      early_ends_.erase(end);
-      if (done) {
+    if (auto end = claims_.TakeEarlyEnd(name)) {
+      if (*end == run_end::kDone && demand.maybe_started) {
         job.ran = true;
         OnTaskDone(job, task);
         continue;
       }
     }
-    if (auto stray = strays_.find(name); stray != strays_.end()) {
-      MarkAdopted(job, task, stray->second.upstream);
-      task.stopping = stray->second.stopping;
+    bool waits =
+        task.phase == task_phase::kQueued || task.phase == task_phase::kUnclear;
+    if (auto found_run = waits ? claims_.Claim(name) : std::nullopt) {
+      MarkAdopted(job, task, found_run->upstream);
+      task.stopping = found_run->stopping;
       upstream_session* session = upstreams_.Find(task.upstream);
       if (!task.stopping && session) {
         ++metrics_.adopted;
         session->Adopt(name, demand.need);
       }
-      strays_.erase(stray);
       continue;
     }
     // The owner will hear of it with the others.
@@ -254,19 +249,12 @@
                           const task_name& name,
                           run_number run,
                           run_end how) {
-  auto stray = strays_.find(name);
-  if (stray != strays_.end() && stray->second.upstream == session.info().id)
-    strays_.erase(stray);
   home_job* job = nullptr;
   home_task* task = FindTask(name, &job);
-  if (!task || (task->phase == task_phase::kOrdered &&
-                task->upstream != session.info().id)) {
-    bool early = !task && clock_.now() - begun_ < kClaimTime;
-    if (early && early_ends_.size() < kMaxEarlyEnds)
-      early_ends_[name] = how;
-    return;
-  }
-  if (task->phase == task_phase::kDone)
+  claims_.OnEnded(session.info().id, name, how, task != nullptr);
+  bool elsewhere = task && task->phase == task_phase::kOrdered &&
+                   task->upstream != session.info().id;
+  if (!task || elsewhere || task->phase == task_phase::kDone)
     return;
   bool ordered_here = task->phase == task_phase::kOrdered;
   if (ordered_here && run.value() < task->last_run)
@@ -450,18 +438,7 @@
     session.Adopt(name, task->demand.need);
     return;
   }
-  stray_run& stray = strays_[name];
-  stray = {session.info().id, false};
-  if (clock_.now() - begun_ >= kClaimTime)
-    StopStray(name, stray);
-}
-
-void run_home::StopStray(const task_name& name, stray_run& stray) {
-  if (stray.stopping)
-    return;
-  stray.stopping = true;
-  if (upstream_session* session = upstreams_.Find(stray.upstream))
-    session->Stop(name);
+  claims_.OnFound(session, name, task != nullptr);
 }
 
 void run_home::OnRoom(upstream_session&) {
@@ -498,12 +475,6 @@
   }
 }
 
-void run_home::StopStrays() {
-  for (auto& [name, stray] : strays_)
-    StopStray(name, stray);
-  early_ends_.clear();
-}
-
 // From a timer, so that one answer's many events lead to one pass.
 void run_home::ScheduleDispatch() {
   if (dispatch_due_ || !serving_)
@@ -570,7 +541,9 @@
 // True if all waiting tasks found room.
 bool run_home::PlaceTasks(home_job& job) {
   for (auto& [position, task] : job.tasks) {
-    if (task.phase == task_phase::kQueued && !PlaceTask(job, task))
+    bool waits = task.phase == task_phase::kQueued &&
+                 !claims_.IsFound({job.key, 0, position});
+    if (waits && !PlaceTask(job, task))
       return false;
   }
   return true;
@@ -656,8 +629,7 @@
 // and refuses jobs that can't be answered in time any more.
 void run_home::Sweep() {
   time_point now = clock_.now();
-  if (now - begun_ >= kClaimTime)
-    StopStrays();
+  claims_.Sweep();
   for (auto& [peer, until] : orphaned_at_) {
     if (now < until)
       continue;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -21,6 +21,7 @@
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
+#include "runs/run_claims.h"
 #include "runs/run_messages.h"
 #include "runs/start_gate.h"
 #include "runs/task_placer.h"
@@ -105,12 +106,6 @@
   size_t jobs() const { return jobs_.size(); }
 
  private:
-  // A found run that no job has claimed.
-  struct stray_run {
-    upstream_id upstream;
-    bool stopping = false;
-  };
-
   void OnRunEnded(upstream_session& session,
                   const task_name& task,
                   run_number run,
@@ -147,8 +142,6 @@
   // All that an earlier home may have started is known or over.
   bool AllSettled() const;
   void QueueUnclear();
-  void StopStrays();
-  void StopStray(const task_name& name, stray_run& stray);
   void ScheduleDispatch();
   void Dispatch();
   // A job with tasks that wait for room.
@@ -193,11 +186,7 @@
   task_placer placer_;
   home_job_map jobs_;
   home_reports reports_;
-  // Until their end is certain: a job that claims one later than allowed must
-  // wait for it, or its task would run twice at one time.
-  std::map<task_name, stray_run> strays_;
-  // Ends listed under an earlier home for jobs that have not come yet.
-  std::map<task_name, run_end> early_ends_;
+  run_claims claims_;
   // Entry instances whose link broke, until when their jobs are kept.
   std::map<instance_id, time_point> orphaned_at_;
   run_home_metrics metrics_;
--- /dev/null
+++ b/tests/run_claims/run_claims_test.cc
@@ -0,0 +1,155 @@
+// Runs that a home did not order: always looked for, claimed or stopped.
+
+#include <memory>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "fakes/fake_upstreams.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const instance_id kOwner("entry-1");
+const task_name kTask{job_key("00000000000000aa"), 0, {0, 0}};
+
+struct claims_fixture {
+  claims_fixture()
+      : port(fleet, "home"),
+        home(
+            clock,
+            port,
+            {failure_domain_id("north"), 0},
+            {},
+            [this](const instance_id&, const run_report& report) {
+              reports.push_back(report);
+            },
+            [] {}) {
+    for (const char* id : {"u1", "u2"}) {
+      fake_upstream& upstream = fleet.Add(id, "north");
+      upstream.plan = [](const task_name&) {
+        return std::pair<duration, run_end>(milliseconds(5000), run_end::kDone);
+      };
+    }
+  }
+
+  fake_upstream& At(const char* id) {
+    return *fleet.upstreams.at(upstream_id(id));
+  }
+
+  void Begin() {
+    home.Begin(fencing_token(2));
+    home.SetUpstreams(fleet.registry, true);
+    clock.Advance(milliseconds(20));
+  }
+
+  // As an instance that is no home any more, or never was.
+  start_reply StartAt(const char* id, uint64_t token) {
+    upstream_time not_after{At(id).Clock().ms + 60'000};
+    run_order order{kTask, run_number(1), "10000", fencing_token(token),
+                    not_after};
+    return At(id).Start(order);
+  }
+
+  void Request() {
+    run_request request;
+    request.job = kTask.job;
+    request.submission = submission_id(1);
+    request.service = service_id("parts");
+    request.spec = "10000";
+    request.to_objective = milliseconds(8000);
+    request.to_limit = milliseconds(20'000);
+    request.max_attempts = 2;
+    task_demand demand;
+    demand.need = {10'000, 64, 0};
+    demand.estimate = milliseconds(5000);
+    demand.maybe_started = true;
+    request.tasks.push_back(demand);
+    home.OnRequest(kOwner, request);
+  }
+
+  size_t Running() {
+    size_t running = 0;
+    for (auto& [id, upstream] : fleet.upstreams) {
+      upstream->Settle();
+      running += upstream->running.size();
+    }
+    return running;
+  }
+
+  manual_scheduler clock;
+  fake_fleet fleet{clock};
+  fake_upstream_port port;
+  std::vector<run_report> reports;
+  run_home home;
+};
+
+}  // namespace
+
+TEST_CASE("run_claims: a start that comes long after the takeover is stopped") {
+  // The order was on its way for seconds, or its sender has been removed. The
+  // caller of the job left long ago.
+  claims_fixture f;
+  f.Begin();
+  f.clock.Advance(milliseconds(10'000));
+  REQUIRE(f.StartAt("u1", 2).result == start_result::kStarted);
+  f.clock.Advance(milliseconds(2200));
+  CHECK(f.Running() == 0);
+}
+
+TEST_CASE("run_claims: a late start on an upstream that crashed and is back") {
+  // It has seen no token, so it obeys one that was replaced.
+  claims_fixture f;
+  f.At("u1").birth = upstream_birth(1'700'000'000'000);
+  f.fleet.registry.at(upstream_id("u1")).birth = f.At("u1").birth;
+  f.Begin();
+  f.clock.Advance(milliseconds(5000));
+  f.At("u1").Rebirth(upstream_birth(1'700'000'005'000));
+  REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
+  f.clock.Advance(milliseconds(1000));
+  CHECK(f.Running() == 0);
+}
+
+TEST_CASE("run_claims: a run of a task that runs elsewhere") {
+  // It is stopped at once, also while jobs' owners may still come with claims,
+  // and the other one goes on.
+  claims_fixture f;
+  REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
+  f.Begin();
+  f.Request();
+  f.clock.Advance(milliseconds(50));
+  REQUIRE(f.At("u1").running.size() == 1);
+  REQUIRE(f.StartAt("u2", 2).result == start_result::kStarted);
+  // Its hold is back by then.
+  f.clock.Advance(milliseconds(2200));
+  CHECK(f.At("u2").running.empty());
+  CHECK(f.At("u1").running.size() == 1);
+}
+
+TEST_CASE("run_claims: a task that was started on two upstreams") {
+  // One run is claimed. The other one must be stopped too, and the task must
+  // not start a third time before its end.
+  claims_fixture f;
+  REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
+  REQUIRE(f.StartAt("u2", 1).result == start_result::kStarted);
+  f.Begin();
+  f.Request();
+  f.clock.Advance(milliseconds(60));
+  CHECK(f.Running() == 1);
+  CHECK(f.At("u1").starts[kTask] + f.At("u2").starts[kTask] == 2);
+}
+
+TEST_CASE("run_claims: what nobody claims is stopped") {
+  claims_fixture f;
+  REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
+  f.Begin();
+  f.clock.Advance(milliseconds(200));
+  CHECK(f.Running() == 1);
+  f.clock.Advance(milliseconds(250));
+  CHECK(f.Running() == 0);
+}
+
+}  // namespace jasminedyke
