--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,8 +4,8 @@
 Runs entry instances and a stand-in of the platform as processes, sends jobs,
 and injects faults from outside: a proxy in front of the store and of each
 upstream delays, resets, silences or cuts connections one way; instances are
-paused, killed, stopped and started by signals; operators drain failure domains
-and take them back. Faults overlap. It checks, from what callers and upstreams
+paused, killed, stopped and started by signals; upstreams crash and are back under
+their ids; operators drain failure domains and take them back. Faults overlap. It checks, from what callers and upstreams
 see, that
 
 - no task has two runs at one time;
@@ -207,10 +207,29 @@
             change = {"writes": [dict(row, value=base64.b64encode(b"{}").decode())]}
         else:
             change = {"remove": [row]}
-        body = json.dumps(change)
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.args.port)
-        writer.write((f"POST /api/rows-tx HTTP/1.1\r\nHost: store\r\nConnection: close\r\n"
-                      f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+        await self.call(self.args.port, "/api/rows-tx", change)
+
+    async def crash(self, number):
+        """An upstream crashes, sometimes twice, and is back under its id; with luck
+        behind a cut."""
+        proxy = self.proxies[number]
+        cut = self.random.random() < 0.3
+        if cut:
+            proxy.set_mode("silent")
+        for _ in range(self.random.choice([1, 1, 2])):
+            away = self.random.choice([0, 50, 400, 1500])
+            await self.call(self.args.port + number, "/standin/crash", {"away_ms": away})
+            await asyncio.sleep(away / 1000 + self.random.uniform(0, 0.3))
+        if cut:
+            await asyncio.sleep(self.random.uniform(0, 2.0))
+            proxy.set_mode("pass")
+
+    async def call(self, port, path, body):
+        """Past the proxies."""
+        text = json.dumps(body)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write((f"POST {path} HTTP/1.1\r\nHost: standin\r\nConnection: close\r\n"
+                      f"Content-Length: {len(text)}\r\n\r\n{text}").encode())
         await reader.read()
         writer.close()
 
@@ -222,7 +241,8 @@
 
     async def fault(self):
         number = self.random.randrange(self.args.instances)
-        kind = self.random.choice(["proxy", "proxy", "proxy", "pause", "kill", "stop", "hup"])
+        kind = self.random.choice(
+            ["proxy", "proxy", "proxy", "pause", "kill", "stop", "hup", "crash"])
         if kind == "proxy":
             proxy = self.random.choice(self.proxies)
             proxy.set_mode(self.random.choice(PROXY_MODES))
@@ -232,6 +252,8 @@
             self.signal(number, signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.2, 2.5))
             self.signal(number, signal.SIGCONT)
+        elif kind == "crash":
+            await self.crash(self.random.randrange(1, len(self.proxies)))
         elif kind == "hup":
             self.signal(number, signal.SIGHUP)
         elif number not in self.paused:
