--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -16,6 +16,7 @@
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
 #include "runs/placement.h"
+#include "runs/run_claims.h"
 #include "runs/run_home.h"
 #include "runs/run_messages.h"
 #include "runs/run_types.h"
@@ -23,8 +24,10 @@
 #include "runs/start_gate.h"
 #include "runs/task_placer.h"
 #include "runs/upstream_clock.h"
+#include "runs/upstream_life.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
+#include "runs/upstream_runs.h"
 #include "runs/upstream_session.h"
 #include "runs/upstream_standing.h"
 
