--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -16,12 +16,14 @@
 #include "policy/retry_budget.h"
 #include "policy/route_table.h"
 #include "policy/run_time_estimator.h"
+#include "policy/run_time_model.h"
 #include "policy/slot_home.h"
 #include "policy/slot_messages.h"
 #include "policy/slot_strategy.h"
 #include "policy/spill_slots.h"
 #include "policy/team_quotas.h"
 #include "policy/upstream_health.h"
+#include "policy/upstream_speeds.h"
 #include "policy/upstream_table.h"
 
 #endif  // SRC_POLICY_POLICY_H_
--- a/src/runs/upstream_life.cc
+++ b/src/runs/upstream_life.cc
@@ -111,9 +111,8 @@
          (reply.clock == newest_ends && last_end < acknowledged);
 }
 
-std::vector<listed_run> upstream_life::TakeRunning(
-    const hold_reply& reply,
-    const lease_limits& bounds) {
+std::vector<listed_run> upstream_life::TakeRunning(const hold_reply& reply,
+                                                   const lease_limits& bounds) {
   std::vector<listed_run> strangers;
   for (const listed_run& listed : reply.running) {
     run_record* known = runs.Find(listed.task);
--- a/src/runs/upstream_runs.cc
+++ b/src/runs/upstream_runs.cc
@@ -31,13 +31,23 @@
 void run_record::NoteListed(const listed_run& listed, time_point now) {
   seen = true;
   carried = false;
-  percent = listed.percent;
+  if (listed.percent)
+    NoteProgress(*listed.percent, now);
   if (!IsUnclear())
     return;
   phase = run_phase::kRunning;
   since = now;
 }
 
+void run_record::NoteProgress(int percent, time_point now) {
+  // A reply that was overtaken shows an earlier state.
+  if (progress && percent < progress->percent)
+    return;
+  if (!progress || percent > progress->percent)
+    progress = run_progress{percent, now, now};
+  progress->listed = now;
+}
+
 run_record* upstream_runs::Find(const task_name& task) {
   auto found = runs_.find(task);
   return found == runs_.end() ? nullptr : &found->second;
--- a/src/runs/upstream_runs.h
+++ b/src/runs/upstream_runs.h
@@ -20,6 +20,14 @@
   kRunning,
 };
 
+// How far a run has come, as its upstream lists it.
+struct run_progress {
+  int percent = 0;
+  // When this per cent was first listed, and when it last was.
+  time_point reached;
+  time_point listed;
+};
+
 struct run_record {
   run_number run;
   resource_amount need;
@@ -42,13 +50,14 @@
   bool carried = false;
   bool stop_wanted = false;
   bool stop_in_flight = false;
-  std::optional<int> percent;
+  std::optional<run_progress> progress;
 
   // Not known to have begun.
   bool IsUnclear() const {
     return phase == run_phase::kStarting || phase == run_phase::kUnproven;
   }
   void NoteListed(const listed_run& listed, time_point now);
+  void NoteProgress(int percent, time_point now);
 };
 
 // A run that is over, and how that is told.
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -135,9 +135,10 @@
          clock_.now() >= life_->refused_until && !life_->runs.HasFound();
 }
 
-std::optional<int> upstream_session::Progress(const task_name& task) const {
+std::optional<run_progress> upstream_session::Progress(
+    const task_name& task) const {
   const run_record* found = life_->runs.Find(task);
-  return found ? found->percent : std::nullopt;
+  return found ? found->progress : std::nullopt;
 }
 
 void upstream_session::Start(const task_name& task,
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -122,8 +122,10 @@
   bool UnansweredSince(time_point since) const {
     return life_->last_unanswered && *life_->last_unanswered >= since;
   }
-  // How far a run has come, in per cent, as last listed.
-  std::optional<int> Progress(const task_name& task) const;
+  // Nothing if it was not listed yet, or without its progress.
+  std::optional<run_progress> Progress(const task_name& task) const;
+  // Asks for the lists at once.
+  void Look() { SendLook(); }
 
  private:
   void TakeRegisteredBirth();
