--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -22,6 +22,7 @@
 #include "policy/spill_slots.h"
 #include "policy/team_quotas.h"
 #include "policy/upstream_health.h"
+#include "policy/upstream_speeds.h"
 #include "policy/upstream_table.h"
 
 #endif  // SRC_POLICY_POLICY_H_
