Place tasks by the speed of upstreams

Cause: placement was best fit by room, so long tasks landed on upstreams on which they end after their objective, and short ones kept the fast ones busy.

home_speeds keeps the learnt speeds beside the home's term and tells them to the instances of its failure domain (speed_news), so that a successor begins with them. A task goes to the slowest class of speed that is in time while room is scarce, to the fastest with room to spare else; one that is late anyway takes the slowest; one that only a busy faster upstream can save waits while it can. Estimates of waits count cores times speed.

A fault that the test of a lost home found on the way: at its first run a successor aged all that it had been told, as if it had been idle since ever.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -186,6 +186,28 @@
   home_->SetUpstreams(upstreams_, false);
 }
 
+void run_cluster::TellSpeeds() {
+  if (!home_->serving())
+    return;
+  speed_news news = home_->speeds().TakeNews(clock_.now());
+  if (news.speeds.empty())
+    return;
+  for (const instance_id& peer : peers_.peers_up()) {
+    if (IsOfOwnDomain(peer))
+      peers_.Send(peer, news);
+  }
+}
+
+// Late news of a home that has been replaced may contradict its successor's.
+void run_cluster::TakeSpeedNews(const instance_id& from,
+                                const speed_news& news) {
+  const known_home* home = homes_.Find({self_.domain, 0});
+  bool replaced = home && home->instance != from;
+  if (replaced || home_->serving() || !IsOfOwnDomain(from))
+    return;
+  home_->speeds().Take(news, upstreams_, clock_.now());
+}
+
 bool run_cluster::IsOfOwnDomain(const instance_id& peer) const {
   auto identity = peers_.Identity(peer);
   return identity && identity->failure_domain == self_.domain;
@@ -266,8 +288,10 @@
   Send(peer.instance, OwnStatus());
   if (home_->serving()) {
     Send(peer.instance, home_->Status());
-    if (peer.failure_domain == self_.domain)
+    if (peer.failure_domain == self_.domain) {
       Send(peer.instance, FullNews(upstreams_));
+      Send(peer.instance, home_->speeds().All());
+    }
   }
   desk_->OnPeerUp(peer.instance);
 }
@@ -316,6 +340,7 @@
                  [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
                  [&](const drained_domains& m) { TakeDrainedDomains(from, m); },
                  [&](const crash_news& m) { home_->TakeCrashNews(m); },
+                 [&](const speed_news& m) { TakeSpeedNews(from, m); },
                  [&](const peer_status& m) { TakeStatus(from, m); },
                  [&](const document_request&) { SendConfig(from); },
                  [&](const peer_document& m) { OnConfigDocument(m.json); },
@@ -371,6 +396,7 @@
 
 void run_cluster::Heartbeat() {
   SendToAll(OwnStatus());
+  TellSpeeds();
   if (addresses_.ForgetLeft())
     peers_.SetWanted(addresses_.Wanted());
   duration by_peers =
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -83,6 +83,9 @@
   void TakeDrainedDomains(const instance_id& from,
                           const drained_domains& drained);
   void TakeUpstreamNews(const instance_id& from, upstream_news news);
+  // What the home has learnt since the last time, to its possible successors.
+  void TellSpeeds();
+  void TakeSpeedNews(const instance_id& from, const speed_news& news);
   void OnHomeBegins(fencing_token token);
   void OnHomeEnds();
   peer_status OwnStatus() const;
--- a/src/policy/upstream_speeds.cc
+++ b/src/policy/upstream_speeds.cc
@@ -101,7 +101,10 @@
   if (passed < kRefreshInterval)
     return;
   refreshed_ = now;
-  double kept = std::exp(-ToSeconds(passed) / ToSeconds(kForgetTime));
+  // While nothing ran anywhere, as before this instance was home, nothing ages.
+  bool all_idle = passed > kIdleTime;
+  double kept =
+      all_idle ? 1 : std::exp(-ToSeconds(passed) / ToSeconds(kForgetTime));
   double sum = 0;
   double runs = 0;
   kinds_.clear();
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -262,6 +262,9 @@
   void operator()(const crash_news& news) const {
     frame.__set_crashes(ToWire(news));
   }
+  void operator()(const speed_news& news) const {
+    frame.__set_speeds(ToWire(news));
+  }
 };
 
 // Messages from the wire.
@@ -424,6 +427,8 @@
     return peer_frame(peer_message(FromWire(wire.drained)));
   if (set.crashes)
     return peer_frame(peer_message(FromWire(wire.crashes)));
+  if (set.speeds)
+    return peer_frame(peer_message(FromWire(wire.speeds)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -1,6 +1,7 @@
 #include "protocol/run_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <peer_types.h>
@@ -9,6 +10,9 @@
 
 namespace {
 
+// In one, on the wire.
+constexpr double kThousandths = 1000;
+
 int32_t ToInt32(int64_t value) {
   return static_cast<int32_t>(
       std::clamp<int64_t>(value, 0, std::numeric_limits<int32_t>::max()));
@@ -355,4 +359,29 @@
   return news;
 }
 
+wire::speed_news ToWire(const speed_news& news) {
+  wire::speed_news wire;
+  for (const upstream_speed& each : news.speeds) {
+    wire::upstream_speed speed;
+    speed.id = each.id.str();
+    speed.thousandths = ToInt32(std::lround(each.speed * kThousandths));
+    if (each.birth.value() != 0)
+      speed.__set_birth(static_cast<int64_t>(each.birth.value()));
+    wire.speeds.push_back(speed);
+  }
+  return wire;
+}
+
+speed_news FromWire(const wire::speed_news& wire) {
+  speed_news news;
+  for (const wire::upstream_speed& each : wire.speeds) {
+    if (each.thousandths <= 0)
+      continue;
+    news.speeds.push_back({upstream_id(each.id),
+                           upstream_birth(static_cast<uint64_t>(each.birth)),
+                           each.thousandths / kThousandths});
+  }
+  return news;
+}
+
 }  // namespace jasminedyke
--- a/src/protocol/run_codec.h
+++ b/src/protocol/run_codec.h
@@ -15,6 +15,7 @@
 class delegated_start_result;
 class drained_domains;
 class crash_news;
+class speed_news;
 }  // namespace jasminedyke::wire
 
 namespace jasminedyke {
@@ -28,6 +29,7 @@
 wire::delegated_start_result ToWire(const delegated_start_result& result);
 wire::drained_domains ToWire(const drained_domains& drained);
 wire::crash_news ToWire(const crash_news& news);
+wire::speed_news ToWire(const speed_news& news);
 
 // Numbers that make no sense come out as the field's default.
 run_request FromWire(const wire::run_request& wire);
@@ -40,6 +42,7 @@
 delegated_start_result FromWire(const wire::delegated_start_result& wire);
 drained_domains FromWire(const wire::drained_domains& wire);
 crash_news FromWire(const wire::crash_news& wire);
+speed_news FromWire(const wire::speed_news& wire);
 
 }  // namespace jasminedyke
 
--- /dev/null
+++ b/src/runs/home_speeds.cc
@@ -0,0 +1,157 @@
+#include "runs/home_speeds.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr duration kUpdateInterval = std::chrono::milliseconds(100);
+// Smaller changes are not told.
+constexpr double kNoticeable = 1.1;
+// Beyond these an upstream counts as slow or fast in logs.
+constexpr double kSlow = 0.75;
+constexpr double kFast = 1.33;
+// Of one call; the others are logged when they are told.
+constexpr int kMostLogLines = 5;
+
+// Labels name what an upstream's machine is like; the rack says nothing of it.
+std::string KindOf(const upstream_info& info) {
+  std::string kind = info.service.str();
+  for (const std::string& label : info.labels) {
+    if (label != info.rack.str())
+      kind += "," + label;
+  }
+  return kind;
+}
+
+const char* ClassOf(double speed) {
+  if (speed < kSlow)
+    return "slow";
+  return speed > kFast ? "fast" : "usual";
+}
+
+bool Differ(double a, double b) {
+  return std::max(a, b) > std::min(a, b) * kNoticeable;
+}
+
+}  // namespace
+
+home_speeds::known_upstream& home_speeds::Find(const upstream_info& info) {
+  auto [found, is_new] = known_.try_emplace(info.id);
+  known_upstream& known = found->second;
+  if (!is_new && known.birth == info.birth)
+    return known;
+  learnt_.Forget(info.id);
+  known = {info.birth, KindOf(info)};
+  Update(info.id, known);
+  known.told = known.speed;
+  return known;
+}
+
+void home_speeds::Update(const upstream_id& id, known_upstream& known) {
+  known.speed = learnt_.Of(id, known.kind);
+  fastest_ = std::max(fastest_, known.speed);
+}
+
+void home_speeds::UpdateAll(time_point now) {
+  if (now - updated_ < kUpdateInterval)
+    return;
+  updated_ = now;
+  fastest_ = 1;
+  for (auto& [id, known] : known_)
+    Update(id, known);
+}
+
+void home_speeds::Note(const upstream_info& info,
+                       duration usual,
+                       duration took,
+                       time_point now) {
+  auto found = known_.find(info.id);
+  // A run that an earlier incarnation had.
+  bool other = found != known_.end() && found->second.birth != info.birth;
+  if (other)
+    return;
+  known_upstream& known = Find(info);
+  learnt_.Note(info.id, known.kind, usual, took, now);
+  Update(info.id, known);
+  UpdateAll(now);
+}
+
+double home_speeds::Of(const upstream_info& info) const {
+  auto found = known_.find(info.id);
+  return found == known_.end() || found->second.birth != info.birth
+             ? learnt_.OfKind(KindOf(info))
+             : found->second.speed;
+}
+
+void home_speeds::Keep(const upstream_registry& registered) {
+  std::erase_if(known_, [&](const auto& entry) {
+    auto found = registered.find(entry.first);
+    bool gone =
+        found == registered.end() || found->second.birth != entry.second.birth;
+    if (gone)
+      learnt_.Forget(entry.first);
+    return gone;
+  });
+  for (const auto& [id, info] : registered)
+    Find(info);
+}
+
+speed_news home_speeds::TakeNews(time_point now) {
+  UpdateAll(now);
+  speed_news news;
+  int lines = 0;
+  for (auto& [id, known] : known_) {
+    if (!Differ(known.speed, known.told))
+      continue;
+    bool other_class = ClassOf(known.speed) != ClassOf(known.told);
+    if (other_class && lines++ < kMostLogLines)
+      LogEvent(log_level::kInfo, "upstream_speed",
+               {{"upstream", id.str()},
+                {"speed", known.speed},
+                {"is", ClassOf(known.speed)},
+                {"was", ClassOf(known.told)}});
+    known.told = known.speed;
+    news.speeds.push_back({id, known.birth, known.speed});
+  }
+  return news;
+}
+
+speed_news home_speeds::All() const {
+  speed_news news;
+  for (const auto& [id, known] : known_) {
+    if (known.speed != 1)
+      news.speeds.push_back({id, known.birth, known.speed});
+  }
+  return news;
+}
+
+void home_speeds::Take(const speed_news& news,
+                       const upstream_registry& registered,
+                       time_point now) {
+  for (const upstream_speed& each : news.speeds) {
+    auto found = registered.find(each.id);
+    if (found == registered.end() || found->second.birth != each.birth)
+      continue;
+    known_upstream& known = Find(found->second);
+    learnt_.Take(each.id, known.kind, each.speed, now);
+    Update(each.id, known);
+    known.told = known.speed;
+  }
+}
+
+std::map<std::string, kind_speed> home_speeds::ByKind() const {
+  std::map<std::string, kind_speed> kinds;
+  for (const auto& [id, known] : known_) {
+    kind_speed& kind = kinds[known.kind];
+    bool first = kind.upstreams++ == 0;
+    kind.mean += (known.speed - kind.mean) / kind.upstreams;
+    kind.slowest = first ? known.speed : std::min(kind.slowest, known.speed);
+    kind.fastest = std::max(kind.fastest, known.speed);
+  }
+  return kinds;
+}
+
+}  // namespace jasminedyke
--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -49,11 +49,19 @@
   double cores = 0;
   for (const auto& [id, session] : sessions_) {
     if (TakesWork(*session))
-      cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000;
+      cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000 *
+               speeds_.Of(session->info());
   }
   return cores;
 }
 
+job_outlook home_upstreams::Outlook(const home_job& job) const {
+  job_outlook outlook = job.Outlook();
+  outlook.longest_task =
+      FromSeconds(ToSeconds(outlook.longest_task) / speeds_.fastest());
+  return outlook;
+}
+
 bool home_upstreams::CouldEverRun(const home_job& job) const {
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
--- a/src/runs/home_upstreams.h
+++ b/src/runs/home_upstreams.h
@@ -9,6 +9,7 @@
 
 #include "base/base.h"
 #include "runs/home_job.h"
+#include "runs/home_speeds.h"
 #include "runs/upstream_registry.h"
 #include "runs/upstream_session.h"
 #include "runs/upstream_standing.h"
@@ -34,8 +35,12 @@
   // Usable and good.
   bool TakesWork(const upstream_session& session) const;
   upstream_standing& Standing(const upstream_id& id) { return standings_[id]; }
-  // Of those that take work.
+  home_speeds& speeds() { return speeds_; }
+  const home_speeds& speeds() const { return speeds_; }
+  // Of those that take work; a fast one counts as more.
   double UsableCores() const;
+  // With the longest task at the best speed that it may get.
+  job_outlook Outlook(const home_job& job) const;
   // Some upstream has the size and labels for each task of the job that is not
   // done, by the most room that it ever said to have: what shrinks grows again.
   bool CouldEverRun(const home_job& job) const;
@@ -43,6 +48,8 @@
  private:
   session_map sessions_;
   std::map<upstream_id, upstream_standing> standings_;
+  // Outlives the home's term.
+  home_speeds speeds_;
 };
 
 }  // namespace jasminedyke
--- a/src/runs/placement.cc
+++ b/src/runs/placement.cc
@@ -1,20 +1,75 @@
 #include "runs/placement.h"
 
-#include <utility>
+#include <cmath>
+#include <tuple>
 
 namespace jasminedyke {
 
+namespace {
+
+// Of the logarithm of the speed.
+constexpr double kClassWidth = 0.2;
+// A class with more of its room free than this has some for whatever may come.
+constexpr double kSpareShare = 0.3;
+
+// Smaller is better.
+struct speed_cost {
+  // 0 while the class has room to spare, 1 if it is in time, 2 if not.
+  int group = 0;
+  int order = 0;
+
+  auto operator<=>(const speed_cost&) const = default;
+};
+
+speed_cost LeastSlackCost(const placement_candidate& candidate,
+                          double least_speed) {
+  int speed_class = candidate.speed_class;
+  if (std::isinf(least_speed))
+    return {1, speed_class};
+  bool in_time = SpeedOf(speed_class) >= least_speed;
+  if (!in_time)
+    return {2, -speed_class};
+  if (candidate.free_share > kSpareShare)
+    return {0, -speed_class};
+  return {1, speed_class};
+}
+
+speed_cost Cost(const placement_candidate& candidate,
+                double least_speed,
+                placement_rule rule) {
+  switch (rule) {
+    case placement_rule::kBestFit:
+      return {};
+    case placement_rule::kFastest:
+      return {0, -candidate.speed_class};
+    case placement_rule::kLeastSlack:
+      return LeastSlackCost(candidate, least_speed);
+  }
+  return {};
+}
+
+}  // namespace
+
+int SpeedClass(double speed) {
+  return static_cast<int>(std::lround(std::log(speed) / kClassWidth));
+}
+
+double SpeedOf(int speed_class) {
+  return std::exp(speed_class * kClassWidth);
+}
+
 std::optional<size_t> ChooseUpstream(
     const std::vector<placement_candidate>& candidates,
-    const resource_amount& need) {
+    const placement_need& need,
+    placement_rule rule) {
   std::optional<size_t> best;
-  std::pair<double, int64_t> best_cost;
+  std::tuple<double, speed_cost, int64_t> best_cost;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const placement_candidate& candidate = candidates[i];
-    if (!need.Fits(candidate.room))
+    if (!need.room.Fits(candidate.room))
       continue;
-    std::pair<double, int64_t> cost{
-        candidate.slowness, candidate.room.cpu_millis - need.cpu_millis};
+    std::tuple cost{candidate.slowness, Cost(candidate, need.least_speed, rule),
+                    candidate.room.cpu_millis - need.room.cpu_millis};
     if (best && cost >= best_cost)
       continue;
     best = i;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -46,7 +46,7 @@
       settings_(own),
       on_fenced_(std::move(on_fenced)),
       gate_(own.finish_time),
-      placer_(clock, upstreams_),
+      placer_(clock, upstreams_, own.placement),
       reports_(clock, jobs_, std::move(send)),
       dispatch_timer_(clock),
       sweep_timer_(clock) {}
@@ -84,6 +84,7 @@
 void run_home::SetUpstreams(const upstream_registry& upstreams,
                             bool confirmed) {
   registry_ = upstreams;
+  upstreams_.speeds().Keep(upstreams);
   if (!serving_)
     return;
   // Registrations that lapsed during an outage are missing at first; only who
@@ -313,6 +314,8 @@
     return;
   NoteLatency(metrics_.run_time, job.request.queue, took, now);
   standing.OnDone(now, job.Expected(task), took);
+  if (upstream_session* session = upstreams_.Find(task.upstream))
+    upstreams_.speeds().Note(session->info(), task.demand.estimate, took, now);
   double pace = ToSeconds(took) / ToSeconds(task.demand.estimate);
   // The fastest: others may have run on slow upstreams.
   job.pace = job.pace == 0 ? pace : std::min(job.pace, pace);
@@ -556,7 +559,7 @@
     double work = job.cancelled ? 0 : job.WaitingWork();
     if (work <= 0)
       continue;
-    job_outlook outlook = job.Outlook();
+    job_outlook outlook = upstreams_.Outlook(job);
     waiting.push_back({RankJob(outlook, clock_.now()), outlook, work, &job});
   }
   std::ranges::sort(waiting, {}, &waiting_job::rank);
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -63,6 +63,7 @@
     double link_bytes_per_second = 0;
     // Of jobs that have begun when operators drain the failure domain.
     duration finish_time = duration::zero();
+    placement_rule placement = placement_rule::kLeastSlack;
   };
 
   run_home(scheduler& clock,
@@ -103,6 +104,8 @@
     return reports_.refused();
   }
   size_t jobs() const { return jobs_.size(); }
+  home_speeds& speeds() { return upstreams_.speeds(); }
+  const home_speeds& speeds() const { return upstreams_.speeds(); }
 
  private:
   // A found run that no job has claimed.
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -12,6 +12,7 @@
 #include "runs/home_directory.h"
 #include "runs/home_job.h"
 #include "runs/home_reports.h"
+#include "runs/home_speeds.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -1,9 +1,7 @@
 #include "runs/task_placer.h"
 
 #include <algorithm>
-#include <map>
-
-#include "runs/placement.h"
+#include <limits>
 
 namespace jasminedyke {
 
@@ -11,6 +9,8 @@
 
 // Of a task away from the rack of its data: the platform's bound is 2 to 3.
 constexpr double kOffRackSlowdown = 3;
+// Tasks of a job differ, and the word of the last one takes its way.
+constexpr double kMargin = 1.1;
 // A trial is made only where no good upstream has room.
 constexpr double kTrialCost = 10;
 
@@ -40,12 +40,22 @@
 
 void task_placer::Refresh() {
   open_.clear();
+  classes_.clear();
   largest_cpu_ = 0;
   for (const auto& [id, session] : upstreams_.sessions()) {
+    if (!session->usable())
+      continue;
     resource_amount room = session->room();
-    if (room.cpu_millis <= 0 || !session->usable())
+    bool good = upstreams_.IsGood(id);
+    int speed_class = SpeedClass(upstreams_.speeds().Of(session->info()));
+    if (good) {
+      class_room& all = classes_[speed_class];
+      all.free_cpu_millis += std::max<int64_t>(room.cpu_millis, 0);
+      all.total_cpu_millis += session->info().capacity.cpu_millis;
+    }
+    if (room.cpu_millis <= 0)
       continue;
-    open_.push_back({session.get(), room, upstreams_.IsGood(id)});
+    open_.push_back({session.get(), room, good, speed_class});
     largest_cpu_ = std::max(largest_cpu_, room.cpu_millis);
   }
 }
@@ -84,6 +94,50 @@
   return now + away <= job.objective || now + near > job.objective;
 }
 
+double task_placer::class_room::free_share() const {
+  return total_cpu_millis == 0 ? 0
+                               : static_cast<double>(free_cpu_millis) /
+                                     static_cast<double>(total_cpu_millis);
+}
+
+double task_placer::LeastSpeed(const home_job& job,
+                               const home_task& task) const {
+  constexpr double kNone = std::numeric_limits<double>::infinity();
+  time_point end = job.objective;
+  // A task that runs already may end later; the others need not be faster.
+  for (const auto& [position, other] : job.tasks) {
+    if (other.phase != task_phase::kOrdered || other.adopted)
+      continue;
+    const upstream_session* session = upstreams_.Find(other.upstream);
+    if (session)
+      end = std::max(end,
+                     other.ordered_at +
+                         FromSeconds(ToSeconds(job.Expected(other)) /
+                                     upstreams_.speeds().Of(session->info())));
+  }
+  duration left = end - clock_.now();
+  if (left <= duration::zero() || classes_.empty())
+    return kNone;
+  double least = ToSeconds(job.Expected(task)) * kMargin / ToSeconds(left);
+  return least > SpeedOf(classes_.rbegin()->first) ? kNone : least;
+}
+
+// Only where any upstream will do: a faster one may lack the label.
+bool task_placer::WaitsForFaster(const home_task& task,
+                                 const placement_candidate& chosen,
+                                 double least_speed) const {
+  return rule_ == placement_rule::kLeastSlack &&
+         least_speed < std::numeric_limits<double>::infinity() &&
+         SpeedOf(chosen.speed_class) < least_speed &&
+         task.demand.rack.empty() && task.demand.required_label.empty();
+}
+
+void task_placer::Take(open_upstream& open, const resource_amount& need) {
+  open.room -= need;
+  if (open.good)
+    classes_[open.speed_class].free_cpu_millis -= need.cpu_millis;
+}
+
 upstream_session* task_placer::Place(const home_job& job,
                                      const home_task& task) {
   if (task.demand.need.cpu_millis > largest_cpu_)
@@ -99,15 +153,18 @@
     double slowness = SlownessOn(session, task);
     if ((slowness > 1 && !pays_off_rack) || !MayTry(open))
       continue;
-    candidates.push_back({open.room, open.good ? slowness : kTrialCost});
+    candidates.push_back({open.room, open.good ? slowness : kTrialCost,
+                          open.speed_class,
+                          classes_[open.speed_class].free_share()});
     opens.push_back(&open);
   }
-  auto chosen = ChooseUpstream(candidates, task.demand.need);
-  if (!chosen)
+  double least_speed = LeastSpeed(job, task);
+  auto chosen =
+      ChooseUpstream(candidates, {task.demand.need, least_speed}, rule_);
+  if (!chosen || WaitsForFaster(task, candidates[*chosen], least_speed))
     return nullptr;
-  open_upstream& open = *opens[*chosen];
-  open.room -= task.demand.need;
-  return open.session;
+  Take(*opens[*chosen], task.demand.need);
+  return opens[*chosen]->session;
 }
 
 upstream_session* task_placer::PlaceAlone(const home_job& job,
@@ -118,7 +175,7 @@
   });
   if (chosen == open_.end())
     return nullptr;
-  chosen->room = {};
+  Take(*chosen, chosen->room);
   return chosen->session;
 }
 
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -1,14 +1,21 @@
 // Where a home's waiting tasks find room, during one dispatch.
+//
+// Answers the pattern of tasks of 50 to 800 ms on upstreams of which the
+// slowest make the long ones late: the last task of a job decides when it is
+// answered, so all of them go where the job still ends in time, and one that
+// would not waits for a faster upstream while that can help.
 
 #ifndef SRC_RUNS_TASK_PLACER_H_
 #define SRC_RUNS_TASK_PLACER_H_
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "base/base.h"
 #include "runs/home_job.h"
 #include "runs/home_upstreams.h"
+#include "runs/placement.h"
 
 namespace jasminedyke {
 
@@ -23,8 +30,10 @@
 // at 200 % load, and 1.4 s so (load_day, fakes included).
 class task_placer {
  public:
-  task_placer(scheduler& clock, home_upstreams& upstreams)
-      : clock_(clock), upstreams_(upstreams) {}
+  task_placer(scheduler& clock,
+              home_upstreams& upstreams,
+              placement_rule rule = placement_rule::kLeastSlack)
+      : clock_(clock), upstreams_(upstreams), rule_(rule) {}
 
   // Looks at all upstreams anew.
   void Refresh();
@@ -46,13 +55,30 @@
     resource_amount room;
     // Else it gets a single trial at most.
     bool good = true;
+    int speed_class = 0;
+  };
+  // All good upstreams of one speed class.
+  struct class_room {
+    int64_t free_cpu_millis = 0;
+    int64_t total_cpu_millis = 0;
+
+    double free_share() const;
   };
 
   bool MayTry(const open_upstream& open);
   bool PaysOffRack(const home_job& job, const home_task& task) const;
+  // For the job to end in time; infinite if no upstream is fast enough.
+  double LeastSpeed(const home_job& job, const home_task& task) const;
+  // A faster upstream that is busy now may still make the job's end in time.
+  bool WaitsForFaster(const home_task& task,
+                      const placement_candidate& chosen,
+                      double least_speed) const;
+  void Take(open_upstream& open, const resource_amount& need);
 
   scheduler& clock_;
   home_upstreams& upstreams_;
+  placement_rule rule_;
+  std::map<int, class_room> classes_;
   // By id.
   std::vector<open_upstream> open_;
   // No task that needs more can be placed.
--- a/src/runs/upstream_registry.h
+++ b/src/runs/upstream_registry.h
@@ -24,6 +24,8 @@
   resource_amount capacity;
   // Runs end soon; it must get nothing new.
   bool draining = false;
+  // Of the incarnation that registered.
+  upstream_birth birth;
 
   bool operator==(const upstream_info&) const = default;
 };
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -68,7 +68,8 @@
                            ? plan(order.task)
                            : std::pair<duration, run_end>(
                                  std::chrono::milliseconds(50), run_end::kDone);
-  running[order.task] = {order.run, need, clock_.now() + length, how};
+  time_point ends = clock_.now() + FromSeconds(ToSeconds(length) / speed);
+  running[order.task] = {order.run, need, ends, how};
   ++starts[order.task];
   if (crashes && crashes(order.task)) {
     clock_.CallAfter(kCrashTime, [this] {
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -53,6 +53,8 @@
   upstream_time lease_end;
   std::map<task_name, run_number> refused_up_to;
   resource_amount capacity{32'000, 65'536, 0};
+  // 2 runs a task in half the time.
+  double speed = 1;
   bool guarded = true;
   bool unwell = false;
   bool gone = false;
--- a/tests/fakes/load_day.cc
+++ b/tests/fakes/load_day.cc
@@ -1,6 +1,7 @@
 #include "fakes/load_day.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jasminedyke {
@@ -15,6 +16,13 @@
 constexpr double kLateWorth = 0.2;
 const std::string kCrasher = "crasher";
 constexpr duration kCrasherRunTime = milliseconds(200);
+constexpr double kLongJobs = 0.03;
+constexpr double kLongFactor = 7;
+constexpr double kSiblingsDiffer = 0.15;
+constexpr int64_t kLargeMillis = 48'000;
+constexpr double kUnevenTaskMillis = 16'000;
+// Of all cores; fragments are left where tasks differ in size.
+constexpr double kUsableShare = 0.85;
 // Long enough to take down one upstream after another.
 constexpr duration kCrasherLimit = std::chrono::seconds(20);
 constexpr duration kRebirthTime = std::chrono::seconds(3);
@@ -27,11 +35,19 @@
           {"long", 2, 4, milliseconds(900), 0.044}};
 }
 
+std::vector<load_class> AuctionClasses() {
+  return {{"short", 0, 8, milliseconds(51), 0.25},
+          {"middle", 1, 2, milliseconds(170), 0.69},
+          {"long", 2, 4, milliseconds(760), 0.06}};
+}
+
 load_day::load_day(const std::vector<std::string>& domains,
                    int instances,
                    int upstreams,
-                   uint64_t seed)
+                   uint64_t seed,
+                   const run_home::settings& home)
     : random_(seed) {
+  home_settings = home;
   for (const std::string& domain : domains) {
     for (int i = 0; i < upstreams; ++i) {
       AddUpstream(domain + "-u" + std::to_string(i), domain);
@@ -49,7 +65,13 @@
                                      const std::string& domain) {
   fake_upstream& upstream = fleet.Add(id, domain);
   upstream.plan = [this](const task_name& task) {
-    return std::pair(run_times_.at(task.job.str()), run_end::kDone);
+    double length = ToSeconds(run_times_.at(task.job.str()));
+    if (uneven_ && task.position.index > 0) {
+      auto name = task.job.str() + "/" + std::to_string(task.position.index);
+      length *= 1 - kSiblingsDiffer *
+                        static_cast<double>(StableHash(name) % 1000) / 1000;
+    }
+    return std::pair(FromSeconds(length), run_end::kDone);
   };
   upstream.crashes = [](const task_name& task) {
     return task.job.str().starts_with(kCrasher) && task.position.index == 0;
@@ -58,6 +80,25 @@
   return upstream;
 }
 
+void load_day::MakeUneven(const uneven_load& uneven) {
+  uneven_ = true;
+  classes_ = uneven.classes;
+  places_ = 0;
+  size_t number = 0;
+  for (auto& [id, upstream] : fleet.upstreams) {
+    upstream->speed = uneven.speeds[number % uneven.speeds.size()];
+    // Each speed in both sizes.
+    if (number / uneven.speeds.size() % 2 == 1)
+      upstream->capacity.cpu_millis = kLargeMillis;
+    fleet.registry.at(id).capacity = upstream->capacity;
+    places_ += static_cast<double>(upstream->capacity.cpu_millis) *
+               upstream->speed * kUsableShare / kUnevenTaskMillis;
+    ++number;
+  }
+  for (run_node* node : Live())
+    node->cluster->SetUpstreams(fleet.registry);
+}
+
 void load_day::Rebirth(const std::string& id, const std::string& domain) {
   ++upstreams_lost_;
   clock.CallAfter(kRebirthTime, [this, id, domain] {
@@ -91,7 +132,9 @@
   double work_of_job = 0;
   for (const load_class& each : classes_)
     work_of_job += each.share * each.tasks * ToSeconds(each.run_time);
-  double rate = load * static_cast<double>(places_) / work_of_job;
+  if (uneven_)
+    work_of_job *= 1 + kLongJobs * (kLongFactor - 1);
+  double rate = load * places_ / work_of_job;
   std::exponential_distribution<> gap(rate);
   time_point next_crasher = clock.now();
   duration crasher_gap = length / (2 * std::max(crashers_left_, 1));
@@ -106,6 +149,18 @@
   }
 }
 
+duration load_day::RunTime(const load_class& kind) {
+  double length = ToSeconds(kind.run_time) * Uniform(0.8, 1.2);
+  if (uneven_ && Uniform(0, 1) < kLongJobs)
+    length *= kLongFactor;
+  return FromSeconds(length);
+}
+
+int64_t load_day::TaskMillis() {
+  return uneven_ ? std::llround(kUnevenTaskMillis * Uniform(0.8, 1.2))
+                 : kTaskMillis;
+}
+
 void load_day::Arrive() {
   double at = Uniform(0, 1);
   size_t number = 0;
@@ -113,17 +168,18 @@
     at -= classes_[number++].share;
   const load_class& kind = classes_[number];
   std::string key = "job" + std::to_string(jobs_++);
-  duration run_time = FromSeconds(ToSeconds(kind.run_time) * Uniform(0.8, 1.2));
+  duration run_time = RunTime(kind);
+  int64_t millis = TaskMillis();
   run_times_[key] = run_time;
 
   run_job job;
   job.key = job_key(key);
   job.queue = queue_id(kind.queue);
   job.service = service_id("parts");
-  job.spec = std::to_string(kTaskMillis);
+  job.spec = std::to_string(millis);
   job_step step;
   step.tasks = kind.tasks;
-  step.need = {kTaskMillis, 64, 0};
+  step.need = {millis, 64, 0};
   step.estimate = FromSeconds(ToSeconds(run_time) * Uniform(0.6, 1.4));
   job.steps.push_back(step);
   job.priority = kind.priority;
--- a/tests/fakes/load_day.h
+++ b/tests/fakes/load_day.h
@@ -41,6 +41,18 @@
 // reinsurers.
 std::vector<load_class> DeskClasses();
 
+// Upstreams of several speeds and sizes, tasks of 13 to 19 cores, siblings that
+// differ by 15 %, and 3 % of jobs that take seven times as long.
+struct uneven_load {
+  // Of upstreams in turn.
+  std::vector<double> speeds;
+  std::vector<load_class> classes;
+};
+
+// Short urgent jobs of many tasks, long ones of four, middle ones of two: as at
+// an auction house.
+std::vector<load_class> AuctionClasses();
+
 // Jobs arrive at random over all instances. Run times vary by a fifth between
 // jobs, and callers' guesses are off by up to 40 %.
 class load_day : public run_nodes {
@@ -49,7 +61,11 @@
   load_day(const std::vector<std::string>& domains,
            int instances,
            int upstreams,
-           uint64_t seed);
+           uint64_t seed,
+           const run_home::settings& home = {});
+
+  // Before `Play`.
+  void MakeUneven(const uneven_load& uneven);
 
   // `load` of 1 keeps all places for tasks busy.
   void Play(duration length, double load);
@@ -74,15 +90,20 @@
   fake_upstream& AddUpstream(const std::string& id, const std::string& domain);
   void Rebirth(const std::string& id, const std::string& domain);
   void Arrive();
+  // How long the longest task of a job of that kind takes at the usual speed.
+  duration RunTime(const load_class& kind);
+  int64_t TaskMillis();
   void ArriveCrasher();
   double Uniform(double from, double to);
 
   std::vector<load_class> classes_ = DeskClasses();
+  bool uneven_ = false;
   std::mt19937_64 random_;
   std::map<std::string, duration> run_times_;
   std::map<std::string, load_result> results_;
   std::map<std::string, double> work_;
-  size_t places_ = 0;
+  // For one task each, at the usual speed.
+  double places_ = 0;
   int jobs_ = 0;
   int crashers_left_ = 0;
   int upstreams_lost_ = 0;
