Pass on what would wait for a faster upstream; rank jobs as at the usual speed

A job with places on slow upstreams alone was kept where it had to wait, though another failure domain had places for it. And with the longest task taken at the best speed, jobs that could hardly be in time stood among those that could.

--- a/src/runs/home_speeds.cc
+++ b/src/runs/home_speeds.cc
@@ -52,14 +52,12 @@
 
 void home_speeds::Update(const upstream_id& id, known_upstream& known) {
   known.speed = learnt_.Of(id, known.kind);
-  fastest_ = std::max(fastest_, known.speed);
 }
 
 void home_speeds::UpdateAll(time_point now) {
   if (now - updated_ < kUpdateInterval)
     return;
   updated_ = now;
-  fastest_ = 1;
   for (auto& [id, known] : known_)
     Update(id, known);
 }
--- a/src/runs/home_speeds.h
+++ b/src/runs/home_speeds.h
@@ -48,8 +48,6 @@
             time_point now);
   // 1 is usual.
   double Of(const upstream_info& info) const;
-  // Of all that were seen; 1 or more.
-  double fastest() const { return fastest_; }
 
   // Forgets upstreams that are gone or have another incarnation.
   void Keep(const upstream_registry& registered);
@@ -83,7 +81,6 @@
 
   upstream_speeds learnt_;
   std::map<upstream_id, known_upstream> known_;
-  double fastest_ = 1;
   time_point updated_;
 };
 
--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -55,13 +55,6 @@
   return cores;
 }
 
-job_outlook home_upstreams::Outlook(const home_job& job) const {
-  job_outlook outlook = job.Outlook();
-  outlook.longest_task =
-      FromSeconds(ToSeconds(outlook.longest_task) / speeds_.fastest());
-  return outlook;
-}
-
 bool home_upstreams::CouldEverRun(const home_job& job) const {
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
--- a/src/runs/home_upstreams.h
+++ b/src/runs/home_upstreams.h
@@ -39,8 +39,6 @@
   const home_speeds& speeds() const { return speeds_; }
   // Of those that take work; a fast one counts as more.
   double UsableCores() const;
-  // With the longest task at the best speed that it may get.
-  job_outlook Outlook(const home_job& job) const;
   // Some upstream has the size and labels for each task of the job that is not
   // done, by the most room that it ever said to have: what shrinks grows again.
   bool CouldEverRun(const home_job& job) const;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -559,7 +559,7 @@
     double work = job.cancelled ? 0 : job.WaitingWork();
     if (work <= 0)
       continue;
-    job_outlook outlook = upstreams_.Outlook(job);
+    job_outlook outlook = job.Outlook();
     waiting.push_back({RankJob(outlook, clock_.now()), outlook, work, &job});
   }
   std::ranges::sort(waiting, {}, &waiting_job::rank);
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -66,9 +66,11 @@
     const home_task& task = entry.second;
     if (task.demand.need.cpu_millis > largest_cpu_)
       return false;
+    double least_speed = LeastSpeed(job, task);
     for (const open_upstream& open : open_) {
       if (!open.good || !task.demand.need.Fits(open.room) ||
-          !MayRun(*open.session, job, task))
+          !MayRun(*open.session, job, task) ||
+          WaitsForFaster(task, open.speed_class, least_speed))
         continue;
       resource_amount& used = taken[open.session];
       if (!task.demand.need.Fits(open.room - used))
@@ -124,12 +126,12 @@
 
 // Only where any upstream will do: a faster one may lack the label.
 bool task_placer::WaitsForFaster(const home_task& task,
-                                 const placement_candidate& chosen,
+                                 int speed_class,
                                  double least_speed) const {
   return rule_ == placement_rule::kLeastSlack &&
          least_speed < std::numeric_limits<double>::infinity() &&
-         SpeedOf(chosen.speed_class) < least_speed &&
-         task.demand.rack.empty() && task.demand.required_label.empty();
+         SpeedOf(speed_class) < least_speed && task.demand.rack.empty() &&
+         task.demand.required_label.empty();
 }
 
 void task_placer::Take(open_upstream& open, const resource_amount& need) {
@@ -161,7 +163,8 @@
   double least_speed = LeastSpeed(job, task);
   auto chosen =
       ChooseUpstream(candidates, {task.demand.need, least_speed}, rule_);
-  if (!chosen || WaitsForFaster(task, candidates[*chosen], least_speed))
+  if (!chosen ||
+      WaitsForFaster(task, candidates[*chosen].speed_class, least_speed))
     return nullptr;
   Take(*opens[*chosen], task.demand.need);
   return opens[*chosen]->session;
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -38,7 +38,8 @@
   // Looks at all upstreams anew.
   void Refresh();
 
-  // True if all tasks of the job could be placed at once.
+  // True if all tasks of the job could be placed at once, and none would rather
+  // wait for a faster upstream.
   bool HasPlacesFor(const home_job& job) const;
 
   // The upstream to start the task on, whose room it takes; null if there is
@@ -71,7 +72,7 @@
   double LeastSpeed(const home_job& job, const home_task& task) const;
   // A faster upstream that is busy now may still make the job's end in time.
   bool WaitsForFaster(const home_task& task,
-                      const placement_candidate& chosen,
+                      int speed_class,
                       double least_speed) const;
   void Take(open_upstream& open, const resource_amount& need);
 
