--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -49,7 +49,8 @@
   double cores = 0;
   for (const auto& [id, session] : sessions_) {
     if (TakesWork(*session))
-      cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000;
+      cores += static_cast<double>(session->info().capacity.cpu_millis) / 1000 *
+               speeds_.Of(session->info());
   }
   return cores;
 }
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -41,10 +41,10 @@
       settings_(own),
       on_fenced_(std::move(on_fenced)),
       gate_(own.finish_time),
-      placer_(clock, upstreams_),
+      placer_(clock, upstreams_, own.placement),
       reports_(clock, jobs_, std::move(send)),
       claims_(clock, upstreams_),
-      run_times_(upstreams_, speeds_),
+      run_times_(upstreams_),
       stuck_runs_(clock, upstreams_, run_times_, answer_times_, metrics_.stuck),
       dispatch_timer_(clock),
       sweep_timer_(clock) {}
@@ -82,6 +82,7 @@
 void run_home::SetUpstreams(const upstream_registry& upstreams,
                             bool confirmed) {
   registry_ = upstreams;
+  upstreams_.speeds().Keep(upstreams);
   if (!serving_)
     return;
   // Registrations that lapsed during an outage are missing at first; only who
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -66,6 +66,7 @@
     double link_bytes_per_second = 0;
     // Of jobs that have begun when operators drain the failure domain.
     duration finish_time = duration::zero();
+    placement_rule placement = placement_rule::kLeastSlack;
   };
 
   run_home(scheduler& clock,
@@ -106,6 +107,8 @@
     return reports_.refused();
   }
   size_t jobs() const { return jobs_.size(); }
+  home_speeds& speeds() { return upstreams_.speeds(); }
+  const home_speeds& speeds() const { return upstreams_.speeds(); }
 
  private:
   void OnRunEnded(upstream_session& session,
@@ -202,7 +205,6 @@
   // Of the specifications of all starts, whoever sends them.
   byte_rate spec_rate_;
   answer_times answer_times_;
-  upstream_speeds speeds_;
   run_times run_times_;
   stuck_runs stuck_runs_;
   bool owners_start_ = false;
--- a/src/runs/run_times.cc
+++ b/src/runs/run_times.cc
@@ -1,6 +1,7 @@
 #include "runs/run_times.h"
 
 #include <algorithm>
+#include <string>
 
 namespace jasminedyke {
 
@@ -27,13 +28,6 @@
 
 }  // namespace
 
-std::string KindOf(const upstream_info& info) {
-  std::string kind;
-  for (const std::string& label : info.labels)
-    kind += label + '\n';
-  return kind;
-}
-
 run_expectation run_times::Expect(const home_job& job,
                                   const home_task& task) const {
   return model_.Expect(job.request.queue, task.demand.estimate, job.pace);
@@ -46,9 +40,9 @@
   if (!session)
     return expected;
   const upstream_info& where = session->info();
-  std::string kind = KindOf(where);
-  double speed = std::max(speeds_.Of(where.id, kind),
-                          speeds_.OfKind(kind) * kLeastSpeedOfKind);
+  const home_speeds& speeds = upstreams_.speeds();
+  double speed =
+      std::max(speeds.Of(where), speeds.OfKind(where) * kLeastSpeedOfKind);
   double slowdown = (IsOffRack(task, where) ? kOffRackSlowdown : 1) / speed;
   return {Times(expected.usual, slowdown), Times(expected.longest, slowdown)};
 }
@@ -60,7 +54,7 @@
   duration usual = Expect(job, task).usual;
   if (usual <= duration::zero())
     return 1;
-  double there = ToSeconds(usual) / speeds_.OfKind(KindOf(where));
+  double there = ToSeconds(usual) / upstreams_.speeds().OfKind(where);
   if (IsOffRack(task, where))
     there *= kOffRackSlowdown;
   return ToSeconds(took) - there > ToSeconds(kSlowAtLeast)
@@ -70,7 +64,8 @@
 
 // While most upstreams of a kind are slow none stands out, and taking all of
 // them out of use would leave no room at all.
-bool run_times::KindIsSlow(const std::string& kind) const {
+bool run_times::KindIsSlow(const upstream_info& like) const {
+  std::string kind = KindOf(like);
   int all = 0;
   int doubted = 0;
   for (const auto& [id, session] : upstreams_.sessions()) {
@@ -90,7 +85,7 @@
   double slowness = Slowness(job, task, where, took);
   if (slowness < kSlow)
     return true;
-  if (KindIsSlow(KindOf(where)))
+  if (KindIsSlow(where))
     return false;
   // Tasks of one job may all be long, unless others of it were not.
   task_name shown_by{job.key, 0, {}};
@@ -123,11 +118,10 @@
     standing.OnDone();
   if (IsOffRack(task, where))
     return;
-  std::string kind = KindOf(where);
   const queue_id& queue = job.request.queue;
   duration usual = Expect(job, task).usual;
-  duration at_usual_speed = Times(took, speeds_.Of(where.id, kind));
-  speeds_.Note(where.id, kind, usual, took, now);
+  duration at_usual_speed = Times(took, upstreams_.speeds().Of(where));
+  upstreams_.speeds().Note(where, usual, took, now);
   // What a bad upstream does to its runs says nothing about the tasks.
   if (!standing.good())
     return;
--- a/src/runs/run_times.h
+++ b/src/runs/run_times.h
@@ -4,19 +4,13 @@
 #ifndef SRC_RUNS_RUN_TIMES_H_
 #define SRC_RUNS_RUN_TIMES_H_
 
-#include <string>
-
 #include "base/base.h"
 #include "policy/run_time_model.h"
-#include "policy/upstream_speeds.h"
 #include "runs/home_job.h"
 #include "runs/home_upstreams.h"
 
 namespace jasminedyke {
 
-// Upstreams with the same labels are of one kind.
-std::string KindOf(const upstream_info& info);
-
 // A run's time is its task's length over its upstream's speed. Only the time is
 // seen. A job's pace comes from its tasks that are done, each normalised by the
 // speed of the upstream that it ran on; an upstream's speed from runs of jobs
@@ -24,8 +18,7 @@
 // long job an upstream slow.
 class run_times {
  public:
-  run_times(home_upstreams& upstreams, upstream_speeds& speeds)
-      : upstreams_(upstreams), speeds_(speeds) {}
+  explicit run_times(home_upstreams& upstreams) : upstreams_(upstreams) {}
 
   // `task` of `job` ended done, `took` after its order.
   void OnDone(home_job& job,
@@ -55,10 +48,9 @@
              const upstream_info& where,
              duration took,
              time_point now);
-  bool KindIsSlow(const std::string& kind) const;
+  bool KindIsSlow(const upstream_info& like) const;
 
   home_upstreams& upstreams_;
-  upstream_speeds& speeds_;
   run_time_model model_;
 };
 
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -60,6 +60,8 @@
   upstream_time lease_end;
   std::map<task_name, run_number> refused_up_to;
   resource_amount capacity{32'000, 65'536, 0};
+  // 2 runs a task in half the time.
+  double speed = 1;
   bool guarded = true;
   bool unwell = false;
   bool gone = false;
@@ -69,12 +71,10 @@
   // and what then happens besides.
   std::function<bool(const task_name&)> crashes;
   std::function<void()> on_crash;
-  // Of runs that start from then on; 2 halves what `plan` says.
-  double speed = 1;
   bool lists_progress = false;
   // Of each task: it never advances, though it may be stopped.
   std::function<bool(const task_name&)> hangs;
-  // Of each task: how long it runs at speed 1 and how it ends.
+  // Of each task: how long it runs at the usual speed and how it ends.
   std::function<std::pair<duration, run_end>(const task_name&)> plan;
   // For tests of what ran at all.
   std::map<task_name, int> starts;
