--- a/src/runs/placement.cc
+++ b/src/runs/placement.cc
@@ -11,10 +11,13 @@
 constexpr double kClassWidth = 0.2;
 // A class with more of its room free than this has some for whatever may come.
 constexpr double kSpareShare = 0.3;
+// Most of it idles, so that it costs nobody a place to run what is late.
+constexpr double kIdleShare = 0.5;
 
 // Smaller is better.
 struct speed_cost {
-  // 0 while the class has room to spare, 1 if it is in time, 2 if not.
+  // 0 while the class has room to spare, 1 if it is in time or nothing is, 2 if
+  // others are.
   int group = 0;
   int order = 0;
 
@@ -25,7 +28,8 @@
                           double least_speed) {
   int speed_class = candidate.speed_class;
   if (std::isinf(least_speed))
-    return {1, speed_class};
+    return candidate.free_share > kIdleShare ? speed_cost{0, -speed_class}
+                                             : speed_cost{1, speed_class};
   bool in_time = SpeedOf(speed_class) >= least_speed;
   if (!in_time)
     return {2, -speed_class};
