--- a/src/runs/run_types.cc
+++ b/src/runs/run_types.cc
@@ -1,7 +1,15 @@
 #include "runs/run_types.h"
 
+#include <algorithm>
+
 namespace jasminedyke {
 
+resource_amount MaximumOf(const resource_amount& a, const resource_amount& b) {
+  return {std::max(a.cpu_millis, b.cpu_millis),
+          std::max(a.memory_mb, b.memory_mb),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 const char* ToString(run_end end) {
   switch (end) {
     case run_end::kDone:
--- a/src/runs/run_types.h
+++ b/src/runs/run_types.h
@@ -69,6 +69,9 @@
   auto operator<=>(const resource_amount&) const = default;
 };
 
+// Of each kind.
+resource_amount MaximumOf(const resource_amount& a, const resource_amount& b);
+
 // One task within its job.
 struct task_position {
   uint32_t step = 0;
--- a/src/runs/upstream_life.cc
+++ b/src/runs/upstream_life.cc
@@ -15,6 +15,13 @@
 // upstream may have another clock, on which the order's time limit lies far
 // ahead.
 constexpr duration kLongestOnTheWay = std::chrono::seconds(15);
+// Holds go on prolonging for so long after the last answer. Without an answer
+// they may still arrive, and every lease that may have arrived puts off the
+// proof that nothing runs there any more.
+constexpr duration kProlongUnanswered = std::chrono::milliseconds(600);
+// After an upstream has refused work as unwell: at first, and at most.
+constexpr duration kFirstRefusalPause = std::chrono::milliseconds(200);
+constexpr duration kLongestRefusalPause = std::chrono::seconds(4);
 
 }  // namespace
 
@@ -71,6 +78,17 @@
             {"told", told.value()}});
 }
 
+// One that does not take orders must not be offered each task in turn.
+void upstream_life::Suspect() {
+  refusal_pause =
+      std::clamp(refusal_pause * 2, kFirstRefusalPause, kLongestRefusalPause);
+  refused_until = scheduler_.now() + refusal_pause;
+}
+
+bool upstream_life::Answers() const {
+  return clock.HeardSince(scheduler_.now() - kProlongUnanswered);
+}
+
 bool upstream_life::LosesAnswers() const {
   return last_unanswered && scheduler_.now() - *last_unanswered < kLossMemory;
 }
@@ -111,9 +129,8 @@
          (reply.clock == newest_ends && last_end < acknowledged);
 }
 
-std::vector<listed_run> upstream_life::TakeRunning(
-    const hold_reply& reply,
-    const lease_limits& bounds) {
+std::vector<listed_run> upstream_life::TakeRunning(const hold_reply& reply,
+                                                   const lease_limits& bounds) {
   std::vector<listed_run> strangers;
   for (const listed_run& listed : reply.running) {
     run_record* known = runs.Find(listed.task);
--- a/src/runs/upstream_life.h
+++ b/src/runs/upstream_life.h
@@ -65,6 +65,10 @@
                 const char* event,
                 upstream_birth told) const;
 
+  // It gets nothing new for a while.
+  void Suspect();
+  // It did lately.
+  bool Answers() const;
   // Some of its answers got lost lately.
   bool LosesAnswers() const;
   bool LeaseIsOver() const;
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -19,10 +19,6 @@
 constexpr duration kIdlePause = std::chrono::milliseconds(1000);
 // A lease is prolonged when it has so long to go and no hold is due before.
 constexpr duration kLeaseMargin = std::chrono::milliseconds(250);
-// Holds go on prolonging for so long after the last answer. Without an answer
-// they may still arrive, and every lease that may have arrived puts off the
-// proof that nothing runs there any more.
-constexpr duration kProlongUnanswered = std::chrono::milliseconds(600);
 // An order that takes longer on its way is refused as late. Long enough that
 // most tasks end under the lease which their start brings.
 constexpr duration kStartLimit = std::chrono::milliseconds(500);
@@ -36,9 +32,6 @@
 // After a failed hold. The first repetition must come well within the lease.
 constexpr duration kHoldRetry = std::chrono::milliseconds(60);
 constexpr duration kLongestHoldRetry = std::chrono::milliseconds(1000);
-// After an upstream has refused work as unwell: at first, and at most.
-constexpr duration kFirstRefusalPause = std::chrono::milliseconds(200);
-constexpr duration kLongestRefusalPause = std::chrono::seconds(4);
 // An upstream that never answered us may still be prolonged by an earlier
 // owner that can reach it. That one learns of its successor from the store's
 // row within its renewal interval; then its lease runs out.
@@ -81,12 +74,7 @@
   info_ = info;
   if (is_told)
     TakeRegisteredBirth();
-  largest_capacity_.cpu_millis =
-      std::max(largest_capacity_.cpu_millis, info.capacity.cpu_millis);
-  largest_capacity_.memory_mb =
-      std::max(largest_capacity_.memory_mb, info.capacity.memory_mb);
-  largest_capacity_.accelerators =
-      std::max(largest_capacity_.accelerators, info.capacity.accelerators);
+  largest_capacity_ = MaximumOf(largest_capacity_, info.capacity);
 }
 
 void upstream_session::TakeRegisteredBirth() {
@@ -207,7 +195,7 @@
       SendLook();
       return;
     case start_result::kNotSent:
-      Suspect();
+      life_->Suspect();
       break;
     case start_result::kFenced:
       owner_.OnFenced(*this);
@@ -217,7 +205,7 @@
       EndAll(run_end::kLapsed);
       return;
     case start_result::kUnwell:
-      Suspect();
+      life_->Suspect();
       break;
     case start_result::kNoRoom:
       // Something occupies room that we don't know of yet; the next hold
@@ -241,13 +229,6 @@
     SendLook();
 }
 
-// One that does not take orders must not be offered each task in turn.
-void upstream_session::Suspect() {
-  life_->refusal_pause = std::clamp(life_->refusal_pause * 2,
-                                    kFirstRefusalPause, kLongestRefusalPause);
-  life_->refused_until = clock_.now() + life_->refusal_pause;
-}
-
 void upstream_session::Stop(const task_name& task) {
   run_record* found = life_->runs.Find(task);
   if (!found)
@@ -329,10 +310,6 @@
     owner_.OnRoom(*this);
 }
 
-bool upstream_session::Answers() const {
-  return life_->clock.HeardSince(clock_.now() - kProlongUnanswered);
-}
-
 // While runs of an earlier owner are unclaimed, theirs must be allowed to
 // lapse: their job may have been sent again and be running elsewhere.
 hold_order upstream_session::MakeHold() {
@@ -342,7 +319,7 @@
   order.acknowledged = life_->MayBeOver() ? 0 : life_->acknowledged;
   order.patience = times_.Patience(kAnswerPatience);
   if (life_->settled && life_->clock.known() && !life_->runs.HasFound() &&
-      !life_->runs.empty() && (Answers() || life_->failed_holds == 0)) {
+      !life_->runs.empty() && (life_->Answers() || life_->failed_holds == 0)) {
     order.lease_until = life_->clock.Latest();
     order.lease_until->ms += WholeMilliseconds(limits_.longest_lease);
     NoteLease(*order.lease_until);
@@ -411,24 +388,29 @@
       });
 }
 
+// One of a later incarnation is taken here, and no reference to what was kept
+// of the present one holds afterwards.
+answer_of upstream_session::WhoseAnswer(time_point sent,
+                                        const hold_reply& reply) {
+  answer_of whose = life_->WhoAnswers(info_.id, sent, reply);
+  if (whose == answer_of::kNext) {
+    BeginLife(*reply.birth);
+    OnHeld(life_->hold, sent, reply);
+  }
+  return whose;
+}
+
 void upstream_session::OnLooked(time_point sent, const hold_reply& reply) {
   if (reply.result != call_result::kOk) {
     OnLookFailed(sent);
     return;
   }
   times_.Note(clock_.now() - sent);
-  switch (life_->WhoAnswers(info_.id, sent, reply)) {
-    case answer_of::kPresent:
-      TakeHold(sent, reply);
-      return;
-    case answer_of::kNext:
-      BeginLife(*reply.birth);
-      OnHeld(life_->hold, sent, reply);
-      return;
-    case answer_of::kNobody:
-      OnLookFailed(sent);
-      return;
-  }
+  answer_of whose = WhoseAnswer(sent, reply);
+  if (whose == answer_of::kPresent)
+    TakeHold(sent, reply);
+  else if (whose == answer_of::kNobody)
+    OnLookFailed(sent);
 }
 
 // The hold that waits may show it only seconds later.
@@ -461,18 +443,11 @@
 void upstream_session::OnAnswered(waiting_hold& hold,
                                   time_point sent,
                                   const hold_reply& reply) {
-  switch (life_->WhoAnswers(info_.id, sent, reply)) {
-    case answer_of::kPresent:
-      OnHeld(hold, sent, reply);
-      return;
-    case answer_of::kNext:
-      BeginLife(*reply.birth);
-      OnHeld(life_->hold, sent, reply);
-      return;
-    case answer_of::kNobody:
-      OnHoldFailed(hold, sent, call_result::kUnknown);
-      return;
-  }
+  answer_of whose = WhoseAnswer(sent, reply);
+  if (whose == answer_of::kPresent)
+    OnHeld(hold, sent, reply);
+  else if (whose == answer_of::kNobody)
+    OnHoldFailed(hold, sent, call_result::kUnknown);
 }
 
 void upstream_session::OnHeld(waiting_hold& hold,
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -37,7 +37,8 @@
 //
 // A start that stays unanswered is looked for after a moment; one that is not
 // there is stopped, since a stopped run number can never begin. That proves
-// within some 10 ms what the order's own time limit would prove after 500.
+// within a few answers' time what the order's own time limit would prove much
+// later.
 class upstream_session {
  public:
   using limits = lease_limits;
@@ -130,11 +131,10 @@
   void SendLook();
   // Also notes the lease that the order brings.
   hold_order MakeHold();
-  bool Answers() const;
+  answer_of WhoseAnswer(time_point sent, const hold_reply& reply);
   void OnLooked(time_point sent, const hold_reply& reply);
   void OnLookFailed(time_point sent);
   duration RetryPause() const;
-  void Suspect();
   void NextHold(waiting_hold& hold, bool any_end);
   void SendSpareHold();
   void WatchLease();
