--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -538,6 +538,7 @@
 void upstream_session::EndAll(run_end how) {
   std::vector<run_over> ended = life_->TakeAllOver(clock_.now());
   std::vector<task_name> ran;
+  ran.reserve(ended.size());
   for (const run_over& over : ended)
     ran.push_back(over.task);
   if (life_->gone)
