Tests of claims that fail without the guards they check

Found by leaving each guard out in turn: nothing failed without the check that a task is not started beside an unclaimed run, nor without stopping at once what its job has no use for.

--- a/tests/run_claims/run_claims_test.cc
+++ b/tests/run_claims/run_claims_test.cc
@@ -71,6 +71,13 @@
     home.OnRequest(kOwner, request);
   }
 
+  int Starts() {
+    int starts = 0;
+    for (auto& [id, upstream] : fleet.upstreams)
+      starts += upstream->starts[kTask];
+    return starts;
+  }
+
   size_t Running() {
     size_t running = 0;
     for (auto& [id, upstream] : fleet.upstreams) {
@@ -130,16 +137,47 @@
 }
 
 TEST_CASE("run_claims: a task that was started on two upstreams") {
-  // One run is claimed. The other one must be stopped too, and the task must
-  // not start a third time before its end.
+  // One run is claimed. The other one must be stopped at once.
   claims_fixture f;
   REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
   REQUIRE(f.StartAt("u2", 1).result == start_result::kStarted);
+  SUBCASE("when the claim comes after both were found") {
+    f.Begin();
+    f.Request();
+  }
+  SUBCASE("when the claim comes first") {
+    f.home.SetUpstreams(f.fleet.registry, true);
+    f.home.Begin(fencing_token(2));
+    f.Request();
+  }
+  f.clock.Advance(milliseconds(60));
+  CHECK(f.Running() == 1);
+  CHECK(f.Starts() == 2);
+}
+
+TEST_CASE(
+    "run_claims: a task does not start beside a run that nobody claimed") {
+  // It ran on two upstreams; the run that was claimed fails, and the orders to
+  // stop the other one are lost.
+  claims_fixture f;
+  f.fleet.Add("u3", "north");
+  f.At("u1").plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(200), run_end::kFailed);
+  };
+  REQUIRE(f.StartAt("u1", 1).result == start_result::kStarted);
+  REQUIRE(f.StartAt("u2", 1).result == start_result::kStarted);
+  bool stops_arrive = false;
+  f.port.lose_stops = [&] { return !stops_arrive; };
   f.Begin();
   f.Request();
-  f.clock.Advance(milliseconds(60));
+  f.clock.Advance(milliseconds(700));
+  CHECK(f.Running() == 1);
+  CHECK(f.Starts() == 2);
+  stops_arrive = true;
+  f.clock.Advance(milliseconds(300));
+  // Anywhere, also where it has just ended.
   CHECK(f.Running() == 1);
-  CHECK(f.At("u1").starts[kTask] + f.At("u2").starts[kTask] == 2);
+  CHECK(f.Starts() == 3);
 }
 
 TEST_CASE("run_claims: what nobody claims is stopped") {
