--- a/tests/upstream_session/upstream_rebirth_test.cc
+++ b/tests/upstream_session/upstream_rebirth_test.cc
@@ -293,7 +293,7 @@
   // The lease on the old clock says nothing of it.
   rebirth_fixture f;
   f.clock.Advance(std::chrono::hours(1));
-  f.fleet.late = milliseconds(2600);
+  f.fleet.late = milliseconds(5000);
   f.fleet.fate = [&](const upstream_id&, const std::string&) {
     return call_fate::kDelayed;
   };
@@ -301,7 +301,7 @@
   f.CutOff(true);
   f.clock.Advance(milliseconds(1000));
   f.upstream->Rebirth(kSecond);
-  f.clock.Advance(milliseconds(1700));
+  f.clock.Advance(milliseconds(4100));
   CHECK(f.log.ends.empty());
   REQUIRE(f.upstream->running.size() == 1);
   f.CutOff(false);
