Model how long a queue's runs take

Cause: what counted as too long for a run was a fixed multiple of its caller's guess, or of its job's fastest sibling, whatever the queue's own runs showed.

--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -16,6 +16,7 @@
 #include "policy/retry_budget.h"
 #include "policy/route_table.h"
 #include "policy/run_time_estimator.h"
+#include "policy/run_time_model.h"
 #include "policy/slot_home.h"
 #include "policy/slot_messages.h"
 #include "policy/slot_strategy.h"
