--- a/src/runs/upstream_runs.cc
+++ b/src/runs/upstream_runs.cc
@@ -44,7 +44,7 @@
   if (progress && percent < progress->percent)
     return;
   if (!progress || percent > progress->percent)
-    progress = run_progress{percent, now, now};
+    progress = run_progress{percent, now, now, now};
   progress->listed = now;
 }
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -126,7 +126,11 @@
 std::optional<run_progress> upstream_session::Progress(
     const task_name& task) const {
   const run_record* found = life_->runs.Find(task);
-  return found ? found->progress : std::nullopt;
+  if (!found || !found->progress)
+    return std::nullopt;
+  run_progress progress = *found->progress;
+  progress.began = found->since;
+  return progress;
 }
 
 void upstream_session::Start(const task_name& task,
