Stop a run only where starting it again is worth more

Cause: a run was stopped at a fixed multiple of the guess or of its job's fastest sibling.

Progress that upstreams list goes before any expectation: a run that advances is not stuck, one that stands still is. A run beyond what is usual has its upstream asked for its lists, so progress is known before the time alone could decide. An upstream is slow if several jobs' runs show it, far below its kind and unlikely together by what its queues' runs take; while most of a kind are slow none is taken out of use. A run that advances there is stopped only if the foretold end is worth less to its job than that of another run.

A job's pace is now the lower median over its tasks that are done, normalised by the speeds of their upstreams; before it was the fastest as it was.

Verdicts are out of run_home and home_job, in runs/stuck_runs; what runs teach is in runs/run_times. runs_stuck_total has a label for the evidence, and so has the log line run_stuck. NoteEnd now also learns from tasks without a guess.

Ruled out: foretelling from the first per cents (a run of 100 ms at 1 % after 10 ms looks ten times as long).

Fakes: upstreams list progress, have a speed and may hang.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -48,7 +48,9 @@
   out.Counter("runs_lapsed_total", static_cast<double>(metrics.lapsed));
   out.Counter("runs_stopped_total", static_cast<double>(metrics.stopped));
   out.Counter("runs_adopted_total", static_cast<double>(metrics.adopted));
-  out.Counter("runs_stuck_total", static_cast<double>(metrics.stuck));
+  for (const auto& [evidence, count] : metrics.stuck)
+    out.Counter("runs_stuck_total", static_cast<double>(count),
+                {{"evidence", ToString(evidence)}});
   out.Counter("upstream_trials_total", static_cast<double>(metrics.trials));
   out.Counter("upstreams_lost_total",
               static_cast<double>(metrics.upstreams_lost));
--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -6,12 +6,8 @@
 
 namespace {
 
-// A run that takes so many times what it should is given up: the upstream hangs
-// or is very slow. With a task of the same job done, the expectation is good to
-// 15 %; without, only the caller's guess is known, which is off by 40 %.
-constexpr double kStuckByPace = 2.5;
-constexpr double kStuckByGuess = 3.5;
-constexpr duration kStuckAtLeast = std::chrono::milliseconds(60);
+// Enough for a median that single tasks don't move.
+constexpr size_t kMaxPaces = 9;
 // Core-seconds; of a task whose caller has no guess.
 constexpr double kLeastWork = 0.001;
 
@@ -39,13 +35,13 @@
   return FromSeconds(ToSeconds(task.demand.estimate) * pace);
 }
 
-bool home_job::IsOverdue(const home_task& task, time_point now) const {
-  duration expected = Expected(task);
-  duration took = now - task.ordered_at;
-  double factor = pace == 0 ? kStuckByGuess : kStuckByPace;
-  return !task.adopted && expected > duration::zero() &&
-         ToSeconds(took) > ToSeconds(expected) * factor &&
-         took - expected > kStuckAtLeast;
+// The lower median: one task that is long, or ran where everything is slow,
+// does not make the job's others look long.
+void home_job::NotePace(double task_pace) {
+  if (paces.size() >= kMaxPaces || task_pace <= 0)
+    return;
+  paces.insert(std::ranges::upper_bound(paces, task_pace), task_pace);
+  pace = paces[(paces.size() - 1) / 2];
 }
 
 // A task without a guess of its run time still waits.
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -34,6 +34,11 @@
   bool stopping = false;
   // Began under an earlier home; nobody here knows when.
   bool adopted = false;
+  // When its upstream was first asked how far it is; before `ordered_at` if
+  // not.
+  time_point asked_at;
+  // Runs that were stopped for their length alone.
+  int stopped_as_long = 0;
   // Not to be tried again where it has just failed or got stuck.
   upstream_id avoid;
 };
@@ -46,8 +51,11 @@
   time_point useful_until;
   time_point limit;
   std::map<task_position, home_task> tasks;
-  // How long its tasks take, over the caller's guess; 0 until one is done.
+  // How long its tasks take at usual speed, over the caller's guess or, without
+  // one, what is usual in its queue; 0 until one is done.
   double pace = 0;
+  // Of single tasks, ascending; a bounded number.
+  std::vector<double> paces;
   // A task began, or may have begun under an earlier home.
   bool ran = false;
   // Ends that its owner has not been told of yet.
@@ -64,8 +72,7 @@
   bool IsUntouched() const;
   // How long the task takes on a sound upstream, as far as is known.
   duration Expected(const home_task& task) const;
-  // Takes so long that its upstream must hang or be very slow.
-  bool IsOverdue(const home_task& task, time_point now) const;
+  void NotePace(double task_pace);
   // Core-seconds of the tasks that wait for room.
   double WaitingWork() const;
   // Of one step, on one upstream.
--- a/src/runs/home_speeds.cc
+++ b/src/runs/home_speeds.cc
@@ -16,16 +16,6 @@
 // Of one call; the others are logged when they are told.
 constexpr int kMostLogLines = 5;
 
-// Labels name what an upstream's machine is like; the rack says nothing of it.
-std::string KindOf(const upstream_info& info) {
-  std::string kind = info.service.str();
-  for (const std::string& label : info.labels) {
-    if (label != info.rack.str())
-      kind += "," + label;
-  }
-  return kind;
-}
-
 const char* ClassOf(double speed) {
   if (speed < kSlow)
     return "slow";
@@ -38,6 +28,16 @@
 
 }  // namespace
 
+// Labels name what an upstream's machine is like; the rack says nothing of it.
+std::string KindOf(const upstream_info& info) {
+  std::string kind = info.service.str();
+  for (const std::string& label : info.labels) {
+    if (label != info.rack.str())
+      kind += "," + label;
+  }
+  return kind;
+}
+
 home_speeds::known_upstream& home_speeds::Find(const upstream_info& info) {
   auto [found, is_new] = known_.try_emplace(info.id);
   known_upstream& known = found->second;
@@ -77,6 +77,10 @@
   UpdateAll(now);
 }
 
+double home_speeds::OfKind(const upstream_info& info) const {
+  return learnt_.OfKind(KindOf(info));
+}
+
 double home_speeds::Of(const upstream_info& info) const {
   auto found = known_.find(info.id);
   return found == known_.end() || found->second.birth != info.birth
--- a/src/runs/home_speeds.h
+++ b/src/runs/home_speeds.h
@@ -37,6 +37,9 @@
   double fastest = 0;
 };
 
+// Upstreams of one service with the same labels are of one kind.
+std::string KindOf(const upstream_info& info);
+
 // A speed belongs to one incarnation of an upstream. Kept while the instance is
 // no home, so that a successor places by it at once.
 class home_speeds {
@@ -48,6 +51,8 @@
             time_point now);
   // 1 is usual.
   double Of(const upstream_info& info) const;
+  // Of all that are like it.
+  double OfKind(const upstream_info& info) const;
 
   // Forgets upstreams that are gone or have another incarnation.
   void Keep(const upstream_registry& registered);
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -48,6 +48,8 @@
       gate_(own.finish_time),
       placer_(clock, upstreams_, own.placement),
       reports_(clock, jobs_, std::move(send)),
+      run_times_(upstreams_),
+      stuck_runs_(clock, upstreams_, run_times_, answer_times_, metrics_.stuck),
       dispatch_timer_(clock),
       sweep_timer_(clock) {}
 
@@ -305,20 +307,13 @@
 
 void run_home::NoteEnd(home_job& job, const home_task& task, run_end how) {
   time_point now = clock_.now();
-  duration took = now - task.ordered_at;
-  upstream_standing& standing = upstreams_.Standing(task.upstream);
   if (how == run_end::kFailed)
-    standing.OnFailed(now, job.key);
-  if (how != run_end::kDone || task.adopted ||
-      task.demand.estimate <= duration::zero())
+    upstreams_.Standing(task.upstream).OnFailed(now, job.key);
+  if (how != run_end::kDone || task.adopted)
     return;
+  duration took = now - task.ordered_at;
   NoteLatency(metrics_.run_time, job.request.queue, took, now);
-  standing.OnDone(now, job.Expected(task), took);
-  if (upstream_session* session = upstreams_.Find(task.upstream))
-    upstreams_.speeds().Note(session->info(), task.demand.estimate, took, now);
-  double pace = ToSeconds(took) / ToSeconds(task.demand.estimate);
-  // The fastest: others may have run on slow upstreams.
-  job.pace = job.pace == 0 ? pace : std::min(job.pace, pace);
+  run_times_.OnDone(job, task, took, now);
 }
 
 void run_home::OnTaskDone(home_job& job, home_task& task) {
@@ -670,7 +665,7 @@
   upstreams_.Forget(registry_);
   crashes_.Forget(now);
   RefuseHopeless();
-  StopStuck();
+  stuck_runs_.Check(jobs_, [this] { return WaitForRoom(); });
   WatchSpecTraffic();
   QueueUnclear();
   ScheduleDispatch();
@@ -716,38 +711,6 @@
     DropIfOver(key);
 }
 
-// A run that hangs would hold its job until the caller leaves. It is stopped,
-// and begins again elsewhere once its end is certain.
-void run_home::StopStuck() {
-  time_point now = clock_.now();
-  // Both the start and the word of the end may have taken so long on their way.
-  duration late = answer_times_.Patience(duration::zero());
-  for (auto& [key, job] : jobs_) {
-    for (auto& [position, task] : job.tasks) {
-      bool overdue = task.phase == task_phase::kOrdered && !task.stopping &&
-                     !job.cancelled && job.IsOverdue(task, now - late);
-      if (!overdue)
-        continue;
-      upstreams_.Standing(task.upstream).OnStuck(now);
-      // Only if it can still be answered in useful time.
-      bool worth_it =
-          now + job.Expected(task) < std::min(job.useful_until, job.limit);
-      upstream_session* session = upstreams_.Find(task.upstream);
-      if (!worth_it || !session)
-        continue;
-      ++metrics_.stuck;
-      task.stopping = true;
-      task.avoid = task.upstream;
-      LogEvent(log_level::kInfo, "run_stuck",
-               {{"job", key.str()},
-                {"task", position.index},
-                {"upstream", task.upstream.str()},
-                {"ms", ToMilliseconds(now - task.ordered_at)}});
-      session->Stop({key, 0, position});
-    }
-  }
-}
-
 // What a job that comes last would wait.
 duration run_home::WaitForRoom() const {
   home_load load;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -22,7 +22,9 @@
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
 #include "runs/run_messages.h"
+#include "runs/run_times.h"
 #include "runs/start_gate.h"
+#include "runs/stuck_runs.h"
 #include "runs/task_placer.h"
 #include "runs/upstream_session.h"
 
@@ -35,7 +37,7 @@
   uint64_t lapsed = 0;
   uint64_t stopped = 0;
   uint64_t adopted = 0;
-  uint64_t stuck = 0;
+  stuck_runs::counts stuck;
   uint64_t trials = 0;
   // Upstreams lost with runs on them; tasks given up because they crash what
   // starts them.
@@ -175,7 +177,6 @@
   void Sweep();
   void RefuseHopeless();
   void DropCancelled();
-  void StopStuck();
   void NoteEnd(home_job& job, const home_task& task, run_end how);
   // Decides whether owners are to send the starts.
   void WatchSpecTraffic();
@@ -214,6 +215,8 @@
   // Of the specifications of all starts, whoever sends them.
   byte_rate spec_rate_;
   answer_times answer_times_;
+  run_times run_times_;
+  stuck_runs stuck_runs_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
   scoped_timer sweep_timer_;
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -111,9 +111,19 @@
   });
 }
 
-std::optional<int> upstream_session::Progress(const task_name& task) const {
+std::optional<run_progress> upstream_session::Progress(
+    const task_name& task) const {
   auto found = runs_.find(task);
-  return found == runs_.end() ? std::nullopt : found->second.percent;
+  return found == runs_.end() ? std::nullopt : found->second.progress;
+}
+
+void upstream_session::run_record::NoteProgress(int percent, time_point now) {
+  // A reply that was overtaken shows an earlier state.
+  if (progress && percent < progress->percent)
+    return;
+  if (!progress || percent > progress->percent)
+    progress = run_progress{percent, now, now};
+  progress->listed = now;
 }
 
 void upstream_session::Start(const task_name& task,
@@ -567,7 +577,8 @@
     run_record& record = found->second;
     if (listed.run < record.run)
       continue;
-    record.percent = listed.percent;
+    if (listed.percent)
+      record.NoteProgress(*listed.percent, clock_.now());
     if (record.IsUnclear()) {
       record.phase = run_phase::kRunning;
       record.since = clock_.now();
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -19,6 +19,14 @@
 
 namespace jasminedyke {
 
+// How far a run has come, as its upstream lists it.
+struct run_progress {
+  int percent = 0;
+  // When this per cent was first listed, and when it last was.
+  time_point reached;
+  time_point listed;
+};
+
 // Keeps one hold call waiting at the upstream at nearly all times: it prolongs
 // the lease, acknowledges ends and brings new ones as they happen. While
 // answers get lost there are two, or each lost one would hide all ends until it
@@ -109,8 +117,10 @@
   resource_amount room() const { return info_.capacity - occupied_; }
   bool idle() const { return runs_.empty(); }
   bool gone() const { return gone_; }
-  // How far a run has come, in per cent, as last listed.
-  std::optional<int> Progress(const task_name& task) const;
+  // Nothing if it was not listed yet, or without its progress.
+  std::optional<run_progress> Progress(const task_name& task) const;
+  // Asks for the lists at once.
+  void Look() { SendLook(); }
 
  private:
   enum class run_phase {
@@ -134,12 +144,13 @@
     std::optional<time_point> refused_since;
     bool stop_wanted = false;
     bool stop_in_flight = false;
-    std::optional<int> percent;
+    std::optional<run_progress> progress;
 
     // Not known to have begun.
     bool IsUnclear() const {
       return phase == run_phase::kStarting || phase == run_phase::kUnproven;
     }
+    void NoteProgress(int percent, time_point now);
   };
   using run_map = std::map<task_name, run_record>;
 
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -34,6 +34,8 @@
     resource_amount need;
     time_point ends;
     run_end how = run_end::kDone;
+    time_point began;
+    bool hangs = false;
   };
 
   explicit fake_upstream(scheduler& clock) : clock_(clock) {}
@@ -64,7 +66,10 @@
   // and what then happens besides.
   std::function<bool(const task_name&)> crashes;
   std::function<void()> on_crash;
-  // Of each task: how long it runs and how it ends.
+  bool lists_progress = false;
+  // Of each task: it never advances, though it may be stopped.
+  std::function<bool(const task_name&)> hangs;
+  // Of each task: how long it runs at the usual speed and how it ends.
   std::function<std::pair<duration, run_end>(const task_name&)> plan;
   // For tests of what ran at all.
   std::map<task_name, int> starts;
