Judge an upstream by what other upstreams have run of a job

Cause: with speeds that learn from what siblings took, two tasks of a job on one slowed upstream vouched for each other: the first made the job look long, the second the upstream sound. A job's pace is now asked for without the upstream that is judged.

A start may be carried out late; a run at 0 per cent now stands still since it is known to have begun, not since its order, and its end is foretold from there.

--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -30,18 +30,33 @@
 }
 
 duration home_job::Expected(const home_task& task) const {
+  double pace = Pace();
   if (pace == 0)
     return task.demand.estimate;
   return FromSeconds(ToSeconds(task.demand.estimate) * pace);
 }
 
+double home_job::Pace() const {
+  return PaceWithout({});
+}
+
 // The lower median: one task that is long, or ran where everything is slow,
 // does not make the job's others look long.
-void home_job::NotePace(double task_pace) {
-  if (paces.size() >= kMaxPaces || task_pace <= 0)
+double home_job::PaceWithout(const upstream_id& upstream) const {
+  std::vector<double> others;
+  for (const task_pace& each : paces) {
+    if (each.upstream != upstream)
+      others.push_back(each.pace);
+  }
+  return others.empty() ? 0 : others[(others.size() - 1) / 2];
+}
+
+void home_job::NotePace(const task_pace& of_task) {
+  if (paces.size() >= kMaxPaces || of_task.pace <= 0)
     return;
-  paces.insert(std::ranges::upper_bound(paces, task_pace), task_pace);
-  pace = paces[(paces.size() - 1) / 2];
+  paces.insert(
+      std::ranges::upper_bound(paces, of_task.pace, {}, &task_pace::pace),
+      of_task);
 }
 
 // A task without a guess of its run time still waits.
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -43,6 +43,13 @@
   upstream_id avoid;
 };
 
+// How long a task took at usual speed, over the caller's guess or, without one,
+// what is usual in its queue.
+struct task_pace {
+  double pace = 0;
+  upstream_id upstream;
+};
+
 struct home_job {
   job_key key;
   instance_id owner;
@@ -51,11 +58,8 @@
   time_point useful_until;
   time_point limit;
   std::map<task_position, home_task> tasks;
-  // How long its tasks take at usual speed, over the caller's guess or, without
-  // one, what is usual in its queue; 0 until one is done.
-  double pace = 0;
-  // Of single tasks, ascending; a bounded number.
-  std::vector<double> paces;
+  // Of its tasks that are done, a bounded number, by rising pace.
+  std::vector<task_pace> paces;
   // A task began, or may have begun under an earlier home.
   bool ran = false;
   // Ends that its owner has not been told of yet.
@@ -72,7 +76,11 @@
   bool IsUntouched() const;
   // How long the task takes on a sound upstream, as far as is known.
   duration Expected(const home_task& task) const;
-  void NotePace(double task_pace);
+  // 0 if none of its tasks is done.
+  double Pace() const;
+  // By what other upstreams have run.
+  double PaceWithout(const upstream_id& upstream) const;
+  void NotePace(const task_pace& of_task);
   // Core-seconds of the tasks that wait for room.
   double WaitingWork() const;
   // Of one step, on one upstream.
--- a/src/runs/run_times.cc
+++ b/src/runs/run_times.cc
@@ -30,7 +30,8 @@
 
 run_expectation run_times::Expect(const home_job& job,
                                   const home_task& task) const {
-  return model_.Expect(job.request.queue, task.demand.estimate, job.pace);
+  return model_.Expect(job.request.queue, task.demand.estimate,
+                       job.PaceWithout(task.upstream));
 }
 
 run_expectation run_times::ExpectThere(const home_job& job,
@@ -89,11 +90,11 @@
     return false;
   // Tasks of one job may all be long, unless others of it were not.
   task_name shown_by{job.key, 0, {}};
-  if (job.pace > 0)
+  bool pace_known = job.PaceWithout(where.id) > 0;
+  if (pace_known)
     shown_by.position = task.demand.position;
   upstreams_.Standing(where.id).OnSlow(
-      now, shown_by,
-      model_.ShareFrom(job.request.queue, slowness, job.pace > 0));
+      now, shown_by, model_.ShareFrom(job.request.queue, slowness, pace_known));
   return false;
 }
 
@@ -125,12 +126,12 @@
   // What a bad upstream does to its runs says nothing about the tasks.
   if (!standing.good())
     return;
-  if (job.pace > 0 && usual > duration::zero())
+  if (job.PaceWithout(where.id) > 0 && usual > duration::zero())
     model_.LearnSibling(queue, ToSeconds(at_usual_speed) / ToSeconds(usual),
                         now);
   duration reference = model_.Reference(queue, task.demand.estimate);
   if (reference > duration::zero())
-    job.NotePace(ToSeconds(at_usual_speed) / ToSeconds(reference));
+    job.NotePace({ToSeconds(at_usual_speed) / ToSeconds(reference), where.id});
   model_.Learn(queue, task.demand.estimate, at_usual_speed, now);
 }
 
--- a/src/runs/run_times.h
+++ b/src/runs/run_times.h
@@ -14,8 +14,8 @@
 // A run's time is its task's length over its upstream's speed. Only the time is
 // seen. A job's pace comes from its tasks that are done, each normalised by the
 // speed of the upstream that it ran on; an upstream's speed from runs of jobs
-// whose pace is known. So a slow upstream does not make a job look long, nor a
-// long job an upstream slow.
+// whose pace other upstreams' runs tell. So a slow upstream does not make a job
+// look long, nor a long job an upstream slow.
 class run_times {
  public:
   explicit run_times(home_upstreams& upstreams) : upstreams_(upstreams) {}
@@ -31,7 +31,8 @@
                   duration takes,
                   time_point now);
 
-  // On a sound upstream of usual speed, near the task's data.
+  // On a sound upstream of usual speed, near the task's data; by what others
+  // than the task's upstream have run.
   run_expectation Expect(const home_job& job, const home_task& task) const;
   // Where it is running.
   run_expectation ExpectThere(const home_job& job, const home_task& task) const;
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -81,8 +81,8 @@
   if (!sight.percent || *sight.percent >= kAllPercent)
     return JudgeByLength(sight);
   duration patience = StillPatience(sight);
-  // Nothing done at all: it stands still since its start.
-  duration still_since = *sight.percent == 0 ? duration::zero() : sight.reached;
+  // Nothing done at all: it stands still since it is known to run.
+  duration still_since = *sight.percent == 0 ? sight.began : sight.reached;
   if (sight.listed - still_since >= patience)
     return {run_condition::kStuck, stuck_evidence::kProgress, {}, false};
   if (sight.since_listed >= std::max(kOldList, patience))
@@ -91,12 +91,13 @@
   judgement.evidence = stuck_evidence::kProgress;
   judgement.ask = IsUnclear(sight);
   // The first per cents are too coarse to foretell from.
-  if (sight.adopted || sight.listed < sight.expected.usual)
+  if (sight.adopted || sight.listed - sight.began < sight.expected.usual)
     return judgement;
   judgement.state = run_condition::kAdvancing;
   // At least: the next per cent may be about to come.
-  judgement.takes = Times(
-      sight.listed, static_cast<double>(kAllPercent) / (*sight.percent + 1));
+  judgement.takes = sight.began + Times(sight.listed - sight.began,
+                                        static_cast<double>(kAllPercent) /
+                                            (*sight.percent + 1));
   return judgement;
 }
 
@@ -155,7 +156,7 @@
   sight.expected.longest = Times(
       sight.expected.longest,
       std::pow(kAllowedAgain, std::min(task.stopped_as_long, kMostAllowances)));
-  sight.pace_known = job.pace > 0;
+  sight.pace_known = job.PaceWithout(task.upstream) > 0;
   sight.adopted = task.adopted;
   sight.asked = task.asked_at > task.ordered_at &&
                 clock_.now() - task.asked_at >= answers_.Patience(kAnswerTime);
@@ -163,6 +164,7 @@
   // An adopted run may have been listed before it was claimed.
   if (progress && progress->listed > task.ordered_at) {
     sight.percent = progress->percent;
+    sight.began = std::max(progress->began - task.ordered_at, duration::zero());
     sight.reached =
         std::max(progress->reached - task.ordered_at, duration::zero());
     sight.listed = progress->listed - task.ordered_at;
--- a/src/runs/stuck_runs.h
+++ b/src/runs/stuck_runs.h
@@ -35,8 +35,10 @@
   bool pace_known = false;
   // Nobody here knows when it began; `took` counts from when it was found.
   bool adopted = false;
-  // As listed: how far, when first so far, and when last seen so.
+  // As listed: how far, when it was known to run, when first so far, and when
+  // last seen so.
   std::optional<int> percent;
+  duration began = duration::zero();
   duration reached = duration::zero();
   duration listed = duration::zero();
   duration since_listed = duration::zero();
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -114,7 +114,11 @@
 std::optional<run_progress> upstream_session::Progress(
     const task_name& task) const {
   auto found = runs_.find(task);
-  return found == runs_.end() ? std::nullopt : found->second.progress;
+  if (found == runs_.end() || !found->second.progress)
+    return std::nullopt;
+  run_progress progress = *found->second.progress;
+  progress.began = found->second.since;
+  return progress;
 }
 
 void upstream_session::run_record::NoteProgress(int percent, time_point now) {
@@ -122,7 +126,7 @@
   if (progress && percent < progress->percent)
     return;
   if (!progress || percent > progress->percent)
-    progress = run_progress{percent, now, now};
+    progress = run_progress{percent, now, now, now};
   progress->listed = now;
 }
 
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -22,6 +22,8 @@
 // How far a run has come, as its upstream lists it.
 struct run_progress {
   int percent = 0;
+  // When the run was known to have begun: a start may be carried out late.
+  time_point began;
   // When this per cent was first listed, and when it last was.
   time_point reached;
   time_point listed;
--- a/tests/stuck_runs/stuck_runs_test.cc
+++ b/tests/stuck_runs/stuck_runs_test.cc
@@ -165,6 +165,9 @@
   // It has not begun to work at all.
   List(sight = Sight(140, 100, 300), 0, 135, 135);
   CHECK(JudgeRun(sight).state == run_condition::kStuck);
+  // It began late.
+  sight.began = milliseconds(130);
+  CHECK(JudgeRun(sight).state == run_condition::kSound);
   // A long expectation gives a per cent more time.
   List(sight = Sight(140, 900, 3000), 30, 40, 135);
   CHECK(JudgeRun(sight).state == run_condition::kSound);
@@ -177,6 +180,20 @@
   CHECK(JudgeRun(sight).state == run_condition::kSound);
 }
 
+TEST_CASE("home_job: its pace is not that of one upstream") {
+  home_job job;
+  CHECK(job.Pace() == 0);
+  upstream_id slow("slow");
+  job.NotePace({4, slow});
+  job.NotePace({4.2, slow});
+  CHECK(job.Pace() == 4);
+  CHECK(job.PaceWithout(slow) == 0);
+  job.NotePace({1.1, upstream_id("a")});
+  job.NotePace({1.3, upstream_id("b")});
+  CHECK(job.Pace() == 1.3);
+  CHECK(job.PaceWithout(slow) == 1.1);
+}
+
 TEST_CASE("stuck_runs: without progress only the time tells") {
   CHECK(!JudgeRun(Sight(140, 100, 300)).ask);
   CHECK(JudgeRun(Sight(160, 100, 300)).ask);
