--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -35,7 +35,8 @@
   // The same without a log line of its own.
   void SendRefusal(const home_job& job,
                    run_refusal reason,
-                   duration retry_after);
+                   duration retry_after,
+                   const failure_domain_id& asked_by = {});
   // To one that takes this instance for a home.
   void SendNotHome(const instance_id& to, const run_request& request);
   // What waits is not sent any more.
