--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -245,7 +245,7 @@
                      report.refusal == run_refusal::kSuperseded;
     if (job.home == from && of_latest)
       OnRefused(job, report);
-    else if (job.home == from && report.refusal == run_refusal::kBusy)
+    else if (job.home == from && !report.asked_by.empty())
       // It handed back what it had before the newest tasks came, and lacks the
       // earlier ones.
       SendTasks(job, true);
