--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -108,14 +108,11 @@
   std::erase_if(homes, [&](const known_home& home) {
     return job.refused_by.contains(home.status.group);
   });
-  // One that has handed it back is as good a place to wait in as the others:
-  // were it left out, all that finds no place would gather at one home.
-  if (!job.passed_by.empty())
-    std::stable_partition(homes.begin(), homes.end(),
-                          [&](const known_home& home) {
-                            return !job.passed_by.contains(home.status.group) &&
-                                   home_directory::HasPlaces(home.status, need);
-                          });
+  // Those that passed it on come last.
+  std::stable_partition(homes.begin(), homes.end(),
+                        [&](const known_home& home) {
+                          return !job.passed_by.contains(home.status.group);
+                        });
   std::stable_partition(homes.begin(), homes.end(),
                         [&](const known_home& home) {
                           return home.status.group.domain == asked_by;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -634,7 +634,6 @@
   task.adopted = false;
   NoteLatency(metrics_.room_wait, job.request.queue,
               task.ordered_at - task.queued_at, task.ordered_at);
-  room_gauge_.Note(task.demand.need.cpu_millis);
   ++task.last_run;
   ++metrics_.started;
   std::optional<start_delegate> delegate;
@@ -797,7 +796,7 @@
   for (const auto& [id, session] : upstreams_.sessions()) {
     if (!session->usable())
       continue;
-    status.free_cpu_millis += room_gauge_.Usable(session->room().cpu_millis);
+    status.free_cpu_millis += session->room().cpu_millis;
     status.total_cpu_millis += session->info().capacity.cpu_millis;
   }
   status.wait = WaitForRoom();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -21,7 +21,6 @@
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
-#include "runs/room_gauge.h"
 #include "runs/run_messages.h"
 #include "runs/start_gate.h"
 #include "runs/task_placer.h"
@@ -216,7 +215,6 @@
   // Of the specifications of all starts, whoever sends them.
   byte_rate spec_rate_;
   answer_times answer_times_;
-  room_gauge room_gauge_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
   scoped_timer sweep_timer_;
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -16,7 +16,6 @@
 #include "runs/job_desk.h"
 #include "runs/job_order.h"
 #include "runs/placement.h"
-#include "runs/room_gauge.h"
 #include "runs/run_home.h"
 #include "runs/run_messages.h"
 #include "runs/run_types.h"
