--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -232,6 +232,32 @@
     jobs_.erase(found);
 }
 
+void run_home::OnWorkWanted(const work_wanted& wanted) {
+  if (!serving_)
+    return;
+  std::vector<waiting_job> in_order = WaitingInOrder();
+  std::vector<waiting_work> works;
+  for (const waiting_job& waiting : in_order)
+    works.push_back(waiting.job->AsWaitingWork(clock_.now()));
+  std::vector<size_t> gifts =
+      ChooseGifts(works, upstreams_.UsableCores(), wanted.cpu_millis);
+  for (size_t position : gifts) {
+    home_job& job = *in_order[position].job;
+    reports_.SendRefusal(job, run_refusal::kBusy, duration::zero(),
+                         wanted.asker.domain);
+    CancelJob(job);
+  }
+  DropCancelled();
+  metrics_.given += gifts.size();
+  if (!gifts.empty())
+    LogEvent(log_level::kInfo, "work_given",
+             {{"group", group_.ToString()},
+              {"to", wanted.asker.ToString()},
+              {"asked_cpu_millis", wanted.cpu_millis},
+              {"jobs", gifts.size()},
+              {"waiting_jobs", in_order.size()}});
+}
+
 void run_home::OnPeerDown(const instance_id& peer) {
   if (serving_)
     orphaned_at_.try_emplace(peer, clock_.now() + kOrphanTime);
@@ -608,6 +634,7 @@
   task.adopted = false;
   NoteLatency(metrics_.room_wait, job.request.queue,
               task.ordered_at - task.queued_at, task.ordered_at);
+  room_gauge_.Note(task.demand.need.cpu_millis);
   ++task.last_run;
   ++metrics_.started;
   std::optional<start_delegate> delegate;
@@ -770,7 +797,7 @@
   for (const auto& [id, session] : upstreams_.sessions()) {
     if (!session->usable())
       continue;
-    status.free_cpu_millis += session->room().cpu_millis;
+    status.free_cpu_millis += room_gauge_.Usable(session->room().cpu_millis);
     status.total_cpu_millis += session->info().capacity.cpu_millis;
   }
   status.wait = WaitForRoom();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -21,6 +21,7 @@
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
+#include "runs/room_gauge.h"
 #include "runs/run_messages.h"
 #include "runs/start_gate.h"
 #include "runs/task_placer.h"
@@ -41,6 +42,8 @@
   // starts them.
   uint64_t upstreams_lost = 0;
   uint64_t crashers = 0;
+  // Jobs handed back for a home that asked for work.
+  uint64_t given = 0;
   std::map<start_result, uint64_t> refused_starts;
   // From a task's arrival until it is ordered, and from then until it is done.
   latency_by_queue room_wait;
@@ -93,6 +96,8 @@
 
   void OnRequest(const instance_id& from, const run_request& request);
   void OnCancel(const instance_id& from, const run_cancel& cancel);
+  // Hands back jobs that would gain by going to a home that has room.
+  void OnWorkWanted(const work_wanted& wanted);
   // The link to an entry instance broke, or it has a new incarnation.
   void OnPeerDown(const instance_id& peer);
   void OnPeerUp(const instance_id& peer);
@@ -211,6 +216,7 @@
   // Of the specifications of all starts, whoever sends them.
   byte_rate spec_rate_;
   answer_times answer_times_;
+  room_gauge room_gauge_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
   scoped_timer sweep_timer_;
