--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -19,7 +19,6 @@
   out.Counter("jobs_accepted_total", static_cast<double>(metrics.accepted));
   out.Counter("jobs_left_total", static_cast<double>(metrics.left));
   out.Counter("jobs_moved_total", static_cast<double>(metrics.moved));
-  out.Counter("jobs_pulled_total", static_cast<double>(metrics.pulled));
   out.Gauge("jobs_open", static_cast<double>(desk.open_jobs()));
   for (const auto& [outcome, count] : metrics.outcomes)
     out.Counter("jobs_answered_total", static_cast<double>(count),
@@ -43,7 +42,6 @@
   out.Gauge("home_total_cpu_millis",
             static_cast<double>(status.total_cpu_millis));
   out.Gauge("home_wait_seconds", ToSeconds(status.wait));
-  out.Counter("jobs_given_total", static_cast<double>(metrics.given));
   out.Counter("runs_started_total", static_cast<double>(metrics.started));
   out.Counter("runs_done_total", static_cast<double>(metrics.done));
   out.Counter("runs_failed_total", static_cast<double>(metrics.failed));
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -43,7 +43,6 @@
       parse_config_(std::move(parse_config)),
       addresses_(clock),
       homes_(clock),
-      seeker_(clock),
       heartbeat_timer_(clock),
       home_status_timer_(clock) {
   home_group group{self.domain, 0};
@@ -317,7 +316,6 @@
                  [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
                  [&](const drained_domains& m) { TakeDrainedDomains(from, m); },
                  [&](const crash_news& m) { home_->TakeCrashNews(m); },
-                 [&](const work_wanted& m) { home_->OnWorkWanted(m); },
                  [&](const peer_status& m) { TakeStatus(from, m); },
                  [&](const document_request&) { SendConfig(from); },
                  [&](const peer_document& m) { OnConfigDocument(m.json); },
@@ -357,30 +355,6 @@
                                  const home_status& status) {
   if (homes_.Update(from, status))
     OnHomesChanged();
-  if (from != self_.instance)
-    AskForWork();
-}
-
-// Word of another home's wait is as old as its way then.
-void run_cluster::AskForWork() {
-  if (!home_->serving() || leaving_ ||
-      drains_.StateOf(self_.domain) != domain_state::kServing)
-    return;
-  auto pressure = [](const home_status& status) {
-    return home_pressure{status.group.domain, status.free_cpu_millis,
-                         status.total_cpu_millis, status.wait};
-  };
-  std::vector<home_pressure> others;
-  for (const known_home& home : homes_.Ranked(self_.domain)) {
-    if (home.status.group.domain != self_.domain)
-      others.push_back(pressure(home.status));
-  }
-  home_status own = home_->Status();
-  for (const work_ask& ask : seeker_.Ask(pressure(own), others)) {
-    const known_home* home = homes_.Find({ask.domain, 0});
-    if (home)
-      Send(home->instance, work_wanted{own.group, ask.cpu_millis});
-  }
 }
 
 void run_cluster::OnHomesChanged() {
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -88,7 +88,6 @@
   peer_status OwnStatus() const;
   void Heartbeat();
   void TellHomeStatus();
-  void AskForWork();
   void OnHomesChanged();
   bool IsOfOwnDomain(const instance_id& peer) const;
   bool IsKnownService(const service_id& service) const;
@@ -111,7 +110,6 @@
   std::map<upstream_id, time_point> missing_since_;
   peer_addresses addresses_;
   home_directory homes_;
-  work_seeker seeker_;
   std::unique_ptr<start_delegator> delegator_;
   std::unique_ptr<run_home> home_;
   std::unique_ptr<job_desk> desk_;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -23,6 +23,5 @@
 #include "policy/team_quotas.h"
 #include "policy/upstream_health.h"
 #include "policy/upstream_table.h"
-#include "policy/work_exchange.h"
 
 #endif  // SRC_POLICY_POLICY_H_
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -259,9 +259,6 @@
   void operator()(const drained_domains& drained) const {
     frame.__set_drained(ToWire(drained));
   }
-  void operator()(const work_wanted& wanted) const {
-    frame.__set_work(ToWire(wanted));
-  }
   void operator()(const crash_news& news) const {
     frame.__set_crashes(ToWire(news));
   }
@@ -427,8 +424,6 @@
     return peer_frame(peer_message(FromWire(wire.drained)));
   if (set.crashes)
     return peer_frame(peer_message(FromWire(wire.crashes)));
-  if (set.work)
-    return peer_frame(peer_message(FromWire(wire.work)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/peer_message.cc
+++ b/src/protocol/peer_message.cc
@@ -26,7 +26,6 @@
           },
           [](const drained_domains&) { return "drained_domains"; },
           [](const crash_news&) { return "crash_news"; },
-          [](const work_wanted&) { return "work_wanted"; },
       },
       message);
 }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -98,8 +98,7 @@
                                   delegated_start,
                                   delegated_start_result,
                                   drained_domains,
-                                  crash_news,
-                                  work_wanted>;
+                                  crash_news>;
 
 // A literal, for counts and logs.
 const char* KindOf(const peer_message& message);
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -144,8 +144,6 @@
   wire.__set_not_run(report.not_run);
   wire.__set_sending(static_cast<int32_t>(report.sending));
   wire.__set_retry_after_us(report.retry_after.count());
-  if (!report.asked_by.empty())
-    wire.__set_asked_by(report.asked_by.str());
   return wire;
 }
 
@@ -166,24 +164,9 @@
   report.not_run = wire.not_run;
   report.sending = static_cast<uint32_t>(wire.sending);
   report.retry_after = duration(wire.retry_after_us);
-  report.asked_by = failure_domain_id(wire.asked_by);
   return report;
 }
 
-wire::work_wanted ToWire(const work_wanted& wanted) {
-  wire::work_wanted wire;
-  wire.failure_domain = wanted.asker.domain.str();
-  wire.group = static_cast<int32_t>(wanted.asker.number);
-  wire.cpu_millis = wanted.cpu_millis;
-  return wire;
-}
-
-work_wanted FromWire(const wire::work_wanted& wire) {
-  return {{failure_domain_id(wire.failure_domain),
-           static_cast<uint32_t>(wire.group)},
-          wire.cpu_millis};
-}
-
 wire::home_status ToWire(const home_status& status) {
   wire::home_status wire;
   wire.failure_domain = status.group.domain.str();
--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -12,9 +12,6 @@
 constexpr double kStuckByPace = 2.5;
 constexpr double kStuckByGuess = 3.5;
 constexpr duration kStuckAtLeast = std::chrono::milliseconds(60);
-// So often an owner sends a job out; a job that goes from home to home loses
-// more on the ways than it gains.
-constexpr uint32_t kMostSendings = 3;
 // Core-seconds; of a task whose caller has no guess.
 constexpr double kLeastWork = 0.001;
 
@@ -76,20 +73,6 @@
   return outlook;
 }
 
-waiting_work home_job::AsWaitingWork(time_point now) const {
-  waiting_work work;
-  for (const auto& [position, task] : tasks) {
-    if (task.phase == task_phase::kQueued)
-      work.cpu_millis += task.demand.need.cpu_millis;
-  }
-  work.core_seconds = WaitingWork();
-  work.longest_task = Outlook().longest_task;
-  work.to_objective = objective - now;
-  work.to_uselessness = std::min(useful_until, limit) - now;
-  work.may_go = IsUntouched() && request.sending < kMostSendings;
-  return work;
-}
-
 int home_job::TasksOn(const upstream_id& upstream, uint32_t step) const {
   return static_cast<int>(std::ranges::count_if(tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "base/base.h"
-#include "policy/work_exchange.h"
 #include "runs/job_order.h"
 #include "runs/run_messages.h"
 #include "runs/run_types.h"
@@ -78,8 +77,6 @@
   // Of one step, on one upstream.
   int TasksOn(const upstream_id& upstream, uint32_t step) const;
   job_outlook Outlook() const;
-  // As `ChooseGifts` looks at it.
-  waiting_work AsWaitingWork(time_point now) const;
 };
 
 using home_job_map = std::map<job_key, home_job>;
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -123,15 +123,13 @@
 
 void home_reports::SendRefusal(const home_job& job,
                                run_refusal reason,
-                               duration retry_after,
-                               const failure_domain_id& asked_by) {
+                               duration retry_after) {
   ++refused_[reason];
   run_report report{job.key, job.request.submission, {}};
   report.refusal = reason;
   report.sending = job.request.sending;
   report.not_run = job.IsUntouched();
   report.retry_after = retry_after;
-  report.asked_by = asked_by;
   send_(job.owner, report);
 }
 
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -35,8 +35,7 @@
   // The same without a log line of its own.
   void SendRefusal(const home_job& job,
                    run_refusal reason,
-                   duration retry_after,
-                   const failure_domain_id& asked_by = {});
+                   duration retry_after);
   // To one that takes this instance for a home.
   void SendNotHome(const instance_id& to, const run_request& request);
   // What waits is not sent any more.
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -93,8 +93,7 @@
 
 void job_desk::ChooseHome(open_job& job,
                           duration retry_after,
-                          run_refusal reason,
-                          const failure_domain_id& asked_by) {
+                          run_refusal reason) {
   int64_t need = ReadyCpuMillis(job);
   std::vector<known_home> homes = homes_.Ranked(domain_, need);
   if (!homes.empty())
@@ -113,10 +112,6 @@
                         [&](const known_home& home) {
                           return !job.passed_by.contains(home.status.group);
                         });
-  std::stable_partition(homes.begin(), homes.end(),
-                        [&](const known_home& home) {
-                          return home.status.group.domain == asked_by;
-                        });
   if (!homes.empty()) {
     job.group = homes.front().status.group;
     job.home = homes.front().instance;
@@ -242,10 +237,6 @@
                      report.refusal == run_refusal::kSuperseded;
     if (job.home == from && of_latest)
       OnRefused(job, report);
-    else if (job.home == from && !report.asked_by.empty())
-      // It handed back what it had before the newest tasks came, and lacks the
-      // earlier ones.
-      SendTasks(job, true);
     return;
   }
   // Ends count from whichever home: an earlier one may have told of one just
@@ -281,8 +272,7 @@
     job.sent.clear();
     bool passed = report.refusal == run_refusal::kBusy;
     (passed ? job.passed_by : job.refused_by).insert(job.group);
-    ChooseHome(job, report.retry_after, report.refusal, report.asked_by);
-    metrics_.pulled += job.group.domain == report.asked_by ? 1 : 0;
+    ChooseHome(job, report.retry_after, report.refusal);
     return;
   }
   if (report.refusal == run_refusal::kNotHome) {
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -66,8 +66,6 @@
   std::map<run_outcome, uint64_t> outcomes;
   std::map<run_refusal, uint64_t> refusals;
   uint64_t moved = 0;
-  // Sent to a home that had asked another one for work.
-  uint64_t pulled = 0;
   // From acceptance to answer.
   latency_by_queue answer_time;
 };
@@ -150,10 +148,7 @@
   bool StepIsReady(const open_job& job, uint32_t step) const;
   // Sends the tasks of ready steps; with `again`, also those sent before.
   void SendTasks(open_job& job, bool again);
-  void ChooseHome(open_job& job,
-                  duration retry_after,
-                  run_refusal reason,
-                  const failure_domain_id& asked_by = {});
+  void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
   void ServeWaiting();
   void LoseHome(open_job& job);
   void OnRefused(open_job& job, const run_report& report);
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -232,32 +232,6 @@
     jobs_.erase(found);
 }
 
-void run_home::OnWorkWanted(const work_wanted& wanted) {
-  if (!serving_)
-    return;
-  std::vector<waiting_job> in_order = WaitingInOrder();
-  std::vector<waiting_work> works;
-  for (const waiting_job& waiting : in_order)
-    works.push_back(waiting.job->AsWaitingWork(clock_.now()));
-  std::vector<size_t> gifts =
-      ChooseGifts(works, upstreams_.UsableCores(), wanted.cpu_millis);
-  for (size_t position : gifts) {
-    home_job& job = *in_order[position].job;
-    reports_.SendRefusal(job, run_refusal::kBusy, duration::zero(),
-                         wanted.asker.domain);
-    CancelJob(job);
-  }
-  DropCancelled();
-  metrics_.given += gifts.size();
-  if (!gifts.empty())
-    LogEvent(log_level::kInfo, "work_given",
-             {{"group", group_.ToString()},
-              {"to", wanted.asker.ToString()},
-              {"asked_cpu_millis", wanted.cpu_millis},
-              {"jobs", gifts.size()},
-              {"waiting_jobs", in_order.size()}});
-}
-
 void run_home::OnPeerDown(const instance_id& peer) {
   if (serving_)
     orphaned_at_.try_emplace(peer, clock_.now() + kOrphanTime);
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -41,8 +41,6 @@
   // starts them.
   uint64_t upstreams_lost = 0;
   uint64_t crashers = 0;
-  // Jobs handed back for a home that asked for work.
-  uint64_t given = 0;
   std::map<start_result, uint64_t> refused_starts;
   // From a task's arrival until it is ordered, and from then until it is done.
   latency_by_queue room_wait;
@@ -95,8 +93,6 @@
 
   void OnRequest(const instance_id& from, const run_request& request);
   void OnCancel(const instance_id& from, const run_cancel& cancel);
-  // Hands back jobs that would gain by going to a home that has room.
-  void OnWorkWanted(const work_wanted& wanted);
   // The link to an entry instance broke, or it has a new incarnation.
   void OnPeerDown(const instance_id& peer);
   void OnPeerUp(const instance_id& peer);
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -114,9 +114,6 @@
   bool not_run = false;
   // With `kOverload`: when it is worth trying again.
   duration retry_after = duration::zero();
-  // With `kBusy`: the home there asked for work and is to get the job; empty:
-  // none did.
-  failure_domain_id asked_by = {};
 
   bool operator==(const run_report&) const = default;
 };
@@ -157,14 +154,6 @@
   bool operator==(const home_status&) const = default;
 };
 
-// The home of `asker` has room for jobs that wait at the receiver.
-struct work_wanted {
-  home_group asker;
-  int64_t cpu_millis = 0;
-
-  bool operator==(const work_wanted&) const = default;
-};
-
 // The home of a job asks the job's owner to send a start.
 struct delegated_start {
   // Of the home's; comes back with the result.
--- a/tests/fakes/load_day.cc
+++ b/tests/fakes/load_day.cc
@@ -94,7 +94,6 @@
   double rate = load * static_cast<double>(places_) / work_of_job;
   std::exponential_distribution<> gap(rate);
   time_point next_crasher = clock.now();
-  play_began_ = clock.now();
   duration crasher_gap = length / (2 * std::max(crashers_left_, 1));
   for (time_point end = clock.now() + length; clock.now() < end;) {
     Run(FromSeconds(gap(random_)));
@@ -139,7 +138,8 @@
   duration objective =
       job.target_latency +
       std::chrono::duration_cast<duration>(run_time * job.stretch);
-  ChooseEntry().cluster->desk().Submit(
+  auto live = Live();
+  live[random_() % live.size()]->cluster->desk().Submit(
       std::move(job), [this, &result, objective,
                        arrived = clock.now()](const run_answer& answer) {
         duration took = clock.now() - arrived;
@@ -152,18 +152,6 @@
       });
 }
 
-run_node& load_day::ChooseEntry() {
-  auto live = Live();
-  if (!weight_)
-    return *live[random_() % live.size()];
-  std::vector<double> weights;
-  for (const run_node* node : live)
-    weights.push_back(
-        weight_(node->self.domain.str(), clock.now() - play_began_));
-  std::discrete_distribution<size_t> draw(weights.begin(), weights.end());
-  return *live[draw(random_)];
-}
-
 void load_day::ArriveCrasher() {
   std::string key = kCrasher + std::to_string(jobs_++);
   run_times_[key] = kCrasherRunTime;
--- a/tests/fakes/load_day.h
+++ b/tests/fakes/load_day.h
@@ -3,11 +3,9 @@
 #ifndef TESTS_FAKES_LOAD_DAY_H_
 #define TESTS_FAKES_LOAD_DAY_H_
 
-#include <functional>
 #include <map>
 #include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "fakes/run_nodes.h"
@@ -59,11 +57,6 @@
   // of each, one task crashes every upstream that starts it. An upstream is
   // back after some seconds, under another id.
   void AddCrashers(int jobs) { crashers_left_ = jobs; }
-  // The share of arrivals of a failure domain's instances against others', by
-  // the time since the day began to play.
-  using domain_weight =
-      std::function<double(const std::string& domain, duration at)>;
-  void SetWeights(domain_weight weight) { weight_ = std::move(weight); }
   int upstreams_lost() const { return upstreams_lost_; }
   // Most starts of one crashing task.
   int most_crasher_starts();
@@ -82,7 +75,6 @@
   void Rebirth(const std::string& id, const std::string& domain);
   void Arrive();
   void ArriveCrasher();
-  run_node& ChooseEntry();
   double Uniform(double from, double to);
 
   std::vector<load_class> classes_ = DeskClasses();
@@ -92,8 +84,6 @@
   std::map<std::string, double> work_;
   size_t places_ = 0;
   int jobs_ = 0;
-  domain_weight weight_;
-  time_point play_began_;
   int crashers_left_ = 0;
   int upstreams_lost_ = 0;
   int crashers_given_up_ = 0;
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -38,7 +38,7 @@
     desk.OnHomesChanged();
   }
 
-  void Submit(int steps = 1) {
+  void Submit() {
     run_job job;
     job.key = job_key("00000000000000aa");
     job.limit = milliseconds(1500);
@@ -46,19 +46,16 @@
     step.tasks = 2;
     step.need = {14'000, 64, 0};
     step.estimate = milliseconds(60);
-    job.steps.assign(static_cast<size_t>(steps), step);
+    job.steps.push_back(step);
     desk.Submit(std::move(job),
                 [this](const run_answer& a) { answers.push_back(a); });
   }
 
-  void Refuse(const run_request& request,
-              run_refusal why,
-              const std::string& asked_by = {}) {
+  void Refuse(const run_request& request, run_refusal why) {
     run_report report{request.job, request.submission, {}};
     report.refusal = why;
     report.not_run = true;
     report.sending = request.sending;
-    report.asked_by = failure_domain_id(asked_by);
     desk.OnReport(kNorth, report);
   }
 
@@ -89,28 +86,6 @@
   CHECK(!f.sent[1].second.tasks[0].maybe_started);
 }
 
-TEST_CASE("job_desk: a home hands back what another one asked for") {
-  desk_fixture f;
-  f.Submit();
-  f.Refuse(f.sent[0].second, run_refusal::kBusy, "south");
-  REQUIRE(f.sent.size() == 2);
-  CHECK(f.sent[1].first == kSouth);
-  CHECK(f.desk.metrics().pulled == 1);
-}
-
-TEST_CASE("job_desk: handed back between the requests for two steps") {
-  // Guards against tasks that no home has: the home dropped those of the first
-  // request before the second one reached it.
-  desk_fixture f;
-  f.Submit(2);
-  REQUIRE(f.sent.size() == 2);
-  f.Refuse(f.sent[0].second, run_refusal::kBusy, "south");
-  REQUIRE(f.sent.size() == 4);
-  CHECK(f.sent[2].first == kNorth);
-  CHECK(f.sent[2].second.tasks.size() == 2);
-  CHECK(f.sent[2].second.tasks[0].maybe_started);
-}
-
 TEST_CASE("job_desk: a job that comes just before the first home") {
   // All instances lost power and are back. Callers come at once, the homes
   // begin a fifth of a second later. A refusal would be true, but a caller that
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -58,11 +58,6 @@
   refusal.sending = 3;
   refusal.retry_after = std::chrono::seconds(2);
   CHECK(ThroughTheWire(refusal) == refusal);
-  refusal.refusal = run_refusal::kBusy;
-  refusal.asked_by = failure_domain_id("south");
-  CHECK(ThroughTheWire(refusal) == refusal);
-  work_wanted wanted{{failure_domain_id("south"), 1}, 64'000};
-  CHECK(ThroughTheWire(wanted) == wanted);
   delegated_start start;
   start.number = 9;
   start.submission = submission_id(1);
