--- a/src/base/runtime_clock.h
+++ b/src/base/runtime_clock.h
@@ -41,6 +41,10 @@
       std::chrono::duration<double>(seconds));
 }
 
+inline duration Times(duration time, double factor) {
+  return FromSeconds(ToSeconds(time) * factor);
+}
+
 inline duration FromMilliseconds(double ms) {
   return FromSeconds(ms / 1000.0);
 }
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -13,15 +13,14 @@
 // A link is silent for no longer than this, so its other end can tell a dead
 // peer from a quiet one within four of them.
 constexpr duration kHeartbeatInterval = std::chrono::milliseconds(250);
-// With 300 peers rarer heartbeats save a quarter of an instance's bytes and a
-// tenth of its processor time. They get as rare as still leaves two of them in
-// the silence after which a peer counts as dead.
+// With many peers heartbeats cost much of an instance's bytes and processor
+// time. They get as rare as still leaves two of them in the silence after which
+// a peer counts as dead.
 constexpr duration kHeartbeatPerPeer = std::chrono::microseconds(1500);
 constexpr duration kLongestHeartbeatInterval = std::chrono::milliseconds(450);
-// How old a job owner's knowledge of a home's room may be: a task of 60 ms gets
-// room or loses it in about this time. With 100 ms, owners of all failure
-// domains sent too much to the same home at once: mean worth of the heavy days
-// 0.798 and 0.826, against 0.809 and 0.831 with 50 ms.
+// How old a job owner's knowledge of a home's room may be: a short task gets
+// room or loses it in about this time. With older knowledge owners of all
+// failure domains send too much to the same home at once.
 constexpr duration kHomeStatusInterval = std::chrono::milliseconds(50);
 // Registrations lapse while the store can't be reached, and are back within two
 // seconds of its return if the upstream lives.
@@ -142,10 +141,7 @@
   home_->SetUpstreams(upstreams_, true);
   if (news.empty())
     return;
-  for (const instance_id& peer : peers_.peers_up()) {
-    if (IsOfOwnDomain(peer))
-      peers_.Send(peer, news);
-  }
+  SendToOwnDomain(news);
 }
 
 // A registration of a service that operators have not named is from some other
@@ -192,10 +188,7 @@
   speed_news news = home_->speeds().TakeNews(clock_.now());
   if (news.speeds.empty())
     return;
-  for (const instance_id& peer : peers_.peers_up()) {
-    if (IsOfOwnDomain(peer))
-      peers_.Send(peer, news);
-  }
+  SendToOwnDomain(news);
 }
 
 // Late news of a home that has been replaced may contradict its successor's.
@@ -327,6 +320,13 @@
     peers_.Send(peer, message);
 }
 
+void run_cluster::SendToOwnDomain(const peer_message& message) {
+  for (const instance_id& peer : peers_.peers_up()) {
+    if (IsOfOwnDomain(peer))
+      peers_.Send(peer, message);
+  }
+}
+
 void run_cluster::Take(const instance_id& from, const peer_message& message) {
   std::visit(overloaded{
                  [&](const run_request& m) { home_->OnRequest(from, m); },
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -75,6 +75,7 @@
   // False if there is no link.
   bool Send(const instance_id& to, const peer_message& message);
   void SendToAll(const peer_message& message);
+  void SendToOwnDomain(const peer_message& message);
   void Take(const instance_id& from, const peer_message& message);
   void TakeStatus(const instance_id& from, const peer_status& status);
   void TakeHomeStatus(const instance_id& from, const home_status& status);
--- a/src/policy/run_time_model.cc
+++ b/src/policy/run_time_model.cc
@@ -33,10 +33,6 @@
   return ToSeconds(time) * 1000;
 }
 
-duration Times(duration time, double factor) {
-  return FromSeconds(ToSeconds(time) * factor);
-}
-
 double LongestFactor(const factor_counts& counts, double unknown) {
   if (counts.total() < kEnough)
     return unknown;
--- a/src/policy/upstream_speeds.cc
+++ b/src/policy/upstream_speeds.cc
@@ -18,8 +18,8 @@
 // Leach's tracking signal.
 constexpr double kDriftGain = 0.3;
 constexpr double kChanged = 0.4;
-// Callers' guesses are off by 40 %, siblings differ by 15 %, and a few tasks
-// take many times as long: three standard deviations of one run.
+// Callers' guesses are far off, siblings differ, and a few tasks take many
+// times as long: three standard deviations of one run.
 constexpr double kNoiseOfRun = 0.9;
 // Smaller ones matter less than the guesses' errors.
 constexpr double kLeastDifference = 0.18;
@@ -89,13 +89,6 @@
   each.last_run = now;
 }
 
-void upstream_speeds::Clear() {
-  known_.clear();
-  kinds_.clear();
-  centre_ = 0;
-  refreshed_ = time_point();
-}
-
 void upstream_speeds::Refresh(time_point now) {
   duration passed = now - refreshed_;
   if (passed < kRefreshInterval)
--- a/src/policy/upstream_speeds.h
+++ b/src/policy/upstream_speeds.h
@@ -38,7 +38,6 @@
             time_point now);
   // It is gone, or another incarnation has its id.
   void Forget(const upstream_id& id) { known_.erase(id); }
-  void Clear();
 
   double Of(const upstream_id& id, const std::string& kind) const;
   double OfKind(const std::string& kind) const;
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -3591,11 +3591,6 @@
   this->sending = val;
 __isset.sending = true;
 }
-
-void run_report::__set_asked_by(const std::string& val) {
-  this->asked_by = val;
-__isset.asked_by = true;
-}
 std::ostream& operator<<(std::ostream& out, const run_report& obj)
 {
   obj.printTo(out);
@@ -3692,14 +3687,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->asked_by);
-          this->__isset.asked_by = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3758,11 +3745,6 @@
     xfer += oprot->writeI32(this->sending);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.asked_by) {
-    xfer += oprot->writeFieldBegin("asked_by", ::apache::thrift::protocol::T_STRING, 8);
-    xfer += oprot->writeString(this->asked_by);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3777,7 +3759,6 @@
   swap(a.not_run, b.not_run);
   swap(a.retry_after_us, b.retry_after_us);
   swap(a.sending, b.sending);
-  swap(a.asked_by, b.asked_by);
   swap(a.__isset, b.__isset);
 }
 
@@ -3789,7 +3770,6 @@
   not_run = other128.not_run;
   retry_after_us = other128.retry_after_us;
   sending = other128.sending;
-  asked_by = other128.asked_by;
   __isset = other128.__isset;
 }
 run_report& run_report::operator=(const run_report& other129) {
@@ -3800,7 +3780,6 @@
   not_run = other129.not_run;
   retry_after_us = other129.retry_after_us;
   sending = other129.sending;
-  asked_by = other129.asked_by;
   __isset = other129.__isset;
   return *this;
 }
@@ -3814,7 +3793,6 @@
   out << ", " << "not_run="; (__isset.not_run ? (out << to_string(not_run)) : (out << "<null>"));
   out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
   out << ", " << "sending="; (__isset.sending ? (out << to_string(sending)) : (out << "<null>"));
-  out << ", " << "asked_by="; (__isset.asked_by ? (out << to_string(asked_by)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5755,138 +5733,6 @@
 }
 
 
-work_wanted::~work_wanted() noexcept {
-}
-
-
-void work_wanted::__set_failure_domain(const std::string& val) {
-  this->failure_domain = val;
-}
-
-void work_wanted::__set_group(const int32_t val) {
-  this->group = val;
-}
-
-void work_wanted::__set_cpu_millis(const int64_t val) {
-  this->cpu_millis = val;
-}
-std::ostream& operator<<(std::ostream& out, const work_wanted& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t work_wanted::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failure_domain);
-          this->__isset.failure_domain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->group);
-          this->__isset.group = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->cpu_millis);
-          this->__isset.cpu_millis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t work_wanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("work_wanted");
-
-  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->failure_domain);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("cpu_millis", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->cpu_millis);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(work_wanted &a, work_wanted &b) {
-  using ::std::swap;
-  swap(a.failure_domain, b.failure_domain);
-  swap(a.group, b.group);
-  swap(a.cpu_millis, b.cpu_millis);
-  swap(a.__isset, b.__isset);
-}
-
-work_wanted::work_wanted(const work_wanted& other194) {
-  failure_domain = other194.failure_domain;
-  group = other194.group;
-  cpu_millis = other194.cpu_millis;
-  __isset = other194.__isset;
-}
-work_wanted& work_wanted::operator=(const work_wanted& other195) {
-  failure_domain = other195.failure_domain;
-  group = other195.group;
-  cpu_millis = other195.cpu_millis;
-  __isset = other195.__isset;
-  return *this;
-}
-void work_wanted::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "work_wanted(";
-  out << "failure_domain=" << to_string(failure_domain);
-  out << ", " << "group=" << to_string(group);
-  out << ", " << "cpu_millis=" << to_string(cpu_millis);
-  out << ")";
-}
-
-
 frame::~frame() noexcept {
 }
 
@@ -5990,11 +5836,6 @@
   this->speeds = val;
 __isset.speeds = true;
 }
-
-void frame::__set_work(const work_wanted& val) {
-  this->work = val;
-__isset.work = true;
-}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -6183,14 +6024,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 21:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->work.read(iprot);
-          this->__isset.work = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6308,11 +6141,6 @@
     xfer += this->speeds.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.work) {
-    xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_STRUCT, 21);
-    xfer += this->work.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6340,57 +6168,54 @@
   swap(a.drained, b.drained);
   swap(a.crashes, b.crashes);
   swap(a.speeds, b.speeds);
-  swap(a.work, b.work);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other196) {
-  hello_message = other196.hello_message;
-  proof_message = other196.proof_message;
-  demand = other196.demand;
-  grant = other196.grant;
-  release = other196.release;
-  status_message = other196.status_message;
-  wanted = other196.wanted;
-  document_message = other196.document_message;
-  request = other196.request;
-  reply = other196.reply;
-  run = other196.run;
-  cancel = other196.cancel;
-  report = other196.report;
-  home = other196.home;
-  upstreams = other196.upstreams;
-  delegated = other196.delegated;
-  delegated_result = other196.delegated_result;
-  drained = other196.drained;
-  crashes = other196.crashes;
-  speeds = other196.speeds;
-  work = other196.work;
-  __isset = other196.__isset;
-}
-frame& frame::operator=(const frame& other197) {
-  hello_message = other197.hello_message;
-  proof_message = other197.proof_message;
-  demand = other197.demand;
-  grant = other197.grant;
-  release = other197.release;
-  status_message = other197.status_message;
-  wanted = other197.wanted;
-  document_message = other197.document_message;
-  request = other197.request;
-  reply = other197.reply;
-  run = other197.run;
-  cancel = other197.cancel;
-  report = other197.report;
-  home = other197.home;
-  upstreams = other197.upstreams;
-  delegated = other197.delegated;
-  delegated_result = other197.delegated_result;
-  drained = other197.drained;
-  crashes = other197.crashes;
-  speeds = other197.speeds;
-  work = other197.work;
-  __isset = other197.__isset;
+frame::frame(const frame& other194) {
+  hello_message = other194.hello_message;
+  proof_message = other194.proof_message;
+  demand = other194.demand;
+  grant = other194.grant;
+  release = other194.release;
+  status_message = other194.status_message;
+  wanted = other194.wanted;
+  document_message = other194.document_message;
+  request = other194.request;
+  reply = other194.reply;
+  run = other194.run;
+  cancel = other194.cancel;
+  report = other194.report;
+  home = other194.home;
+  upstreams = other194.upstreams;
+  delegated = other194.delegated;
+  delegated_result = other194.delegated_result;
+  drained = other194.drained;
+  crashes = other194.crashes;
+  speeds = other194.speeds;
+  __isset = other194.__isset;
+}
+frame& frame::operator=(const frame& other195) {
+  hello_message = other195.hello_message;
+  proof_message = other195.proof_message;
+  demand = other195.demand;
+  grant = other195.grant;
+  release = other195.release;
+  status_message = other195.status_message;
+  wanted = other195.wanted;
+  document_message = other195.document_message;
+  request = other195.request;
+  reply = other195.reply;
+  run = other195.run;
+  cancel = other195.cancel;
+  report = other195.report;
+  home = other195.home;
+  upstreams = other195.upstreams;
+  delegated = other195.delegated;
+  delegated_result = other195.delegated_result;
+  drained = other195.drained;
+  crashes = other195.crashes;
+  speeds = other195.speeds;
+  __isset = other195.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -6416,7 +6241,6 @@
   out << ", " << "drained="; (__isset.drained ? (out << to_string(drained)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
-  out << ", " << "work="; (__isset.work ? (out << to_string(work)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -100,8 +100,6 @@
 
 class speed_news;
 
-class work_wanted;
-
 class frame;
 
 typedef struct _hello__isset {
@@ -1499,7 +1497,7 @@
 std::ostream& operator<<(std::ostream& out, const task_report& obj);
 
 typedef struct _run_report__isset {
-  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false), sending(false), asked_by(false) {}
+  _run_report__isset() : job(false), submission(false), tasks(false), refusal(false), not_run(false), retry_after_us(false), sending(false) {}
   bool job :1;
   bool submission :1;
   bool tasks :1;
@@ -1507,7 +1505,6 @@
   bool not_run :1;
   bool retry_after_us :1;
   bool sending :1;
-  bool asked_by :1;
 } _run_report__isset;
 
 class run_report : public virtual ::apache::thrift::TBase {
@@ -1521,8 +1518,7 @@
                refusal(0),
                not_run(0),
                retry_after_us(0),
-               sending(0),
-               asked_by() {
+               sending(0) {
   }
 
   virtual ~run_report() noexcept;
@@ -1533,7 +1529,6 @@
   bool not_run;
   int64_t retry_after_us;
   int32_t sending;
-  std::string asked_by;
 
   _run_report__isset __isset;
 
@@ -1551,8 +1546,6 @@
 
   void __set_sending(const int32_t val);
 
-  void __set_asked_by(const std::string& val);
-
   bool operator == (const run_report & rhs) const
   {
     if (!(job == rhs.job))
@@ -1579,10 +1572,6 @@
       return false;
     else if (__isset.sending && !(sending == rhs.sending))
       return false;
-    if (__isset.asked_by != rhs.__isset.asked_by)
-      return false;
-    else if (__isset.asked_by && !(asked_by == rhs.asked_by))
-      return false;
     return true;
   }
   bool operator != (const run_report &rhs) const {
@@ -2356,65 +2345,8 @@
 
 std::ostream& operator<<(std::ostream& out, const speed_news& obj);
 
-typedef struct _work_wanted__isset {
-  _work_wanted__isset() : failure_domain(false), group(false), cpu_millis(false) {}
-  bool failure_domain :1;
-  bool group :1;
-  bool cpu_millis :1;
-} _work_wanted__isset;
-
-class work_wanted : public virtual ::apache::thrift::TBase {
- public:
-
-  work_wanted(const work_wanted&);
-  work_wanted& operator=(const work_wanted&);
-  work_wanted() noexcept
-              : failure_domain(),
-                group(0),
-                cpu_millis(0) {
-  }
-
-  virtual ~work_wanted() noexcept;
-  std::string failure_domain;
-  int32_t group;
-  int64_t cpu_millis;
-
-  _work_wanted__isset __isset;
-
-  void __set_failure_domain(const std::string& val);
-
-  void __set_group(const int32_t val);
-
-  void __set_cpu_millis(const int64_t val);
-
-  bool operator == (const work_wanted & rhs) const
-  {
-    if (!(failure_domain == rhs.failure_domain))
-      return false;
-    if (!(group == rhs.group))
-      return false;
-    if (!(cpu_millis == rhs.cpu_millis))
-      return false;
-    return true;
-  }
-  bool operator != (const work_wanted &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const work_wanted & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(work_wanted &a, work_wanted &b);
-
-std::ostream& operator<<(std::ostream& out, const work_wanted& obj);
-
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false), speeds(false), work(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false), speeds(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -2435,7 +2367,6 @@
   bool drained :1;
   bool crashes :1;
   bool speeds :1;
-  bool work :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -2467,7 +2398,6 @@
   drained_domains drained;
   crash_news crashes;
   speed_news speeds;
-  work_wanted work;
 
   _frame__isset __isset;
 
@@ -2511,8 +2441,6 @@
 
   void __set_speeds(const speed_news& val);
 
-  void __set_work(const work_wanted& val);
-
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -2595,10 +2523,6 @@
       return false;
     else if (__isset.speeds && !(speeds == rhs.speeds))
       return false;
-    if (__isset.work != rhs.__isset.work)
-      return false;
-    else if (__isset.work && !(work == rhs.work))
-      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -179,9 +179,6 @@
   5: optional bool not_run
   6: optional i64 retry_after_us
   7: optional i32 sending
-  // With a job that is handed back: the failure domain whose home asked for
-  // work.
-  8: optional string asked_by
 }
 
 // How long a job of a priority would wait for room.
@@ -279,14 +276,6 @@
   1: list<upstream_speed> speeds
 }
 
-// The home of the sender's group has room and asks another home for jobs that
-// have not begun.
-struct work_wanted {
-  1: string failure_domain
-  2: i32 group
-  3: i64 cpu_millis
-}
-
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -309,5 +298,4 @@
   18: optional drained_domains drained
   19: optional crash_news crashes
   20: optional speed_news speeds
-  21: optional work_wanted work
 }
--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -13,6 +13,11 @@
 
 }  // namespace
 
+double RackSlowdown(const upstream_info& where, const home_task& task) {
+  bool near = task.demand.rack.empty() || where.rack == task.demand.rack;
+  return near ? 1 : kOffRackSlowdown;
+}
+
 double CoreSeconds(const task_demand& demand) {
   return static_cast<double>(demand.need.cpu_millis) / 1000 *
          ToSeconds(demand.estimate);
@@ -33,7 +38,7 @@
   double pace = Pace();
   if (pace == 0)
     return task.demand.estimate;
-  return FromSeconds(ToSeconds(task.demand.estimate) * pace);
+  return Times(task.demand.estimate, pace);
 }
 
 double home_job::Pace() const {
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -10,6 +10,7 @@
 #include "runs/job_order.h"
 #include "runs/run_messages.h"
 #include "runs/run_types.h"
+#include "runs/upstream_registry.h"
 
 namespace jasminedyke {
 
@@ -96,6 +97,11 @@
 
 using home_job_map = std::map<job_key, home_job>;
 
+// Of a task away from the rack of its data, at most.
+constexpr double kOffRackSlowdown = 3;
+// How many times as long a task may take on that upstream as near its data.
+double RackSlowdown(const upstream_info& where, const home_task& task);
+
 // Core-seconds, by the caller's guess.
 double CoreSeconds(const task_demand& demand);
 
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -8,14 +8,14 @@
 namespace {
 
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
-// A lost home's successor needs a store write, up to 20 ms, after the loss is
+// A lost home's successor needs a store write after the loss is
 // noticed; a silent loss takes the lease row's expiry. After this time the
 // caller does better to come back than to wait.
 constexpr duration kLongestHomeless = std::chrono::milliseconds(900);
 constexpr duration kRetryAfterNoHome = std::chrono::seconds(1);
 // A job for which no home is known waits for one so long, if there was one, or
 // this instance started, that short a time ago: after a loss of power the homes
-// begin 0.2 s after the first instances, after a planned stop at once. When
+// begin soon after the first instances, after a planned stop at once. When
 // there has been none for longer, nothing says that one is near.
 constexpr duration kWaitForFirstHome = std::chrono::milliseconds(500);
 // Operators drain a failure domain for work that takes many seconds.
@@ -341,19 +341,20 @@
   done(answer);
 }
 
+bool job_desk::AnyHomeHasPlaces(const open_job& job) const {
+  int64_t need = ReadyCpuMillis(job);
+  return std::ranges::any_of(
+      homes_.Ranked(domain_, need), [need](const known_home& home) {
+        return home_directory::HasPlaces(home.status, need);
+      });
+}
+
 // One line for each job tells where to look next: the home's log has the job's
 // id with what went wrong there.
 void job_desk::LogAnswer(const open_job& job, const run_answer& answer) const {
   const known_home* home = homes_.Find(job.group);
   duration age = home ? clock_.now() - home->heard : duration::zero();
-  int64_t need = ReadyCpuMillis(job);
   bool served = answer.outcome == run_outcome::kSucceeded;
-  bool room_left =
-      !served &&
-      std::ranges::any_of(
-          homes_.Ranked(domain_, need), [&](const known_home& other) {
-            return home_directory::HasPlaces(other.status, need);
-          });
   LogEvent(log_level::kInfo, "job_answered",
            {{"job", job.asked.key.str()},
             {"queue", job.asked.queue.str()},
@@ -366,7 +367,7 @@
             {"failure_domain", domain_.str()},
             {"passed_by", job.passed_by.size()},
             {"moved", job.moved},
-            {"room_left", room_left ? 1 : 0},
+            {"room_left", !served && AnyHomeHasPlaces(job) ? 1 : 0},
             {"token", home ? home->status.token.value() : 0},
             {"home_heard_ms_ago", ToMilliseconds(age)},
             {"done", job.finished.size()},
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -153,6 +153,7 @@
   void LoseHome(open_job& job);
   void OnRefused(open_job& job, const run_report& report);
   void Answer(const job_key& key, const run_answer& answer);
+  bool AnyHomeHasPlaces(const open_job& job) const;
   void LogAnswer(const open_job& job, const run_answer& answer) const;
   void CancelAtHome(const open_job& job);
   void Sweep();
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -21,9 +21,9 @@
 constexpr int kUsefulLateness = 3;
 // Of this instance's link, the share that specifications in starts may take.
 // Jobs bring each specification in once, holds need as many bytes again, and
-// bursts must pass within the 96 ms that a caller of 60 ms tasks can lose; a
-// home at 40 % of its link by this count had its answers too late. Below that a
-// start by the owner costs a message more and connections of its own.
+// bursts must pass within the little time that callers of short tasks can lose.
+// Below that a start by the owner costs a message more and connections of its
+// own.
 constexpr double kMostSpecShare = 0.2;
 constexpr double kFewSpecShare = 0.1;
 
@@ -512,9 +512,7 @@
 }
 
 // Failure domains are uneven at any moment, more so when one has lost
-// upstreams: what waits in one could start at once in another. With half of one
-// domain's upstreams lost, 0.70 of the urgent jobs were in time; 0.80 with jobs
-// passed on and homes chosen by their room (tests/run_load).
+// upstreams: what waits in one could start at once in another.
 void run_home::PassOn(home_job& job) {
   reports_.SendRefusal(job, run_refusal::kBusy, duration::zero());
   CancelJob(job);
--- a/src/runs/run_times.cc
+++ b/src/runs/run_times.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Of a task away from the rack of its data.
-constexpr double kOffRackSlowdown = 3;
 // Far below its kind: beyond the errors of guesses, and of speeds that are not
 // learnt yet.
 constexpr double kSlow = 3;
@@ -18,14 +16,6 @@
 // much slower one must not hide its hung runs.
 constexpr double kLeastSpeedOfKind = 0.5;
 
-duration Times(duration time, double factor) {
-  return FromSeconds(ToSeconds(time) * factor);
-}
-
-bool IsOffRack(const home_task& task, const upstream_info& where) {
-  return !task.demand.rack.empty() && where.rack != task.demand.rack;
-}
-
 }  // namespace
 
 run_expectation run_times::Expect(const home_job& job,
@@ -44,7 +34,7 @@
   const home_speeds& speeds = upstreams_.speeds();
   double speed =
       std::max(speeds.Of(where), speeds.OfKind(where) * kLeastSpeedOfKind);
-  double slowdown = (IsOffRack(task, where) ? kOffRackSlowdown : 1) / speed;
+  double slowdown = RackSlowdown(where, task) / speed;
   return {Times(expected.usual, slowdown), Times(expected.longest, slowdown)};
 }
 
@@ -55,9 +45,8 @@
   duration usual = Expect(job, task).usual;
   if (usual <= duration::zero())
     return 1;
-  double there = ToSeconds(usual) / upstreams_.speeds().OfKind(where);
-  if (IsOffRack(task, where))
-    there *= kOffRackSlowdown;
+  double there = ToSeconds(usual) / upstreams_.speeds().OfKind(where) *
+                 RackSlowdown(where, task);
   return ToSeconds(took) - there > ToSeconds(kSlowAtLeast)
              ? ToSeconds(took) / there
              : 1;
@@ -117,7 +106,8 @@
   upstream_standing& standing = upstreams_.Standing(where.id);
   if (Judge(job, task, where, took, now))
     standing.OnDone();
-  if (IsOffRack(task, where))
+  bool off_rack = RackSlowdown(where, task) != 1;
+  if (off_rack)
     return;
   const queue_id& queue = job.request.queue;
   duration usual = Expect(job, task).usual;
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -29,10 +29,6 @@
 constexpr int kMostAllowances = 4;
 constexpr int kAllPercent = 100;
 
-duration Times(duration time, double factor) {
-  return FromSeconds(ToSeconds(time) * factor);
-}
-
 duration StillPatience(const run_sight& sight) {
   if (sight.expected.longest <= duration::zero())
     return kStillUnknown;
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -7,21 +7,11 @@
 
 namespace {
 
-// Of a task away from the rack of its data: the platform's bound is 2 to 3.
-constexpr double kOffRackSlowdown = 3;
 // Tasks of a job differ, and the word of the last one takes its way.
 constexpr double kMargin = 1.1;
 // A trial is made only where no good upstream has room.
 constexpr double kTrialCost = 10;
 
-// Away from its data a task takes longer. It goes there only if it still ends
-// in time, or is late anyway; else it waits for room near the data.
-double SlownessOn(const upstream_session& session, const home_task& task) {
-  bool near =
-      task.demand.rack.empty() || session.info().rack == task.demand.rack;
-  return near ? 1 : kOffRackSlowdown;
-}
-
 }  // namespace
 
 bool MayRun(const upstream_session& session,
@@ -93,7 +83,7 @@
 bool task_placer::PaysOffRack(const home_job& job,
                               const home_task& task) const {
   duration near = job.Expected(task);
-  duration away = FromSeconds(ToSeconds(near) * kOffRackSlowdown);
+  duration away = Times(near, kOffRackSlowdown);
   time_point now = clock_.now();
   return now + away <= job.objective || now + near > job.objective;
 }
@@ -160,7 +150,9 @@
     if (!task.demand.need.Fits(open.room) || !MayRun(session, job, task) ||
         session.info().id == task.avoid)
       continue;
-    double slowness = SlownessOn(session, task);
+    double slowness = RackSlowdown(session.info(), task);
+    // Away from its data it waits for room near them, unless it is in time or
+    // late anyway.
     if ((slowness > 1 && !pays_off_rack) || !MayTry(open))
       continue;
     candidates.push_back({open.room, open.good ? slowness : kTrialCost,
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -1,6 +1,6 @@
 // Where a home's waiting tasks find room, during one dispatch.
 //
-// Answers the pattern of tasks of 50 to 800 ms on upstreams of which the
+// Answers the pattern of short and long tasks on upstreams of which the
 // slowest make the long ones late: the last task of a job decides when it is
 // answered, so all of them go where the job still ends in time, and one that
 // would not waits for a faster upstream while that can help.
--- a/src/runs/upstream_clock.cc
+++ b/src/runs/upstream_clock.cc
@@ -6,9 +6,15 @@
 
 // Upstreams' clocks may be 2 % slow (platform's bound).
 constexpr double kSlowestClock = 0.98;
+// Beyond a time on the upstream's clock, before something counts as over.
+constexpr int64_t kClockMarginMs = 30;
 
 }  // namespace
 
+bool IsOverAt(upstream_time reading, upstream_time limit) {
+  return reading.ms > limit.ms + kClockMarginMs;
+}
+
 void upstream_clock::Take(upstream_time reading, time_point asked) {
   if (known_ && reading < reading_)
     return;
--- a/src/runs/upstream_clock.h
+++ b/src/runs/upstream_clock.h
@@ -8,6 +8,10 @@
 
 namespace jasminedyke {
 
+// By its clock's reading, an upstream is beyond `limit` by so much that what
+// ends then is over.
+bool IsOverAt(upstream_time reading, upstream_time limit);
+
 // Leases and time limits of orders are times on the upstream's clock, which is
 // read only in answers that were some time on their way. Bounds on both sides:
 // what counts as over must use the earliest, what is given the latest.
--- a/src/runs/upstream_life.cc
+++ b/src/runs/upstream_life.cc
@@ -9,8 +9,6 @@
 // Answers get lost in spells of seconds, with less than a second between two
 // losses on an upstream at work.
 constexpr duration kLossMemory = std::chrono::seconds(3);
-// Beyond a time on the upstream's clock, before something counts as over.
-constexpr int64_t kClockMarginMs = 30;
 // An order that is not answered may be carried out seconds later. By then the
 // upstream may have another clock, on which the order's time limit lies far
 // ahead.
@@ -94,7 +92,7 @@
 }
 
 bool upstream_life::LeaseIsOver() const {
-  return !clock.known() || clock.Earliest().ms > lease_end.ms + kClockMarginMs;
+  return !clock.known() || IsOverAt(clock.Earliest(), lease_end);
 }
 
 void upstream_life::NoteForeignLease(upstream_time given,
--- a/src/runs/upstream_port.h
+++ b/src/runs/upstream_port.h
@@ -71,11 +71,8 @@
 };
 
 // How long the answer to a call may take that upstreams answer at once, before
-// the call counts as unanswered. Answers take 2 to 5 ms; after a pause of our
-// own process what has arrived is read before timers are looked at. With 150
-// ms, and 300 ms for stops, spells with 8 % of the orders unanswered were worth
-// 0.830, with 80 ms 0.859 (mean of 8 spells); nothing was lost with slow and
-// frozen instances.
+// the call counts as unanswered: many times what answers take. After a pause of
+// our own process what has arrived is read before timers are looked at.
 constexpr duration kAnswerPatience = std::chrono::milliseconds(80);
 
 struct stop_order {
--- a/src/runs/upstream_runs.cc
+++ b/src/runs/upstream_runs.cc
@@ -2,21 +2,19 @@
 
 #include <algorithm>
 
+#include "runs/upstream_clock.h"
+
 namespace jasminedyke {
 
 namespace {
 
-// Beyond a time on the upstream's clock, before something counts as over.
-constexpr int64_t kClockMarginMs = 30;
-
 bool IsOver(const run_record& record,
             time_point sent,
             const hold_reply& reply) {
   if (!record.IsUnclear())
     return record.since < sent;
   bool refused = record.refused_since && sent >= *record.refused_since;
-  bool too_late =
-      !record.carried && reply.clock.ms > record.not_after.ms + kClockMarginMs;
+  bool too_late = !record.carried && IsOverAt(reply.clock, record.not_after);
   return refused || too_late;
 }
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -22,8 +22,8 @@
 // An order that takes longer on its way is refused as late. Long enough that
 // most tasks end under the lease which their start brings.
 constexpr duration kStartLimit = std::chrono::milliseconds(500);
-// Starts are answered within 2 to 5 ms; one that is not after this time is
-// looked for. A caller of 60 ms tasks can lose 96 ms in all.
+// Starts are answered within a fraction of this; one that is not is looked for
+// before callers of short tasks have lost their objective.
 constexpr duration kStartPatience = std::chrono::milliseconds(30);
 // Between looks for an unanswered start, doubled each time: a look is answered
 // as fast as a start, and an upstream that answers nothing must not be flooded.
@@ -360,8 +360,8 @@
              });
 }
 
-// With 8 in 100 calls unanswered, ends were learnt up to 0.7 s late, and the
-// room that they free stayed empty as long. Where all upstreams are late none
+// While answers get lost, ends are learnt late, and the room that they free
+// stays empty as long. Where all upstreams are late none
 // of it is lost, and a second hold for each end doubles what is on the link.
 void upstream_session::SendSpareHold() {
   bool wanted = life_->settled && life_->failed_holds == 0 &&
