Share one set-up of a home among its tests

run_home's and run_claims' tests built the same home with the same owner. One fixture serves both and the tests that follow; no test changed what it asks.

--- a/tests/run_claims/run_claims_test.cc
+++ b/tests/run_claims/run_claims_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "fakes/fake_upstreams.h"
+#include "fakes/home_fixture.h"
 
 namespace jasminedyke {
 
@@ -13,21 +13,11 @@
 
 using std::chrono::milliseconds;
 
-const instance_id kOwner("entry-1");
 const task_name kTask{job_key("00000000000000aa"), 0, {0, 0}};
 
-struct claims_fixture {
-  claims_fixture()
-      : port(fleet, "home"),
-        home(
-            clock,
-            port,
-            {failure_domain_id("north"), 0},
-            {},
-            [this](const instance_id&, const run_report& report) {
-              reports.push_back(report);
-            },
-            [] {}) {
+// Its tasks run for five seconds.
+struct claims_fixture : home_fixture {
+  claims_fixture() {
     for (const char* id : {"u1", "u2"}) {
       fake_upstream& upstream = fleet.Add(id, "north");
       upstream.plan = [](const task_name&) {
@@ -36,15 +26,7 @@
     }
   }
 
-  fake_upstream& At(const char* id) {
-    return *fleet.upstreams.at(upstream_id(id));
-  }
-
-  void Begin() {
-    home.Begin(fencing_token(2));
-    home.SetUpstreams(fleet.registry, true);
-    clock.Advance(milliseconds(20));
-  }
+  void Begin() { home_fixture::Begin(2); }
 
   // As an instance that is no home any more, or never was.
   start_reply StartAt(const char* id, uint64_t token) {
@@ -86,12 +68,6 @@
     }
     return running;
   }
-
-  manual_scheduler clock;
-  fake_fleet fleet{clock};
-  fake_upstream_port port;
-  std::vector<run_report> reports;
-  run_home home;
 };
 
 }  // namespace
--- a/tests/run_home/run_home_test.cc
+++ b/tests/run_home/run_home_test.cc
@@ -7,7 +7,7 @@
 
 #include <doctest/doctest.h>
 
-#include "fakes/fake_upstreams.h"
+#include "fakes/home_fixture.h"
 
 namespace jasminedyke {
 
@@ -15,66 +15,6 @@
 
 using std::chrono::milliseconds;
 
-const instance_id kOwner("entry-1");
-
-struct home_fixture {
-  home_fixture()
-      : port(fleet, "home"),
-        home(
-            clock,
-            port,
-            {failure_domain_id("north"), 0},
-            {},
-            [this](const instance_id&, const run_report& report) {
-              reports.push_back(report);
-            },
-            [] {}) {}
-
-  void Begin() {
-    home.Begin(fencing_token(1));
-    home.SetUpstreams(fleet.registry, true);
-    clock.Advance(milliseconds(20));
-  }
-
-  upstream_info& InfoOf(const std::string& id) {
-    return fleet.registry.at(upstream_id(id));
-  }
-
-  run_request Request(uint32_t tasks, const task_demand& like) {
-    run_request request;
-    request.job = job_key("00000000000000aa");
-    request.submission = submission_id(1);
-    request.service = service_id("parts");
-    request.spec = std::to_string(like.need.cpu_millis);
-    request.to_objective = milliseconds(156);
-    request.to_limit = milliseconds(1500);
-    request.max_attempts = 2;
-    for (uint32_t i = 0; i < tasks; ++i) {
-      task_demand demand = like;
-      demand.position.index = i;
-      request.tasks.push_back(demand);
-    }
-    return request;
-  }
-
-  size_t StartsOn(const std::string& id) {
-    return fleet.upstreams.at(upstream_id(id))->starts.size();
-  }
-
-  manual_scheduler clock;
-  fake_fleet fleet{clock};
-  fake_upstream_port port;
-  std::vector<run_report> reports;
-  run_home home;
-};
-
-task_demand Demand() {
-  task_demand demand;
-  demand.need = {10'000, 64, 0};
-  demand.estimate = milliseconds(50);
-  return demand;
-}
-
 }  // namespace
 
 TEST_CASE("run_home: at most so many tasks of a step on one upstream") {
