--- /dev/null
+++ b/tests/run_home/failed_verdict_test.cc
@@ -0,0 +1,74 @@
+// What shows a job as failed: only ends of its runs.
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "fakes/home_fixture.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Upstreams "u1" and "u2", and a job of one task that runs for 400 ms.
+struct verdict_fixture : home_fixture {
+  verdict_fixture() {
+    AddUpstream("u1");
+    AddUpstream("u2");
+    Begin();
+    run_request request = Request(1, Demand());
+    request.to_objective = seconds(10);
+    request.to_limit = seconds(20);
+    home.OnRequest(kOwner, request);
+    clock.Advance(milliseconds(20));
+  }
+
+  fake_upstream& AddUpstream(const std::string& id) {
+    fake_upstream& upstream = fleet.Add(id, "north");
+    upstream.plan = [](const task_name&) {
+      return std::pair<duration, run_end>(milliseconds(400), run_end::kDone);
+    };
+    return upstream;
+  }
+
+  void AddThirdUpstream() {
+    AddUpstream("u3");
+    home.SetUpstreams(fleet.registry, true);
+  }
+
+  // That runs the task, and the other one.
+  fake_upstream& Busy() { return At(StartsOn("u1") > 0 ? "u1" : "u2"); }
+  fake_upstream& Idle() { return At(StartsOn("u1") > 0 ? "u2" : "u1"); }
+
+  int Count(task_verdict verdict) const {
+    int count = 0;
+    for (const run_report& report : reports)
+      count += std::ranges::count(report.tasks, verdict, &task_report::verdict);
+    return count;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("failed verdict: an upstream crashed before it began the task") {
+  // Guards against orders that were never carried out being held against their
+  // task as crashes.
+  verdict_fixture f;
+  fake_upstream& busy = f.Busy();
+  fake_upstream& idle = f.Idle();
+  idle.down = true;
+  busy.Crash();
+  f.clock.Advance(milliseconds(10));
+  idle.Crash();
+  idle.down = false;
+  f.AddThirdUpstream();
+  f.clock.Advance(seconds(2));
+  CHECK(idle.starts.empty());
+  CHECK(f.Count(task_verdict::kFailed) == 0);
+  CHECK(f.Count(task_verdict::kDone) == 1);
+}
+
+}  // namespace jasminedyke
