Show a job as failed only for ends of its runs

Callers got 'failed' for jobs of which no task had ended as failed as often as allowed. Cause: the record of crashing tasks told an inference as a fact. Two upstreams that crashed with a run of a task on their session's list convicted the task, and the list also holds orders that were never carried out.

That a task took its upstream down is never proven: its run may have ended unread, its lease may have run out behind a cut, another program may answer at the address of an upstream that left, and upstreams crash for reasons of their own. So nothing but counted ends makes a job failed now. A task under which two upstreams were lost is held as before; its job is given up (unknown, as it ran) and later submissions are refused as not run, with the time until the record forgets it as Retry-After. What holds a task is stricter too: a loss counts once for each incarnation of an upstream, whoever saw it (heard of and seen it counted twice); an order that is not known to have begun holds only as a third loss; and an upstream that answers again takes its loss back on all instances, no longer on one.

Older releases are told no crashes any more, so they don't convict by ours.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -54,7 +54,7 @@
   out.Counter("upstream_trials_total", static_cast<double>(metrics.trials));
   out.Counter("upstreams_lost_total",
               static_cast<double>(metrics.upstreams_lost));
-  out.Counter("crashing_tasks_total", static_cast<double>(metrics.crashers));
+  out.Counter("jobs_given_up_total", static_cast<double>(metrics.given_up));
   for (const auto& [kind, speed] : home.speeds().ByKind()) {
     out.Gauge("upstream_speed", speed.mean, {{"kind", kind}, {"of", "mean"}});
     out.Gauge("upstream_speed", speed.slowest,
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -5201,6 +5201,232 @@
 }
 
 
+upstream_incarnation::~upstream_incarnation() noexcept {
+}
+
+
+void upstream_incarnation::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void upstream_incarnation::__set_birth(const int64_t val) {
+  this->birth = val;
+__isset.birth = true;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_incarnation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_incarnation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->birth);
+          this->__isset.birth = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_incarnation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_incarnation");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.birth) {
+    xfer += oprot->writeFieldBegin("birth", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->birth);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_incarnation &a, upstream_incarnation &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.birth, b.birth);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_incarnation::upstream_incarnation(const upstream_incarnation& other174) {
+  id = other174.id;
+  birth = other174.birth;
+  __isset = other174.__isset;
+}
+upstream_incarnation& upstream_incarnation::operator=(const upstream_incarnation& other175) {
+  id = other175.id;
+  birth = other175.birth;
+  __isset = other175.__isset;
+  return *this;
+}
+void upstream_incarnation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_incarnation(";
+  out << "id=" << to_string(id);
+  out << ", " << "birth="; (__isset.birth ? (out << to_string(birth)) : (out << "<null>"));
+  out << ")";
+}
+
+
+task_loss::~task_loss() noexcept {
+}
+
+
+void task_loss::__set_upstream(const upstream_incarnation& val) {
+  this->upstream = val;
+}
+
+void task_loss::__set_begun(const bool val) {
+  this->begun = val;
+}
+std::ostream& operator<<(std::ostream& out, const task_loss& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t task_loss::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->upstream.read(iprot);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t task_loss::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("task_loss");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->upstream.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(task_loss &a, task_loss &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.begun, b.begun);
+  swap(a.__isset, b.__isset);
+}
+
+task_loss::task_loss(const task_loss& other176) {
+  upstream = other176.upstream;
+  begun = other176.begun;
+  __isset = other176.__isset;
+}
+task_loss& task_loss::operator=(const task_loss& other177) {
+  upstream = other177.upstream;
+  begun = other177.begun;
+  __isset = other177.__isset;
+  return *this;
+}
+void task_loss::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "task_loss(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "begun=" << to_string(begun);
+  out << ")";
+}
+
+
 crash_suspect::~crash_suspect() noexcept {
 }
 
@@ -5225,6 +5451,11 @@
   this->crashed = val;
 __isset.crashed = true;
 }
+
+void crash_suspect::__set_losses(const std::vector<task_loss> & val) {
+  this->losses = val;
+__isset.losses = true;
+}
 std::ostream& operator<<(std::ostream& out, const crash_suspect& obj)
 {
   obj.printTo(out);
@@ -5293,6 +5524,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->losses.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->losses.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += this->losses[_i182].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.losses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5331,6 +5582,19 @@
     xfer += oprot->writeI32(this->crashed);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.losses) {
+    xfer += oprot->writeFieldBegin("losses", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->losses.size()));
+      std::vector<task_loss> ::const_iterator _iter183;
+      for (_iter183 = this->losses.begin(); _iter183 != this->losses.end(); ++_iter183)
+      {
+        xfer += (*_iter183).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5343,24 +5607,27 @@
   swap(a.index, b.index);
   swap(a.lost, b.lost);
   swap(a.crashed, b.crashed);
+  swap(a.losses, b.losses);
   swap(a.__isset, b.__isset);
 }
 
-crash_suspect::crash_suspect(const crash_suspect& other174) {
-  job = other174.job;
-  step = other174.step;
-  index = other174.index;
-  lost = other174.lost;
-  crashed = other174.crashed;
-  __isset = other174.__isset;
+crash_suspect::crash_suspect(const crash_suspect& other184) {
+  job = other184.job;
+  step = other184.step;
+  index = other184.index;
+  lost = other184.lost;
+  crashed = other184.crashed;
+  losses = other184.losses;
+  __isset = other184.__isset;
 }
-crash_suspect& crash_suspect::operator=(const crash_suspect& other175) {
-  job = other175.job;
-  step = other175.step;
-  index = other175.index;
-  lost = other175.lost;
-  crashed = other175.crashed;
-  __isset = other175.__isset;
+crash_suspect& crash_suspect::operator=(const crash_suspect& other185) {
+  job = other185.job;
+  step = other185.step;
+  index = other185.index;
+  lost = other185.lost;
+  crashed = other185.crashed;
+  losses = other185.losses;
+  __isset = other185.__isset;
   return *this;
 }
 void crash_suspect::printTo(std::ostream& out) const {
@@ -5371,6 +5638,7 @@
   out << ", " << "index=" << to_string(index);
   out << ", " << "lost=" << to_string(lost);
   out << ", " << "crashed="; (__isset.crashed ? (out << to_string(crashed)) : (out << "<null>"));
+  out << ", " << "losses="; (__isset.losses ? (out << to_string(losses)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5382,6 +5650,11 @@
 void crash_news::__set_suspects(const std::vector<crash_suspect> & val) {
   this->suspects = val;
 }
+
+void crash_news::__set_explained(const std::vector<upstream_incarnation> & val) {
+  this->explained = val;
+__isset.explained = true;
+}
 std::ostream& operator<<(std::ostream& out, const crash_news& obj)
 {
   obj.printTo(out);
@@ -5414,14 +5687,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->suspects.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->suspects.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->suspects[_i180].read(iprot);
+              xfer += this->suspects[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5430,6 +5703,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->explained.clear();
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->explained.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
+            {
+              xfer += this->explained[_i195].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.explained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5450,15 +5743,28 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<crash_suspect> ::const_iterator _iter181;
-    for (_iter181 = this->suspects.begin(); _iter181 != this->suspects.end(); ++_iter181)
+    std::vector<crash_suspect> ::const_iterator _iter196;
+    for (_iter196 = this->suspects.begin(); _iter196 != this->suspects.end(); ++_iter196)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.explained) {
+    xfer += oprot->writeFieldBegin("explained", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->explained.size()));
+      std::vector<upstream_incarnation> ::const_iterator _iter197;
+      for (_iter197 = this->explained.begin(); _iter197 != this->explained.end(); ++_iter197)
+      {
+        xfer += (*_iter197).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5467,22 +5773,26 @@
 void swap(crash_news &a, crash_news &b) {
   using ::std::swap;
   swap(a.suspects, b.suspects);
+  swap(a.explained, b.explained);
   swap(a.__isset, b.__isset);
 }
 
-crash_news::crash_news(const crash_news& other182) {
-  suspects = other182.suspects;
-  __isset = other182.__isset;
+crash_news::crash_news(const crash_news& other198) {
+  suspects = other198.suspects;
+  explained = other198.explained;
+  __isset = other198.__isset;
 }
-crash_news& crash_news::operator=(const crash_news& other183) {
-  suspects = other183.suspects;
-  __isset = other183.__isset;
+crash_news& crash_news::operator=(const crash_news& other199) {
+  suspects = other199.suspects;
+  explained = other199.explained;
+  __isset = other199.__isset;
   return *this;
 }
 void crash_news::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "crash_news(";
   out << "suspects=" << to_string(suspects);
+  out << ", " << "explained="; (__isset.explained ? (out << to_string(explained)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5598,17 +5908,17 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_speed::upstream_speed(const upstream_speed& other184) {
-  id = other184.id;
-  thousandths = other184.thousandths;
-  birth = other184.birth;
-  __isset = other184.__isset;
+upstream_speed::upstream_speed(const upstream_speed& other200) {
+  id = other200.id;
+  thousandths = other200.thousandths;
+  birth = other200.birth;
+  __isset = other200.__isset;
 }
-upstream_speed& upstream_speed::operator=(const upstream_speed& other185) {
-  id = other185.id;
-  thousandths = other185.thousandths;
-  birth = other185.birth;
-  __isset = other185.__isset;
+upstream_speed& upstream_speed::operator=(const upstream_speed& other201) {
+  id = other201.id;
+  thousandths = other201.thousandths;
+  birth = other201.birth;
+  __isset = other201.__isset;
   return *this;
 }
 void upstream_speed::printTo(std::ostream& out) const {
@@ -5660,14 +5970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->speeds.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->speeds.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->speeds[_i190].read(iprot);
+              xfer += this->speeds[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5696,10 +6006,10 @@
   xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-    std::vector<upstream_speed> ::const_iterator _iter191;
-    for (_iter191 = this->speeds.begin(); _iter191 != this->speeds.end(); ++_iter191)
+    std::vector<upstream_speed> ::const_iterator _iter207;
+    for (_iter207 = this->speeds.begin(); _iter207 != this->speeds.end(); ++_iter207)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5716,13 +6026,13 @@
   swap(a.__isset, b.__isset);
 }
 
-speed_news::speed_news(const speed_news& other192) {
-  speeds = other192.speeds;
-  __isset = other192.__isset;
+speed_news::speed_news(const speed_news& other208) {
+  speeds = other208.speeds;
+  __isset = other208.__isset;
 }
-speed_news& speed_news::operator=(const speed_news& other193) {
-  speeds = other193.speeds;
-  __isset = other193.__isset;
+speed_news& speed_news::operator=(const speed_news& other209) {
+  speeds = other209.speeds;
+  __isset = other209.__isset;
   return *this;
 }
 void speed_news::printTo(std::ostream& out) const {
@@ -6171,51 +6481,51 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other194) {
-  hello_message = other194.hello_message;
-  proof_message = other194.proof_message;
-  demand = other194.demand;
-  grant = other194.grant;
-  release = other194.release;
-  status_message = other194.status_message;
-  wanted = other194.wanted;
-  document_message = other194.document_message;
-  request = other194.request;
-  reply = other194.reply;
-  run = other194.run;
-  cancel = other194.cancel;
-  report = other194.report;
-  home = other194.home;
-  upstreams = other194.upstreams;
-  delegated = other194.delegated;
-  delegated_result = other194.delegated_result;
-  drained = other194.drained;
-  crashes = other194.crashes;
-  speeds = other194.speeds;
-  __isset = other194.__isset;
-}
-frame& frame::operator=(const frame& other195) {
-  hello_message = other195.hello_message;
-  proof_message = other195.proof_message;
-  demand = other195.demand;
-  grant = other195.grant;
-  release = other195.release;
-  status_message = other195.status_message;
-  wanted = other195.wanted;
-  document_message = other195.document_message;
-  request = other195.request;
-  reply = other195.reply;
-  run = other195.run;
-  cancel = other195.cancel;
-  report = other195.report;
-  home = other195.home;
-  upstreams = other195.upstreams;
-  delegated = other195.delegated;
-  delegated_result = other195.delegated_result;
-  drained = other195.drained;
-  crashes = other195.crashes;
-  speeds = other195.speeds;
-  __isset = other195.__isset;
+frame::frame(const frame& other210) {
+  hello_message = other210.hello_message;
+  proof_message = other210.proof_message;
+  demand = other210.demand;
+  grant = other210.grant;
+  release = other210.release;
+  status_message = other210.status_message;
+  wanted = other210.wanted;
+  document_message = other210.document_message;
+  request = other210.request;
+  reply = other210.reply;
+  run = other210.run;
+  cancel = other210.cancel;
+  report = other210.report;
+  home = other210.home;
+  upstreams = other210.upstreams;
+  delegated = other210.delegated;
+  delegated_result = other210.delegated_result;
+  drained = other210.drained;
+  crashes = other210.crashes;
+  speeds = other210.speeds;
+  __isset = other210.__isset;
+}
+frame& frame::operator=(const frame& other211) {
+  hello_message = other211.hello_message;
+  proof_message = other211.proof_message;
+  demand = other211.demand;
+  grant = other211.grant;
+  release = other211.release;
+  status_message = other211.status_message;
+  wanted = other211.wanted;
+  document_message = other211.document_message;
+  request = other211.request;
+  reply = other211.reply;
+  run = other211.run;
+  cancel = other211.cancel;
+  report = other211.report;
+  home = other211.home;
+  upstreams = other211.upstreams;
+  delegated = other211.delegated;
+  delegated_result = other211.delegated_result;
+  drained = other211.drained;
+  crashes = other211.crashes;
+  speeds = other211.speeds;
+  __isset = other211.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -92,6 +92,10 @@
 
 class drained_domains;
 
+class upstream_incarnation;
+
+class task_loss;
+
 class crash_suspect;
 
 class crash_news;
@@ -2129,13 +2133,115 @@
 
 std::ostream& operator<<(std::ostream& out, const drained_domains& obj);
 
+typedef struct _upstream_incarnation__isset {
+  _upstream_incarnation__isset() : id(false), birth(false) {}
+  bool id :1;
+  bool birth :1;
+} _upstream_incarnation__isset;
+
+class upstream_incarnation : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_incarnation(const upstream_incarnation&);
+  upstream_incarnation& operator=(const upstream_incarnation&);
+  upstream_incarnation() noexcept
+                       : id(),
+                         birth(0) {
+  }
+
+  virtual ~upstream_incarnation() noexcept;
+  std::string id;
+  int64_t birth;
+
+  _upstream_incarnation__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_birth(const int64_t val);
+
+  bool operator == (const upstream_incarnation & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.birth != rhs.__isset.birth)
+      return false;
+    else if (__isset.birth && !(birth == rhs.birth))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_incarnation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_incarnation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_incarnation &a, upstream_incarnation &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_incarnation& obj);
+
+typedef struct _task_loss__isset {
+  _task_loss__isset() : upstream(false), begun(false) {}
+  bool upstream :1;
+  bool begun :1;
+} _task_loss__isset;
+
+class task_loss : public virtual ::apache::thrift::TBase {
+ public:
+
+  task_loss(const task_loss&);
+  task_loss& operator=(const task_loss&);
+  task_loss() noexcept
+            : begun(0) {
+  }
+
+  virtual ~task_loss() noexcept;
+  upstream_incarnation upstream;
+  bool begun;
+
+  _task_loss__isset __isset;
+
+  void __set_upstream(const upstream_incarnation& val);
+
+  void __set_begun(const bool val);
+
+  bool operator == (const task_loss & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    return true;
+  }
+  bool operator != (const task_loss &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const task_loss & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(task_loss &a, task_loss &b);
+
+std::ostream& operator<<(std::ostream& out, const task_loss& obj);
+
 typedef struct _crash_suspect__isset {
-  _crash_suspect__isset() : job(false), step(false), index(false), lost(false), crashed(false) {}
+  _crash_suspect__isset() : job(false), step(false), index(false), lost(false), crashed(false), losses(false) {}
   bool job :1;
   bool step :1;
   bool index :1;
   bool lost :1;
   bool crashed :1;
+  bool losses :1;
 } _crash_suspect__isset;
 
 class crash_suspect : public virtual ::apache::thrift::TBase {
@@ -2157,6 +2263,7 @@
   int32_t index;
   int32_t lost;
   int32_t crashed;
+  std::vector<task_loss>  losses;
 
   _crash_suspect__isset __isset;
 
@@ -2170,6 +2277,8 @@
 
   void __set_crashed(const int32_t val);
 
+  void __set_losses(const std::vector<task_loss> & val);
+
   bool operator == (const crash_suspect & rhs) const
   {
     if (!(job == rhs.job))
@@ -2184,6 +2293,10 @@
       return false;
     else if (__isset.crashed && !(crashed == rhs.crashed))
       return false;
+    if (__isset.losses != rhs.__isset.losses)
+      return false;
+    else if (__isset.losses && !(losses == rhs.losses))
+      return false;
     return true;
   }
   bool operator != (const crash_suspect &rhs) const {
@@ -2203,8 +2316,9 @@
 std::ostream& operator<<(std::ostream& out, const crash_suspect& obj);
 
 typedef struct _crash_news__isset {
-  _crash_news__isset() : suspects(false) {}
+  _crash_news__isset() : suspects(false), explained(false) {}
   bool suspects :1;
+  bool explained :1;
 } _crash_news__isset;
 
 class crash_news : public virtual ::apache::thrift::TBase {
@@ -2217,15 +2331,22 @@
 
   virtual ~crash_news() noexcept;
   std::vector<crash_suspect>  suspects;
+  std::vector<upstream_incarnation>  explained;
 
   _crash_news__isset __isset;
 
   void __set_suspects(const std::vector<crash_suspect> & val);
 
+  void __set_explained(const std::vector<upstream_incarnation> & val);
+
   bool operator == (const crash_news & rhs) const
   {
     if (!(suspects == rhs.suspects))
       return false;
+    if (__isset.explained != rhs.__isset.explained)
+      return false;
+    else if (__isset.explained && !(explained == rhs.explained))
+      return false;
     return true;
   }
   bool operator != (const crash_news &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -251,17 +251,32 @@
   2: optional list<string> domains
 }
 
+struct upstream_incarnation {
+  1: string id
+  2: optional i64 birth
+}
+
+struct task_loss {
+  1: upstream_incarnation upstream
+  2: bool begun
+}
+
 struct crash_suspect {
   1: string job
   2: i32 step
   3: i32 index
+  // For older releases, which tell nothing else.
   4: i32 lost
+  // Not told any more: older releases take it for proof.
   5: optional i32 crashed
+  6: optional list<task_loss> losses
 }
 
-// Tasks that were running on upstreams when these were lost.
+// Tasks that were running on upstreams when these were lost, and upstreams of
+// which that proves nothing any more.
 struct crash_news {
   1: list<crash_suspect> suspects
+  2: optional list<upstream_incarnation> explained
 }
 
 // How fast an upstream runs tasks, in thousandths of the usual speed.
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -12,6 +12,8 @@
 
 // In one, on the wire.
 constexpr double kThousandths = 1000;
+// That an older release may count for one task.
+constexpr int32_t kMostToldLosses = 8;
 
 int32_t ToInt32(int64_t value) {
   return static_cast<int32_t>(
@@ -32,6 +34,19 @@
   return {wire.cpu_millis, wire.memory_mb, wire.accelerators};
 }
 
+wire::upstream_incarnation ToWire(const upstream_incarnation& upstream) {
+  wire::upstream_incarnation wire;
+  wire.id = upstream.id.str();
+  if (upstream.birth != upstream_birth())
+    wire.__set_birth(static_cast<int64_t>(upstream.birth.value()));
+  return wire;
+}
+
+upstream_incarnation FromWire(const wire::upstream_incarnation& wire) {
+  return {upstream_id(wire.id),
+          upstream_birth(static_cast<uint64_t>(wire.birth))};
+}
+
 bool SameGroup(const wire::task_group& group, const task_demand& task) {
   return group.step == static_cast<int32_t>(task.position.step) &&
          FromWire(group.need) == task.need &&
@@ -341,24 +356,44 @@
     suspect.job = each.task.job.str();
     suspect.step = static_cast<int32_t>(each.task.position.step);
     suspect.index = static_cast<int32_t>(each.task.position.index);
-    suspect.lost = each.lost;
-    if (each.crashed != 0)
-      suspect.__set_crashed(each.crashed);
+    suspect.lost = static_cast<int32_t>(each.losses.size());
+    std::vector<wire::task_loss> losses;
+    for (const task_loss& loss : each.losses) {
+      wire::task_loss told;
+      told.upstream = ToWire(loss.upstream);
+      told.begun = loss.begun;
+      losses.push_back(told);
+    }
+    suspect.__set_losses(losses);
     wire.suspects.push_back(suspect);
   }
+  std::vector<wire::upstream_incarnation> explained;
+  for (const upstream_incarnation& upstream : news.explained)
+    explained.push_back(ToWire(upstream));
+  if (!explained.empty())
+    wire.__set_explained(explained);
   return wire;
 }
 
 crash_news FromWire(const wire::crash_news& wire) {
   crash_news news;
   for (const wire::crash_suspect& each : wire.suspects) {
-    task_name task{
+    crash_suspect suspect;
+    suspect.task = {
         job_key(each.job),
         0,
         {static_cast<uint32_t>(each.step), static_cast<uint32_t>(each.index)}};
-    news.suspects.push_back(
-        {task, std::max(each.lost, 0), std::max(each.crashed, 0)});
+    for (const wire::task_loss& loss : each.losses)
+      suspect.losses.push_back({FromWire(loss.upstream), loss.begun});
+    // An older release counts only.
+    if (!each.__isset.losses)
+      suspect.losses.resize(
+          static_cast<size_t>(std::clamp(each.lost, 0, kMostToldLosses)),
+          {{}, true});
+    news.suspects.push_back(suspect);
   }
+  for (const wire::upstream_incarnation& upstream : wire.explained)
+    news.explained.push_back(FromWire(upstream));
   return news;
 }
 
--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jasminedyke {
 
 namespace {
 
 // After that no upstream is risked any more.
-constexpr int kMostLosses = 3;
-constexpr int kMostCrashes = 2;
+constexpr size_t kMostLosses = 3;
+constexpr int kMostBegunLosses = 2;
 // Upstreams that are lost at one moment show so within a lease's length of each
 // other.
 constexpr duration kSharedWindow = std::chrono::milliseconds(1100);
@@ -28,13 +29,8 @@
                                   size_t upstreams) {
   upstreams_ = upstreams;
   losses_.push_back(now);
-  for (const lost_run& run : lost.runs) {
-    entry* found = FindOrAdd(run.task);
-    if (!found)
-      continue;
-    found->seen.push_back({now, lost.crashed});
-    found->last = now;
-  }
+  for (const lost_run& run : lost.runs)
+    Add(run.task, {{lost.upstream, run.begun}, now});
 }
 
 crash_record::entry* crash_record::FindOrAdd(const task_name& task) {
@@ -44,30 +40,42 @@
   return entries_.size() < kMostEntries ? &entries_[task] : nullptr;
 }
 
-void crash_record::OnFoundAgain(const upstream_loss& lost, bool crashed) {
-  for (const lost_run& run : lost.runs) {
-    auto found = entries_.find(run.task);
-    if (found == entries_.end())
-      continue;
-    std::vector<loss>& seen = found->second.seen;
-    auto unclear = std::ranges::find(seen, false, &loss::crashed);
-    if (unclear == seen.end())
-      continue;
-    if (crashed)
-      unclear->crashed = true;
-    else
-      seen.erase(unclear);
-    found->second.told = 0;
+bool crash_record::Add(const task_name& task, const loss& added) {
+  entry* found = FindOrAdd(task);
+  if (!found)
+    return false;
+  bool has_id = !added.what.upstream.id.empty();
+  bool is_known =
+      has_id && std::ranges::any_of(found->losses, [&](const loss& known) {
+        return known.what.upstream == added.what.upstream;
+      });
+  if (is_known || found->losses.size() >= kMostLosses)
+    return false;
+  found->losses.push_back(added);
+  found->last = added.at;
+  found->told = false;
+  return true;
+}
+
+void crash_record::OnExplained(const upstream_incarnation& upstream) {
+  if (Erase(upstream))
+    explained_.push_back(upstream);
+}
+
+bool crash_record::Erase(const upstream_incarnation& upstream) {
+  size_t erased = 0;
+  for (auto& [task, found] : entries_) {
+    erased += std::erase_if(found.losses, [&](const loss& known) {
+      return known.what.upstream == upstream;
+    });
   }
+  std::erase_if(entries_,
+                [](const auto& each) { return each.second.losses.empty(); });
+  return erased > 0;
 }
 
 bool crash_record::OnSuspectVanished(const task_name& task, time_point now) {
-  auto found = entries_.find(task);
-  if (found == entries_.end())
-    return false;
-  found->second.seen.push_back({now, false});
-  found->second.last = now;
-  return true;
+  return entries_.contains(task) && Add(task, {{{}, true}, now});
 }
 
 void crash_record::OnRunEnded(const task_name& task) {
@@ -75,13 +83,26 @@
 }
 
 void crash_record::Take(const crash_news& news, time_point now) {
-  for (const crash_suspect& heard : news.suspects) {
-    entry* found = FindOrAdd(heard.task);
-    bool is_news = found && (heard.lost > found->Lost() ||
-                             heard.crashed > Crashed(*found));
-    if (is_news)
-      *found = {heard.lost, heard.crashed, {}, now, heard.lost};
+  for (const crash_suspect& suspect : news.suspects)
+    TakeSuspect(suspect, now);
+  for (const upstream_incarnation& upstream : news.explained)
+    Erase(upstream);
+}
+
+// Whoever told has told all instances.
+void crash_record::TakeSuspect(const crash_suspect& suspect, time_point now) {
+  auto known = entries_.find(suspect.task);
+  bool has_more = known != entries_.end() && !known->second.told;
+  for (const task_loss& heard : suspect.losses) {
+    // Of those without an id nobody can say which are the same.
+    bool may_be_known = heard.upstream.id.empty() &&
+                        LossesOf(suspect.task).size() >= suspect.losses.size();
+    if (!may_be_known)
+      Add(suspect.task, {heard, now, true});
   }
+  known = entries_.find(suspect.task);
+  if (known != entries_.end())
+    known->second.told = !has_more;
 }
 
 bool crash_record::IsShared(time_point lost) const {
@@ -93,31 +114,21 @@
   return static_cast<size_t>(near) > std::max(kFewLosses, limit);
 }
 
-int crash_record::LostSingly(const entry& found) const {
-  auto here = std::ranges::count_if(
-      found.seen, [&](const loss& each) { return !IsShared(each.at); });
-  return found.heard + static_cast<int>(here);
-}
-
-int crash_record::Crashed(const entry& found) const {
-  auto here = std::ranges::count_if(found.seen, [&](const loss& each) {
-    return each.crashed && !IsShared(each.at);
-  });
-  return found.heard_crashed + static_cast<int>(here);
-}
-
 crash_suspicion crash_record::Judge(const entry& found) const {
-  if (Crashed(found) >= kMostCrashes)
-    return crash_suspicion::kCrasher;
-  int singly = LostSingly(found);
-  if (found.Lost() >= kMostLosses || singly >= kMostCrashes)
+  auto singly = std::ranges::count_if(found.losses, [&](const loss& each) {
+    return each.what.begun && (each.heard || !IsShared(each.at));
+  });
+  if (found.losses.size() >= kMostLosses || singly >= kMostBegunLosses)
     return crash_suspicion::kHeld;
   return singly == 1 ? crash_suspicion::kSuspect : crash_suspicion::kNone;
 }
 
 crash_suspect crash_record::Describe(const task_name& task,
                                      const entry& found) const {
-  return {task, found.Lost(), Crashed(found)};
+  crash_suspect suspect{task, {}};
+  for (const loss& each : found.losses)
+    suspect.losses.push_back(each.what);
+  return suspect;
 }
 
 crash_suspicion crash_record::Of(const task_name& task, time_point now) const {
@@ -127,14 +138,29 @@
   return Judge(found->second);
 }
 
+duration crash_record::HeldFor(const task_name& task, time_point now) const {
+  auto found = entries_.find(task);
+  if (found == entries_.end())
+    return duration::zero();
+  return std::max(duration::zero(), found->second.last + kRemembered - now);
+}
+
+std::vector<task_loss> crash_record::LossesOf(const task_name& task) const {
+  auto found = entries_.find(task);
+  if (found == entries_.end())
+    return {};
+  return Describe(task, found->second).losses;
+}
+
 crash_news crash_record::TakeNews() {
   crash_news news;
   for (auto& [task, found] : entries_) {
-    if (found.told >= found.Lost() || Judge(found) == crash_suspicion::kNone)
+    if (found.told || Judge(found) == crash_suspicion::kNone)
       continue;
-    found.told = found.Lost();
+    found.told = true;
     news.suspects.push_back(Describe(task, found));
   }
+  news.explained = std::exchange(explained_, {});
   return news;
 }
 
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -18,23 +18,32 @@
   kNone,
   kSuspect,  // runs alone, if an upstream is idle, until it is cleared
   kHeld,     // not started for now
-  kCrasher,  // never started again
+};
+
+// An upstream that was lost under a task.
+struct task_loss {
+  // Without an id where nobody knows which one it was.
+  upstream_incarnation upstream;
+  // The task is known to have begun there.
+  bool begun = false;
+
+  bool operator==(const task_loss&) const = default;
 };
 
 // What instances tell each other of a task that is a suspect or worse.
 struct crash_suspect {
   task_name task;
-  // Upstreams that were lost under it, and those of them that are known to have
-  // crashed, not together with many others.
-  int lost = 0;
-  int crashed = 0;
+  std::vector<task_loss> losses;
 
   bool operator==(const crash_suspect&) const = default;
 };
 
 struct crash_news {
   std::vector<crash_suspect> suspects;
+  // Losses of these prove nothing any more.
+  std::vector<upstream_incarnation> explained;
 
+  bool empty() const { return suspects.empty() && explained.empty(); }
   bool operator==(const crash_news&) const = default;
 };
 
@@ -43,13 +52,15 @@
 // ran on a lost upstream is suspect. It runs alone next where an upstream is
 // idle, so that neighbours are safe; it does not wait for one, since at full
 // load upstreams that are kept empty for suspects cost more than the
-// neighbours. One good run clears it, a second crash convicts it.
+// neighbours. One good run clears it, after a second loss it is held.
 //
-// An upstream that only is out of reach looks the same until it is heard of
-// again, under a new id if it crashed. A caller must not be told that a job
-// can't be done because a link was full, so losses that are not known to be
-// crashes keep a task from being started but don't convict it.
+// Nothing here proves that the task was the cause, so no caller is told that
+// its job failed: it is given up, and refused for as long as this lasts. A run
+// that is not known to have begun may be an order that never arrived; it holds
+// a task only together with two others.
 //
+// An upstream's loss counts once, whoever saw it, and no longer once it is
+// explained: the upstream answers again, or had said that it would go.
 // Upstreams that are lost together (power, a cut, a restart of many) prove
 // nothing, or the tasks of a whole failure domain would be suspect. A real
 // crasher among them shows by its next losses.
@@ -61,8 +72,8 @@
   void OnUpstreamLost(time_point now,
                       const upstream_loss& lost,
                       size_t upstreams);
-  // More is known now of an earlier loss: the first unclear one of each task.
-  void OnFoundAgain(const upstream_loss& lost, bool crashed);
+  // The loss, if there was one, says nothing of what ran there.
+  void OnExplained(const upstream_incarnation& upstream);
   // Of a run under an earlier home nothing is found. Of others that says
   // little, but that of a suspect probably took its upstream down. False if it
   // was none.
@@ -73,6 +84,10 @@
   void Take(const crash_news& news, time_point now);
 
   crash_suspicion Of(const task_name& task, time_point now) const;
+  // Until a task that is held may be started again.
+  duration HeldFor(const task_name& task, time_point now) const;
+  // Empty if there are none.
+  std::vector<task_loss> LossesOf(const task_name& task) const;
   // What others have not been told yet. At once, as the home may be lost next;
   // of upstreams that are lost together only the first few are told of.
   crash_news TakeNews();
@@ -84,25 +99,25 @@
 
  private:
   struct loss {
+    task_loss what;
     time_point at;
-    bool crashed = false;
+    // By another instance, which judged it not to be one of many.
+    bool heard = false;
   };
 
   struct entry {
-    // As told by others, and since then seen here.
-    int heard = 0;
-    int heard_crashed = 0;
-    std::vector<loss> seen;
+    // At most `kMostLosses`.
+    std::vector<loss> losses;
     time_point last;
-    int told = 0;
-
-    int Lost() const { return heard + static_cast<int>(seen.size()); }
+    bool told = false;
   };
 
   // Null if the record is full.
   entry* FindOrAdd(const task_name& task);
-  int LostSingly(const entry& found) const;
-  int Crashed(const entry& found) const;
+  // False if it is known.
+  bool Add(const task_name& task, const loss& added);
+  void TakeSuspect(const crash_suspect& suspect, time_point now);
+  bool Erase(const upstream_incarnation& upstream);
   crash_suspicion Judge(const entry& found) const;
   crash_suspect Describe(const task_name& task, const entry& found) const;
   // Many upstreams were lost at about that time.
@@ -111,6 +126,8 @@
   std::map<task_name, entry> entries_;
   // Of upstreams; those of tasks are judged by them.
   std::deque<time_point> losses_;
+  // Not told yet.
+  std::vector<upstream_incarnation> explained_;
   size_t upstreams_ = 0;
 };
 
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -105,6 +105,18 @@
             {"runs", runs}});
 }
 
+void home_reports::LogHeld(const task_name& task,
+                           const std::vector<task_loss>& losses) const {
+  std::string upstreams;
+  for (const task_loss& each : losses)
+    upstreams += (upstreams.empty() ? "" : ",") + each.upstream.id.str() +
+                 (each.begun ? "/begun" : "/ordered");
+  LogEvent(log_level::kWarning, "task_held",
+           {{"job", task.job.str()},
+            {"task", task.position.index},
+            {"lost_upstreams", upstreams}});
+}
+
 void home_reports::Send(home_job& job) {
   run_report report{job.key, job.request.submission, {}};
   report.tasks = std::exchange(job.unreported, {});
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <vector>
 
 #include "base/base.h"
+#include "runs/crash_record.h"
 #include "runs/home_job.h"
 #include "runs/run_messages.h"
 
@@ -29,6 +31,9 @@
   void LogLate(const home_job& job) const;
   // The ends that show the job as failed.
   void LogFailed(const home_job& job, const home_task& task) const;
+  // The losses for which the task is not started.
+  void LogHeld(const task_name& task,
+               const std::vector<task_loss>& losses) const;
   // The job is not served here; `token` is the home's, for the log.
   void Refuse(const home_job& job,
               run_refusal reason,
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -170,9 +170,7 @@
       // Only a job that came again after its end: it runs anew.
       task.phase = task_phase::kQueued;
     }
-    if (task.phase != task_phase::kQueued || GiveUpCrasher(job, task))
-      continue;
-    if (demand.maybe_started) {
+    if (task.phase == task_phase::kQueued && demand.maybe_started) {
       job.ran = true;
       if (!AllSettled())
         task.phase = task_phase::kUnclear;
@@ -329,8 +327,6 @@
 
 void run_home::Requeue(home_job& job, home_task& task) {
   task.stopping = false;
-  if (GiveUpCrasher(job, task))
-    return;
   task.phase = job.cancelled ? task_phase::kDone : task_phase::kQueued;
   ScheduleDispatch();
 }
@@ -361,7 +357,8 @@
            {{"upstream", session.info().id.str()},
             {"runs", loss.runs.size()},
             {"crashed", crashed ? 1 : 0}});
-  crashes_.OnFoundAgain(loss, crashed);
+  if (!crashed)
+    crashes_.OnExplained(loss.upstream);
   TellCrashes();
   ScheduleDispatch();
 }
@@ -372,7 +369,7 @@
 
 void run_home::TellCrashes() {
   crash_news news = crashes_.TakeNews();
-  if (!news.suspects.empty() && tell_crashes_)
+  if (!news.empty() && tell_crashes_)
     tell_crashes_(news);
 }
 
@@ -380,19 +377,13 @@
   crashes_.Take(news, clock_.now());
 }
 
-// True if the task crashes whatever starts it: its job fails at once.
-bool run_home::GiveUpCrasher(home_job& job, home_task& task) {
-  if (job.cancelled || SuspicionOf(job, task) != crash_suspicion::kCrasher)
-    return false;
-  ++metrics_.crashers;
-  LogEvent(log_level::kWarning, "task_crashes_upstreams",
-           {{"job", job.key.str()},
-            {"task", task.demand.position.index},
-            {"last_upstream", task.upstream.str()}});
-  TellCrashes();
-  task.phase = task_phase::kDone;
-  reports_.Report(job, task, task_verdict::kFailed);
-  return true;
+// A further start of the task might take down a further upstream.
+void run_home::GiveUp(home_job& job, const home_task& task) {
+  ++metrics_.given_up;
+  task_name name{job.key, 0, task.demand.position};
+  reports_.LogHeld(name, crashes_.LossesOf(name));
+  HandBack(job, run_refusal::kUpstreamsLost,
+           crashes_.HeldFor(name, clock_.now()));
 }
 
 void run_home::OnNotStarted(upstream_session& session,
@@ -468,9 +459,7 @@
       if (task.phase != task_phase::kUnclear)
         continue;
       task.phase = task_phase::kQueued;
-      bool suspect =
-          crashes_.OnSuspectVanished({key, 0, position}, clock_.now());
-      if (suspect && !GiveUpCrasher(job, task))
+      if (crashes_.OnSuspectVanished({key, 0, position}, clock_.now()))
         TellCrashes();
     }
   }
@@ -495,11 +484,11 @@
     home_job& job = *waiting.job;
     start_permit permit = gate_.Permit(!job.IsUntouched(), clock_.now());
     if (permit == start_permit::kHandBack)
-      HandBack(job, run_refusal::kDrained);
+      HandBack(job, run_refusal::kDrained, kLeastRetryAfter);
     if (permit != start_permit::kStart || !CanStart(job))
       continue;
-    if (IsHeld(job)) {
-      HandBack(job, run_refusal::kUpstreamsLost);
+    if (const home_task* held = HeldTask(job)) {
+      GiveUp(job, *held);
       continue;
     }
     if (job.request.may_pass && job.IsUntouched() && !placer_.HasPlacesFor(job))
@@ -519,8 +508,10 @@
 
 // Its owner sends it elsewhere, or answers at once if parts of it have run
 // here.
-void run_home::HandBack(home_job& job, run_refusal reason) {
-  Refuse(job, reason, kLeastRetryAfter);
+void run_home::HandBack(home_job& job,
+                        run_refusal reason,
+                        duration retry_after) {
+  Refuse(job, reason, std::max(retry_after, kLeastRetryAfter));
   CancelJob(job);
 }
 
@@ -596,12 +587,13 @@
   return crashes_.Of({job.key, 0, task.demand.position}, clock_.now());
 }
 
-// A further start of one of its tasks might take down a further upstream.
-bool run_home::IsHeld(const home_job& job) const {
-  return std::ranges::any_of(job.tasks, [&](const auto& entry) {
+// Null if none is held.
+const home_task* run_home::HeldTask(const home_job& job) const {
+  auto held = std::ranges::find_if(job.tasks, [&](const auto& entry) {
     return entry.second.phase == task_phase::kQueued &&
            SuspicionOf(job, entry.second) == crash_suspicion::kHeld;
   });
+  return held == job.tasks.end() ? nullptr : &held->second;
 }
 
 // A job whose owner has to send the starts waits while there is no link to it;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -40,10 +40,10 @@
   uint64_t adopted = 0;
   stuck_runs::counts stuck;
   uint64_t trials = 0;
-  // Upstreams lost with runs on them; tasks given up because they crash what
-  // starts them.
+  // Upstreams lost with runs on them; jobs given up as several were lost under
+  // one of their tasks.
   uint64_t upstreams_lost = 0;
-  uint64_t crashers = 0;
+  uint64_t given_up = 0;
   std::map<start_result, uint64_t> refused_starts;
   // From a task's arrival until it is ordered, and from then until it is done.
   latency_by_queue room_wait;
@@ -140,7 +140,7 @@
   void OnTaskFailed(home_job& job, home_task& task);
   void TellCrashes();
   void Requeue(home_job& job, home_task& task);
-  bool GiveUpCrasher(home_job& job, home_task& task);
+  void GiveUp(home_job& job, const home_task& task);
   void Refuse(home_job& job, run_refusal reason, duration retry_after);
   // All that an earlier home may have started is known or over.
   bool AllSettled() const;
@@ -157,7 +157,7 @@
   };
   std::vector<waiting_job> WaitingInOrder();
   void PassOn(home_job& job);
-  void HandBack(home_job& job, run_refusal reason);
+  void HandBack(home_job& job, run_refusal reason, duration retry_after);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
   void StartOn(upstream_session& session,
@@ -165,7 +165,7 @@
                home_task& task,
                const resource_amount& need);
   crash_suspicion SuspicionOf(const home_job& job, const home_task& task) const;
-  bool IsHeld(const home_job& job) const;
+  const home_task* HeldTask(const home_job& job) const;
   void Sweep();
   void RefuseHopeless();
   void DropCancelled();
