Don't count orders that upstreams refuse as failed runs

A start answered with 400, or with 409 and a reason that this release does not know, made its job fail at once: the refusal was counted as all attempts though nothing had run. Another upstream gets the order now, and after two such refusals the job is handed back as not run ('not_accepted'), or as unknown if other tasks of it have run.

--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -177,7 +177,7 @@
          failed ? task_verdict::kFailed : task_verdict::kDone});
   }
   bool known = wire.refusal >= 0 &&
-               wire.refusal <= static_cast<int8_t>(run_refusal::kUpstreamsLost);
+               wire.refusal <= static_cast<int8_t>(run_refusal::kNotAccepted);
   report.refusal =
       known ? static_cast<run_refusal>(wire.refusal) : run_refusal::kSuperseded;
   report.not_run = wire.not_run;
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -37,6 +37,8 @@
   // The last number that was used, 0 if none.
   uint64_t last_run = 0;
   std::vector<failed_run> failures;
+  // Orders that an upstream refused as malformed.
+  int rejections = 0;
   // While `kOrdered`.
   upstream_id upstream;
   time_point ordered_at;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -27,6 +27,9 @@
 constexpr double kMostSpecShare = 0.2;
 constexpr double kFewSpecShare = 0.1;
 
+// Upstreams that refuse an order as malformed; by then it is not their fault.
+constexpr int kMostRejections = 2;
+
 }  // namespace
 
 run_home::run_home(scheduler& clock,
@@ -407,12 +410,12 @@
   if (why == start_result::kOwnerGone)
     job->owner_gone = true;
   if (why == start_result::kNotAccepted) {
-    // No upstream would take it: the order itself is wrong.
-    task->failures.resize(static_cast<size_t>(job->request.max_attempts));
-    OnTaskFailed(*job, *task);
-  } else {
-    Requeue(*job, *task);
+    ++task->rejections;
+    task->avoid = session.info().id;
   }
+  Requeue(*job, *task);
+  if (task->rejections >= kMostRejections && !job->cancelled)
+    HandBack(*job, run_refusal::kNotAccepted, kLeastRetryAfter);
   DropIfOver(name.job);
 }
 
--- a/src/runs/run_messages.cc
+++ b/src/runs/run_messages.cc
@@ -31,6 +31,8 @@
       return "drained";
     case run_refusal::kUpstreamsLost:
       return "upstreams_lost";
+    case run_refusal::kNotAccepted:
+      return "not_accepted";
   }
   return "none";
 }
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -100,6 +100,7 @@
   kBusy,           // no places now, and the job may go to another group
   kDrained,        // operators drained the group's failure domain
   kUpstreamsLost,  // upstreams were lost under a task of it, again and again
+  kNotAccepted,    // upstreams refuse the orders of a task as malformed
 };
 
 // Ends of tasks; or a refusal, which holds for the whole job here.
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -47,6 +47,8 @@
     return {start_result::kGone, std::nullopt};
   if (unwell)
     return {start_result::kUnwell, Clock()};
+  if (rejects)
+    return {start_result::kNotAccepted, Clock()};
   if (order.token < highest_token)
     return {start_result::kFenced, Clock()};
   highest_token = order.token;
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -64,6 +64,8 @@
   double speed = 1;
   bool guarded = true;
   bool unwell = false;
+  // Refuses all orders as malformed.
+  bool rejects = false;
   bool gone = false;
   // Nothing arrives.
   bool down = false;
--- a/tests/run_home/failed_verdict_test.cc
+++ b/tests/run_home/failed_verdict_test.cc
@@ -93,4 +93,27 @@
   CHECK(f.StartsOn("u3") == 0);
 }
 
+TEST_CASE("failed verdict: upstreams do not accept the order") {
+  // Guards against a refusal, by which nothing ran, counting as failed runs.
+  home_fixture f;
+  f.fleet.Add("u1", "north").rejects = true;
+  f.fleet.Add("u2", "north");
+  f.Begin();
+  SUBCASE("one of them: another one runs the task") {
+    f.home.OnRequest(kOwner, f.Request(1, Demand()));
+    f.clock.Advance(milliseconds(200));
+    REQUIRE(f.reports.size() == 1);
+    REQUIRE(f.reports[0].tasks.size() == 1);
+    CHECK(f.reports[0].tasks[0].verdict == task_verdict::kDone);
+  }
+  SUBCASE("none of them: the job has not run") {
+    f.At("u2").rejects = true;
+    f.home.OnRequest(kOwner, f.Request(1, Demand()));
+    f.clock.Advance(milliseconds(200));
+    REQUIRE(f.reports.size() == 1);
+    CHECK(f.reports[0].tasks.empty());
+    CHECK(f.reports[0].not_run);
+  }
+}
+
 }  // namespace jasminedyke
