--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -94,6 +94,8 @@
   for (const auto& [id, info] : upstreams) {
     if (upstream_session* known = upstreams_.Find(id)) {
       known->SetInfo(info);
+      if (info.draining)
+        crashes_.OnExplained({id, info.birth});
       continue;
     }
     upstreams_.Add(std::make_unique<upstream_session>(
--- a/tests/run_home/failed_verdict_test.cc
+++ b/tests/run_home/failed_verdict_test.cc
@@ -93,6 +93,25 @@
   CHECK(f.StartsOn("u3") == 0);
 }
 
+TEST_CASE("failed verdict: an upstream left as it had announced") {
+  // Guards against upstreams whose notice is read only after they were out of
+  // reach counting as lost under their tasks.
+  verdict_fixture f;
+  bool first_is_busy = f.StartsOn("u1") > 0;
+  fake_upstream& other = f.Idle();
+  f.Busy().down = true;
+  for (int i = 0; i < 200 && other.running.empty(); ++i)
+    f.clock.Advance(milliseconds(10));
+  REQUIRE(other.running.size() == 1);
+  f.InfoOf(first_is_busy ? "u1" : "u2").draining = true;
+  f.home.SetUpstreams(f.fleet.registry, true);
+  other.down = true;
+  f.AddThirdUpstream();
+  f.clock.Advance(seconds(3));
+  CHECK(f.StartsOn("u3") == 1);
+  CHECK(f.Count(task_verdict::kDone) == 1);
+}
+
 TEST_CASE("failed verdict: upstreams do not accept the order") {
   // Guards against a refusal, by which nothing ran, counting as failed runs.
   home_fixture f;
