--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -28,19 +28,6 @@
                            &task_report::position) != unreported.end();
 }
 
-bool home_job::IsOver() const {
-  return std::ranges::all_of(tasks, [](const auto& entry) {
-    return entry.second.phase == task_phase::kDone;
-  });
-}
-
-size_t home_job::QueuedTasks() const {
-  return static_cast<size_t>(
-      std::ranges::count_if(tasks, [](const auto& entry) {
-        return entry.second.phase == task_phase::kQueued;
-      }));
-}
-
 bool home_job::IsUntouched() const {
   return !ran && std::ranges::none_of(tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kOrdered;
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -79,10 +79,6 @@
 
   // It is done, and the owner does not know yet.
   bool IsUnreported(const home_task& task) const;
-  // Nothing of it runs or waits.
-  bool IsOver() const;
-  // Tasks that wait for room.
-  size_t QueuedTasks() const;
   // No task has begun or can still begin.
   bool IsUntouched() const;
   // How long the task takes on a sound upstream, as far as is known.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -19,6 +19,13 @@
 constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Of the objective, counted from the job's arrival.
 constexpr int kUsefulLateness = 3;
+// Of this instance's link, the share that specifications in starts may take.
+// Jobs bring each specification in once, holds need as many bytes again, and
+// bursts must pass within the little time that callers of short tasks can lose.
+// Below that a start by the owner costs a message more and connections of its
+// own.
+constexpr double kMostSpecShare = 0.2;
+constexpr double kFewSpecShare = 0.1;
 
 }  // namespace
 
@@ -29,12 +36,11 @@
                    send_report send,
                    fenced_handler on_fenced)
     : clock_(clock),
+      port_(port),
       group_(group),
       settings_(own),
       on_fenced_(std::move(on_fenced)),
       gate_(own.finish_time),
-      window_(clock, port, [this] { ScheduleDispatch(); }),
-      owner_starts_(group, own.link_bytes_per_second),
       placer_(clock, upstreams_, own.placement),
       reports_(clock, jobs_, std::move(send)),
       claims_(clock, upstreams_),
@@ -88,7 +94,7 @@
       continue;
     }
     upstreams_.Add(std::make_unique<upstream_session>(
-        clock_, window_, info, token_, settings_.upstreams, answer_times_,
+        clock_, port_, info, token_, settings_.upstreams, answer_times_,
         *this));
   }
   ScheduleDispatch();
@@ -217,7 +223,10 @@
   auto found = jobs_.find(key);
   if (found == jobs_.end())
     return;
-  if (found->second.IsOver())
+  bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
+    return entry.second.phase == task_phase::kDone;
+  });
+  if (over)
     jobs_.erase(found);
 }
 
@@ -481,12 +490,6 @@
 
 void run_home::Dispatch() {
   std::vector<waiting_job> in_order = WaitingInOrder();
-  // Many jobs begun and none whole would serve nobody.
-  if (window_.is_bounded())
-    std::stable_partition(
-        in_order.begin(), in_order.end(),
-        [](const waiting_job& waiting) { return !waiting.job->IsUntouched(); });
-  size_t starts_before = 0;
   if (!in_order.empty())
     placer_.Refresh();
   for (const waiting_job& waiting : in_order) {
@@ -502,23 +505,12 @@
     }
     if (job.request.may_pass && job.IsUntouched() && !placer_.HasPlacesFor(job))
       PassOn(job);
-    else if (!PlaceTasks(job))
-      starts_before += job.QueuedTasks();
-    RefuseBeyondWindow(waiting, starts_before);
+    else
+      PlaceTasks(job);
   }
   DropCancelled();
 }
 
-void run_home::RefuseBeyondWindow(const waiting_job& waiting, size_t starts) {
-  home_job& job = *waiting.job;
-  duration wait = window_.WaitFor(starts);
-  if (!window_.is_bounded() || job.cancelled || !job.IsUntouched() ||
-      !IsHopeless(waiting.outlook, wait, clock_.now()))
-    return;
-  Refuse(job, run_refusal::kOverload, std::max(kLeastRetryAfter, wait));
-  CancelJob(job);
-}
-
 // Failure domains are uneven at any moment, more so when one has lost
 // upstreams: what waits in one could start at once in another.
 void run_home::PassOn(home_job& job) {
@@ -551,7 +543,7 @@
   for (auto& [position, task] : job.tasks) {
     bool waits = task.phase == task_phase::kQueued &&
                  !claims_.IsFound({job.key, 0, position});
-    if (waits && !(window_.IsOpen() && PlaceTask(job, task)))
+    if (waits && !PlaceTask(job, task))
       return false;
   }
   return true;
@@ -594,7 +586,8 @@
   std::optional<start_delegate> delegate;
   if (job.request.kept_spec_bytes)
     delegate = start_delegate{job.owner, job.request.submission};
-  owner_starts_.NoteStart(clock_.now(), job.request);
+  spec_rate_.Note(clock_.now(), job.request.kept_spec_bytes.value_or(
+                                    job.request.spec.size()));
   session.Start({job.key, 0, task.demand.position}, run_number(task.last_run),
                 job.request.spec, need, delegate);
 }
@@ -620,6 +613,20 @@
          (!job.owner_gone && !orphaned_at_.contains(job.owner));
 }
 
+void run_home::WatchSpecTraffic() {
+  if (settings_.link_bytes_per_second <= 0)
+    return;
+  double share =
+      spec_rate_.PerSecond(clock_.now()) / settings_.link_bytes_per_second;
+  bool was = owners_start_;
+  owners_start_ = share > (was ? kFewSpecShare : kMostSpecShare);
+  if (owners_start_ != was)
+    LogEvent(log_level::kInfo, "owners_start",
+             {{"group", group_.ToString()},
+              {"on", owners_start_ ? 1 : 0},
+              {"share_of_link", share}});
+}
+
 // Ends claims and grace times that ran out, removes upstreams that are gone,
 // and refuses jobs that can't be answered in time any more.
 void run_home::Sweep() {
@@ -639,7 +646,7 @@
   crashes_.Forget(now);
   RefuseHopeless();
   stuck_runs_.Check(jobs_, [this] { return WaitForRoom(); });
-  owner_starts_.Watch(clock_.now());
+  WatchSpecTraffic();
   QueueUnclear();
   ScheduleDispatch();
   sweep_timer_.StartAfter(kSweepInterval, [this] { Sweep(); });
@@ -675,9 +682,13 @@
 }
 
 void run_home::DropCancelled() {
-  std::erase_if(jobs_, [](const auto& entry) {
-    return entry.second.cancelled && entry.second.IsOver();
-  });
+  std::vector<job_key> over;
+  for (const auto& [key, job] : jobs_) {
+    if (job.cancelled)
+      over.push_back(key);
+  }
+  for (const job_key& key : over)
+    DropIfOver(key);
 }
 
 // What a job that comes last would wait.
@@ -695,7 +706,7 @@
   status.token = token_;
   status.serving = serving_;
   status.settled = AllSettled();
-  status.owners_start = owner_starts_.wanted();
+  status.owners_start = owners_start_;
   for (const auto& [id, session] : upstreams_.sessions()) {
     if (!session->usable())
       continue;
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -14,18 +14,17 @@
 
 #include "base/base.h"
 #include "runs/admission_estimate.h"
+#include "runs/byte_rate.h"
 #include "runs/crash_record.h"
 #include "runs/home_job.h"
 #include "runs/home_reports.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
-#include "runs/owner_starts.h"
 #include "runs/queue_latency.h"
 #include "runs/run_claims.h"
 #include "runs/run_messages.h"
 #include "runs/run_times.h"
 #include "runs/start_gate.h"
-#include "runs/start_window.h"
 #include "runs/stuck_runs.h"
 #include "runs/task_placer.h"
 #include "runs/upstream_session.h"
@@ -161,8 +160,6 @@
   std::vector<waiting_job> WaitingInOrder();
   void PassOn(home_job& job);
   void HandBack(home_job& job, run_refusal reason);
-  // If it would be of no use once so many starts, its own included, are sent.
-  void RefuseBeyondWindow(const waiting_job& waiting, size_t starts);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
   void StartOn(upstream_session& session,
@@ -175,18 +172,19 @@
   void RefuseHopeless();
   void DropCancelled();
   void NoteEnd(home_job& job, const home_task& task, run_end how);
+  // Decides whether owners are to send the starts.
+  void WatchSpecTraffic();
   bool CanStart(const home_job& job) const;
   duration WaitForRoom() const;
 
   scheduler& clock_;
+  upstream_port& port_;
   home_group group_;
   settings settings_;
   fenced_handler on_fenced_;
   bool serving_ = false;
   fencing_token token_;
   start_gate gate_;
-  start_window window_;
-  owner_starts owner_starts_;
   upstream_registry registry_;
   home_upstreams upstreams_;
   task_placer placer_;
@@ -204,9 +202,12 @@
   bool dispatch_due_ = false;
   crash_record crashes_;
   crash_handler tell_crashes_;
+  // Of the specifications of all starts, whoever sends them.
+  byte_rate spec_rate_;
   answer_times answer_times_;
   run_times run_times_;
   stuck_runs stuck_runs_;
+  bool owners_start_ = false;
   scoped_timer dispatch_timer_;
   scoped_timer sweep_timer_;
 };
