Don't say that a job has not run after one of its steps has

A home forgets a job whose step is done. The request for the next step makes it anew there, and a refusal of that one said 'not run' of the whole job: its owner answered 503, by which the job never runs, though tasks of it had. The owner knows which tasks have ended, and answers 'unknown' then. 'a home that has only a later step speaks for that alone' failed before.

--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -267,8 +267,9 @@
 
 void job_desk::OnRefused(open_job& job, const run_report& report) {
   if (report.not_run) {
-    // That home is out; another one may have room.
-    job.maybe_started = false;
+    // That home is out; another one may have room. It speaks for what it has of
+    // the job: earlier steps may have run there.
+    job.maybe_started = !job.finished.empty();
     job.sent.clear();
     bool passed = report.refusal == run_refusal::kBusy;
     (passed ? job.passed_by : job.refused_by).insert(job.group);
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -156,4 +156,33 @@
   }
 }
 
+TEST_CASE("job_desk: a home that has only a later step speaks for that alone") {
+  // Guards against a caller being told that nothing has run after a step has.
+  desk_fixture f;
+  run_job job;
+  job.key = job_key("00000000000000aa");
+  job.limit = milliseconds(1500);
+  job_step step;
+  step.tasks = 1;
+  step.need = {14'000, 64, 0};
+  job.steps = {step, step};
+  job.steps[1].after = {0};
+  f.desk.Submit(std::move(job),
+                [&f](const run_answer& a) { f.answers.push_back(a); });
+  REQUIRE(f.sent.size() == 1);
+  run_report done{f.sent[0].second.job, f.sent[0].second.submission, {}};
+  done.tasks.push_back({{0, 0}, task_verdict::kDone});
+  f.desk.OnReport(instance_id(f.sent[0].first), done);
+  for (size_t i = 1; i < 4 && i < f.sent.size(); ++i) {
+    run_report refusal{f.sent[i].second.job, f.sent[i].second.submission, {}};
+    refusal.refusal = run_refusal::kOverload;
+    refusal.not_run = true;
+    refusal.sending = f.sent[i].second.sending;
+    f.desk.OnReport(instance_id(f.sent[i].first), refusal);
+  }
+  f.clock.Advance(milliseconds(10));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].outcome == run_outcome::kUnknown);
+}
+
 }  // namespace jasminedyke
