Send a superseded job to no other home

A caller whose connection broke came again through another instance. The home that had the job untouched told the first owner 'superseded, not run', and that one sent the job to the next home: two runs of each task, and perhaps 503 for a job that runs. Found by the review. The owner gives the older submission up now. 'a superseded job goes nowhere else' failed before.

--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -266,6 +266,11 @@
 }
 
 void job_desk::OnRefused(open_job& job, const run_report& report) {
+  // It runs for another submission of the caller, perhaps at that very home.
+  if (report.refusal == run_refusal::kSuperseded) {
+    Answer(report.job, {run_outcome::kUnknown, report.refusal, {}});
+    return;
+  }
   if (report.not_run) {
     // That home is out; another one may have room. It speaks for what it has of
     // the job: earlier steps may have run there.
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -185,4 +185,17 @@
   CHECK(f.answers[0].outcome == run_outcome::kUnknown);
 }
 
+TEST_CASE("job_desk: a superseded job goes nowhere else") {
+  // Guards against a second start beside the caller's newer submission, which
+  // the same home runs.
+  desk_fixture f;
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  f.Refuse(f.sent[0].second, run_refusal::kSuperseded);
+  f.clock.Advance(milliseconds(10));
+  CHECK(f.sent.size() == 1);
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].outcome == run_outcome::kUnknown);
+}
+
 }  // namespace jasminedyke
