Don't read verdicts of a newer release as failed

Any verdict but 'done' failed the job at its owner. A kind that is not known is left out; the owner waits for the job's end or its limit. By reading; no test.

--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -171,7 +171,11 @@
   report.job = job_key(wire.job);
   report.submission = submission_id(static_cast<uint64_t>(wire.submission));
   for (const wire::task_report& task : wire.tasks) {
-    bool failed = task.verdict != static_cast<int8_t>(task_verdict::kDone);
+    bool failed = task.verdict == static_cast<int8_t>(task_verdict::kFailed);
+    bool done = task.verdict == static_cast<int8_t>(task_verdict::kDone);
+    // Of a newer release; the job's end shows without it.
+    if (!failed && !done)
+      continue;
     report.tasks.push_back(
         {{static_cast<uint32_t>(task.step), static_cast<uint32_t>(task.index)},
          failed ? task_verdict::kFailed : task_verdict::kDone});
