Take explanations of lost upstreams back for good, and mind single rejections

Explanations are remembered and told as long as losses; another loss of that incarnation counts again. - A drain was explained only at the home that read it. - Losses of many upstreams at once counted as single ones with instances that were told of them, and once the others of them were forgotten. Only single ones are told, and losses expire one by one; Retry-After is when the task is held no more. - An order that may never have begun left no suspicion, so its task did not run alone and others were not told. It makes a suspect again, and holds as third. - An order that is carried over to another incarnation counted again there. - A job whose task was refused as malformed waited to its limit where no other upstream could take it; it is handed back at once. The count of refusals ends with the submission.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -276,7 +276,7 @@
   if (drains_.known())
     Send(peer.instance, drains_.newest());
   crash_news crashes = home_->CrashSuspects();
-  if (!crashes.suspects.empty())
+  if (!crashes.empty())
     Send(peer.instance, crashes);
   Send(peer.instance, OwnStatus());
   if (home_->serving()) {
--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -8,9 +8,12 @@
 
 namespace {
 
-// After that no upstream is risked any more.
-constexpr size_t kMostLosses = 3;
+// After so many no upstream is risked any more: of all, and of those under
+// which the task had begun.
+constexpr int kMostLosses = 3;
 constexpr int kMostBegunLosses = 2;
+// Of one task, the newest.
+constexpr size_t kMostKept = 8;
 // Upstreams that are lost at one moment show so within a lease's length of each
 // other.
 constexpr duration kSharedWindow = std::chrono::milliseconds(1100);
@@ -22,6 +25,12 @@
 constexpr duration kRemembered = std::chrono::seconds(60);
 constexpr size_t kMostEntries = 2'000;
 
+// Registrations of older releases tell no birth.
+bool IsSame(const upstream_incarnation& a, const upstream_incarnation& b) {
+  bool any_unknown = a.birth == upstream_birth() || b.birth == upstream_birth();
+  return a.id == b.id && !a.id.empty() && (any_unknown || a.birth == b.birth);
+}
+
 }  // namespace
 
 void crash_record::OnUpstreamLost(time_point now,
@@ -29,6 +38,9 @@
                                   size_t upstreams) {
   upstreams_ = upstreams;
   losses_.push_back(now);
+  std::erase_if(explained_, [&](const auto& each) {
+    return IsSame(each.first, lost.upstream);
+  });
   for (const lost_run& run : lost.runs)
     Add(run.task, {{lost.upstream, run.begun}, now});
 }
@@ -41,32 +53,37 @@
 }
 
 bool crash_record::Add(const task_name& task, const loss& added) {
+  bool is_explained = std::ranges::any_of(explained_, [&](const auto& each) {
+    return IsSame(each.first, added.what.upstream);
+  });
+  if (added.heard && is_explained)
+    return false;
   entry* found = FindOrAdd(task);
   if (!found)
     return false;
-  bool has_id = !added.what.upstream.id.empty();
-  bool is_known =
-      has_id && std::ranges::any_of(found->losses, [&](const loss& known) {
-        return known.what.upstream == added.what.upstream;
-      });
-  if (is_known || found->losses.size() >= kMostLosses)
+  bool is_known = std::ranges::any_of(found->losses, [&](const loss& known) {
+    return IsSame(known.what.upstream, added.what.upstream);
+  });
+  if (is_known)
     return false;
+  if (found->losses.size() >= kMostKept)
+    found->losses.erase(found->losses.begin());
   found->losses.push_back(added);
-  found->last = added.at;
   found->told = false;
   return true;
 }
 
-void crash_record::OnExplained(const upstream_incarnation& upstream) {
+void crash_record::OnExplained(const upstream_incarnation& upstream,
+                               time_point now) {
   if (Erase(upstream))
-    explained_.push_back(upstream);
+    explained_[upstream] = {now, false};
 }
 
 bool crash_record::Erase(const upstream_incarnation& upstream) {
   size_t erased = 0;
   for (auto& [task, found] : entries_) {
     erased += std::erase_if(found.losses, [&](const loss& known) {
-      return known.what.upstream == upstream;
+      return IsSame(known.what.upstream, upstream);
     });
   }
   std::erase_if(entries_,
@@ -85,8 +102,10 @@
 void crash_record::Take(const crash_news& news, time_point now) {
   for (const crash_suspect& suspect : news.suspects)
     TakeSuspect(suspect, now);
-  for (const upstream_incarnation& upstream : news.explained)
+  for (const upstream_incarnation& upstream : news.explained) {
     Erase(upstream);
+    explained_[upstream] = {now, true};
+  }
 }
 
 // Whoever told has told all instances.
@@ -114,35 +133,54 @@
   return static_cast<size_t>(near) > std::max(kFewLosses, limit);
 }
 
+bool crash_record::IsSingle(const loss& each) const {
+  return each.heard || !IsShared(each.at);
+}
+
 crash_suspicion crash_record::Judge(const entry& found) const {
-  auto singly = std::ranges::count_if(found.losses, [&](const loss& each) {
-    return each.what.begun && (each.heard || !IsShared(each.at));
+  auto single = std::ranges::count_if(
+      found.losses, [&](const loss& each) { return IsSingle(each); });
+  auto begun = std::ranges::count_if(found.losses, [&](const loss& each) {
+    return each.what.begun && IsSingle(each);
   });
-  if (found.losses.size() >= kMostLosses || singly >= kMostBegunLosses)
+  if (single >= kMostLosses || begun >= kMostBegunLosses)
     return crash_suspicion::kHeld;
-  return singly == 1 ? crash_suspicion::kSuspect : crash_suspicion::kNone;
+  return single > 0 ? crash_suspicion::kSuspect : crash_suspicion::kNone;
 }
 
+// Those that prove nothing here prove nothing elsewhere.
 crash_suspect crash_record::Describe(const task_name& task,
                                      const entry& found) const {
   crash_suspect suspect{task, {}};
-  for (const loss& each : found.losses)
-    suspect.losses.push_back(each.what);
+  for (const loss& each : found.losses) {
+    if (IsSingle(each))
+      suspect.losses.push_back(each.what);
+  }
   return suspect;
 }
 
 crash_suspicion crash_record::Of(const task_name& task, time_point now) const {
   auto found = entries_.find(task);
-  if (found == entries_.end() || now - found->second.last >= kRemembered)
+  if (found == entries_.end())
     return crash_suspicion::kNone;
-  return Judge(found->second);
+  entry present = found->second;
+  std::erase_if(present.losses,
+                [&](const loss& each) { return now - each.at >= kRemembered; });
+  return Judge(present);
 }
 
 duration crash_record::HeldFor(const task_name& task, time_point now) const {
+  duration held = duration::zero();
   auto found = entries_.find(task);
   if (found == entries_.end())
-    return duration::zero();
-  return std::max(duration::zero(), found->second.last + kRemembered - now);
+    return held;
+  entry present = found->second;
+  while (Judge(present) == crash_suspicion::kHeld) {
+    auto oldest = std::ranges::min_element(present.losses, {}, &loss::at);
+    held = std::max(held, oldest->at + kRemembered - now);
+    present.losses.erase(oldest);
+  }
+  return held;
 }
 
 std::vector<task_loss> crash_record::LossesOf(const task_name& task) const {
@@ -160,7 +198,10 @@
     found.told = true;
     news.suspects.push_back(Describe(task, found));
   }
-  news.explained = std::exchange(explained_, {});
+  for (auto& [upstream, explained] : explained_) {
+    if (!std::exchange(explained.told, true))
+      news.explained.push_back(upstream);
+  }
   return news;
 }
 
@@ -170,15 +211,22 @@
     if (Of(task, now) != crash_suspicion::kNone)
       news.suspects.push_back(Describe(task, found));
   }
+  for (const auto& [upstream, explained] : explained_)
+    news.explained.push_back(upstream);
   return news;
 }
 
 void crash_record::Forget(time_point now) {
-  std::erase_if(entries_, [&](const auto& each) {
-    return now - each.second.last >= kRemembered;
-  });
-  // As long as the entries that they judge.
-  while (!losses_.empty() && now - losses_.front() >= kRemembered)
+  auto is_old = [now](time_point at) { return now - at >= kRemembered; };
+  for (auto& [task, found] : entries_)
+    std::erase_if(found.losses,
+                  [&](const loss& each) { return is_old(each.at); });
+  std::erase_if(entries_,
+                [](const auto& each) { return each.second.losses.empty(); });
+  std::erase_if(explained_,
+                [&](const auto& each) { return is_old(each.second.at); });
+  // As long as the losses that they judge.
+  while (!losses_.empty() && is_old(losses_.front() + kSharedWindow))
     losses_.pop_front();
 }
 
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -60,7 +60,8 @@
 // a task only together with two others.
 //
 // An upstream's loss counts once, whoever saw it, and no longer once it is
-// explained: the upstream answers again, or had said that it would go.
+// explained: the upstream answers again, or had said that it would go. That is
+// remembered as long, or an instance that was not told would bring it back.
 // Upstreams that are lost together (power, a cut, a restart of many) prove
 // nothing, or the tasks of a whole failure domain would be suspect. A real
 // crasher among them shows by its next losses.
@@ -73,7 +74,7 @@
                       const upstream_loss& lost,
                       size_t upstreams);
   // The loss, if there was one, says nothing of what ran there.
-  void OnExplained(const upstream_incarnation& upstream);
+  void OnExplained(const upstream_incarnation& upstream, time_point now);
   // Of a run under an earlier home nothing is found. Of others that says
   // little, but that of a suspect probably took its upstream down. False if it
   // was none.
@@ -106,9 +107,13 @@
   };
 
   struct entry {
-    // At most `kMostLosses`.
+    // By time; bounded.
     std::vector<loss> losses;
-    time_point last;
+    bool told = false;
+  };
+
+  struct explanation {
+    time_point at;
     bool told = false;
   };
 
@@ -117,7 +122,9 @@
   // False if it is known.
   bool Add(const task_name& task, const loss& added);
   void TakeSuspect(const crash_suspect& suspect, time_point now);
+  // False if nothing was held against any task.
   bool Erase(const upstream_incarnation& upstream);
+  bool IsSingle(const loss& each) const;
   crash_suspicion Judge(const entry& found) const;
   crash_suspect Describe(const task_name& task, const entry& found) const;
   // Many upstreams were lost at about that time.
@@ -126,8 +133,7 @@
   std::map<task_name, entry> entries_;
   // Of upstreams; those of tasks are judged by them.
   std::deque<time_point> losses_;
-  // Not told yet.
-  std::vector<upstream_incarnation> explained_;
+  std::map<upstream_incarnation, explanation> explained_;
   size_t upstreams_ = 0;
 };
 
--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -34,6 +34,13 @@
   });
 }
 
+bool home_job::IsRejected(int times) const {
+  return std::ranges::any_of(tasks, [times](const auto& entry) {
+    return entry.second.phase == task_phase::kQueued &&
+           entry.second.rejections >= times;
+  });
+}
+
 duration home_job::Expected(const home_task& task) const {
   double pace = Pace();
   if (pace == 0)
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -27,7 +27,7 @@
 constexpr double kMostSpecShare = 0.2;
 constexpr double kFewSpecShare = 0.1;
 
-// Upstreams that refuse an order as malformed; by then it is not their fault.
+// Orders of one task that upstreams refuse as malformed.
 constexpr int kMostRejections = 2;
 
 }  // namespace
@@ -92,16 +92,17 @@
   // knew them before can tell.
   confirmed_ = confirmed_ || (confirmed && knew_upstreams_);
   for (const auto& [id, info] : upstreams) {
+    if (info.draining)
+      crashes_.OnExplained({id, info.birth}, clock_.now());
     if (upstream_session* known = upstreams_.Find(id)) {
       known->SetInfo(info);
-      if (info.draining)
-        crashes_.OnExplained({id, info.birth});
       continue;
     }
     upstreams_.Add(std::make_unique<upstream_session>(
         clock_, port_, info, token_, settings_.upstreams, answer_times_,
         *this));
   }
+  TellCrashes();
   ScheduleDispatch();
 }
 
@@ -174,6 +175,7 @@
     if (task.phase == task_phase::kDone) {
       // Only a job that came again after its end: it runs anew.
       task.phase = task_phase::kQueued;
+      task.rejections = 0;
     }
     if (task.phase == task_phase::kQueued && demand.maybe_started) {
       job.ran = true;
@@ -363,7 +365,7 @@
             {"runs", loss.runs.size()},
             {"crashed", crashed ? 1 : 0}});
   if (!crashed)
-    crashes_.OnExplained(loss.upstream);
+    crashes_.OnExplained(loss.upstream, clock_.now());
   TellCrashes();
   ScheduleDispatch();
 }
@@ -416,8 +418,6 @@
     task->avoid = session.info().id;
   }
   Requeue(*job, *task);
-  if (task->rejections >= kMostRejections && !job->cancelled)
-    HandBack(*job, run_refusal::kNotAccepted, kLeastRetryAfter);
   DropIfOver(name.job);
 }
 
@@ -498,8 +498,9 @@
     }
     if (job.request.may_pass && job.IsUntouched() && !placer_.HasPlacesFor(job))
       PassOn(job);
-    else
-      PlaceTasks(job);
+    else if (job.IsRejected(kMostRejections) ||
+             (!PlaceTasks(job) && job.IsRejected(1)))
+      HandBack(job, run_refusal::kNotAccepted, kLeastRetryAfter);
   }
   DropCancelled();
 }
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -113,7 +113,7 @@
   uint32_t sending = 0;
   // With a refusal: no task of the job was started or can still start here.
   bool not_run = false;
-  // With `kOverload`: when it is worth trying again.
+  // With a refusal: when it is worth trying again.
   duration retry_after = duration::zero();
 
   bool operator==(const run_report&) const = default;
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -104,8 +104,11 @@
   if (life_->runs.HasUnclear())
     WatchStarts(times_.Patience(kStartPatience));
   upstream_loss loss{{info_.id, old->birth}, true, {}};
-  for (const auto& [task, record] : old->runs.all())
-    loss.runs.push_back({task, record.seen});
+  for (const auto& [task, record] : old->runs.all()) {
+    // One order, whichever incarnations it is carried over to.
+    if (!record.carried)
+      loss.runs.push_back({task, record.seen});
+  }
   owner_.OnReborn(*this);
   TellFoundAgain(true);
   if (!loss.runs.empty())
