Keep each upstream's speed class instead of working it out for each dispatch

Cause: a look at the upstreams before each dispatch found each speed in a map by id and took its logarithm. home_speeds now keeps the class where the speed changes and counts changes; task_placer lists sessions with their classes anew only when that count or the sessions changed.

Test: no class may change without the count; it fails if a change of class isn't counted (tried). The other unit tests were not built and not run.

--- a/src/policy/upstream_speeds.cc
+++ b/src/policy/upstream_speeds.cc
@@ -94,6 +94,7 @@
   if (passed < kRefreshInterval)
     return;
   refreshed_ = now;
+  ++refreshes_;
   // While nothing ran anywhere, as before this instance was home, nothing ages.
   bool all_idle = passed > kIdleTime;
   double kept =
--- a/src/policy/upstream_speeds.h
+++ b/src/policy/upstream_speeds.h
@@ -3,6 +3,7 @@
 #ifndef SRC_POLICY_UPSTREAM_SPEEDS_H_
 #define SRC_POLICY_UPSTREAM_SPEEDS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
 
   double Of(const upstream_id& id, const std::string& kind) const;
   double OfKind(const std::string& kind) const;
+  // Rises whenever speeds of kinds may change.
+  uint64_t refreshes() const { return refreshes_; }
   // Ids of upstreams with runs or news of their speed.
   std::vector<upstream_id> known() const;
 
@@ -71,6 +74,7 @@
   // Of `mean` over all known upstreams.
   double centre_ = 0;
   time_point refreshed_;
+  uint64_t refreshes_ = 0;
 };
 
 }  // namespace jasminedyke
--- a/src/runs/home_speeds.cc
+++ b/src/runs/home_speeds.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "runs/placement.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -16,7 +18,7 @@
 // Of one call; the others are logged when they are told.
 constexpr int kMostLogLines = 5;
 
-const char* ClassOf(double speed) {
+const char* NameOf(double speed) {
   if (speed < kSlow)
     return "slow";
   return speed > kFast ? "fast" : "usual";
@@ -44,6 +46,7 @@
   if (!is_new && known.birth == info.birth)
     return known;
   learnt_.Forget(info.id);
+  ++changes_;
   known = {info.birth, KindOf(info)};
   Update(info.id, known);
   known.told = known.speed;
@@ -52,6 +55,10 @@
 
 void home_speeds::Update(const upstream_id& id, known_upstream& known) {
   known.speed = learnt_.Of(id, known.kind);
+  int speed_class = SpeedClass(known.speed);
+  if (speed_class != known.speed_class)
+    ++changes_;
+  known.speed_class = speed_class;
 }
 
 void home_speeds::UpdateAll(time_point now) {
@@ -81,11 +88,22 @@
   return learnt_.OfKind(KindOf(info));
 }
 
-double home_speeds::Of(const upstream_info& info) const {
+const home_speeds::known_upstream* home_speeds::FindKnown(
+    const upstream_info& info) const {
   auto found = known_.find(info.id);
   return found == known_.end() || found->second.birth != info.birth
-             ? learnt_.OfKind(KindOf(info))
-             : found->second.speed;
+             ? nullptr
+             : &found->second;
+}
+
+double home_speeds::Of(const upstream_info& info) const {
+  const known_upstream* known = FindKnown(info);
+  return known ? known->speed : OfKind(info);
+}
+
+int home_speeds::ClassOf(const upstream_info& info) const {
+  const known_upstream* known = FindKnown(info);
+  return known ? known->speed_class : SpeedClass(OfKind(info));
 }
 
 void home_speeds::Keep(const upstream_registry& registered) {
@@ -93,8 +111,10 @@
     auto found = registered.find(entry.first);
     bool gone =
         found == registered.end() || found->second.birth != entry.second.birth;
-    if (gone)
+    if (gone) {
       learnt_.Forget(entry.first);
+      ++changes_;
+    }
     return gone;
   });
   for (const auto& [id, info] : registered)
@@ -108,13 +128,13 @@
   for (auto& [id, known] : known_) {
     if (!Differ(known.speed, known.told))
       continue;
-    bool other_class = ClassOf(known.speed) != ClassOf(known.told);
+    bool other_class = NameOf(known.speed) != NameOf(known.told);
     if (other_class && lines++ < kMostLogLines)
       LogEvent(log_level::kInfo, "upstream_speed",
                {{"upstream", id.str()},
                 {"speed", known.speed},
-                {"is", ClassOf(known.speed)},
-                {"was", ClassOf(known.told)}});
+                {"is", NameOf(known.speed)},
+                {"was", NameOf(known.told)}});
     known.told = known.speed;
     news.speeds.push_back({id, known.birth, known.speed});
   }
--- a/src/runs/home_speeds.h
+++ b/src/runs/home_speeds.h
@@ -4,6 +4,7 @@
 #ifndef SRC_RUNS_HOME_SPEEDS_H_
 #define SRC_RUNS_HOME_SPEEDS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -51,6 +52,10 @@
             time_point now);
   // 1 is usual.
   double Of(const upstream_info& info) const;
+  // The same as a class of speeds, worked out when the speed changed.
+  int ClassOf(const upstream_info& info) const;
+  // Differs from an earlier value if `ClassOf` may have changed since.
+  uint64_t changes() const { return changes_ + learnt_.refreshes(); }
   // Of all that are like it.
   double OfKind(const upstream_info& info) const;
 
@@ -75,10 +80,14 @@
     std::string kind;
     // As of the last look.
     double speed = 1;
+    // `SpeedClass(speed)`; each change counts in `changes_`.
+    int speed_class = 0;
     // As last told to others.
     double told = 1;
   };
 
+  // Null if only its kind is known.
+  const known_upstream* FindKnown(const upstream_info& info) const;
   known_upstream& Find(const upstream_info& info);
   void Update(const upstream_id& id, known_upstream& known);
   // All speeds: each depends on the mean.
@@ -87,6 +96,7 @@
   upstream_speeds learnt_;
   std::map<upstream_id, known_upstream> known_;
   time_point updated_;
+  uint64_t changes_ = 0;
 };
 
 }  // namespace jasminedyke
--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -15,10 +15,11 @@
 void home_upstreams::Add(std::unique_ptr<upstream_session> session) {
   upstream_id id = session->info().id;
   sessions_.emplace(std::move(id), std::move(session));
+  ++session_changes_;
 }
 
 void home_upstreams::Forget(const upstream_registry& registered) {
-  std::erase_if(sessions_, [&](const auto& entry) {
+  session_changes_ += std::erase_if(sessions_, [&](const auto& entry) {
     return entry.second->idle() && !registered.contains(entry.first);
   });
   std::erase_if(standings_, [&](const auto& entry) {
@@ -28,6 +29,7 @@
 
 void home_upstreams::Clear() {
   sessions_.clear();
+  ++session_changes_;
   standings_.clear();
 }
 
--- a/src/runs/home_upstreams.h
+++ b/src/runs/home_upstreams.h
@@ -4,6 +4,7 @@
 #ifndef SRC_RUNS_HOME_UPSTREAMS_H_
 #define SRC_RUNS_HOME_UPSTREAMS_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 
@@ -39,6 +40,9 @@
   void ForgetStanding(const upstream_id& id) { standings_.erase(id); }
   home_speeds& speeds() { return speeds_; }
   const home_speeds& speeds() const { return speeds_; }
+  // Differs from an earlier value if there are other sessions, or an upstream
+  // may be of another class of speeds.
+  uint64_t changes() const { return session_changes_ + speeds_.changes(); }
   // Of those that take work; a fast one counts as more.
   double UsableCores() const;
   // Some upstream has the size and labels for each task of the job that is not
@@ -47,6 +51,8 @@
 
  private:
   session_map sessions_;
+  // Rises whenever one comes or goes.
+  uint64_t session_changes_ = 0;
   std::map<upstream_id, upstream_standing> standings_;
   // Outlives the home's term.
   home_speeds speeds_;
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -28,17 +28,27 @@
              task.demand.max_per_upstream;
 }
 
+void task_placer::ListUpstreams() {
+  if (listed_ == upstreams_.changes())
+    return;
+  listed_ = upstreams_.changes();
+  upstreams_listed_.clear();
+  for (const auto& [id, session] : upstreams_.sessions())
+    upstreams_listed_.push_back(
+        {session.get(), upstreams_.speeds().ClassOf(session->info())});
+}
+
 void task_placer::Refresh() {
+  ListUpstreams();
   open_.clear();
   classes_.clear();
   judged_ = nullptr;
   largest_cpu_ = 0;
-  for (const auto& [id, session] : upstreams_.sessions()) {
+  for (const auto& [session, speed_class] : upstreams_listed_) {
     if (!session->usable())
       continue;
     resource_amount room = session->room();
-    bool good = upstreams_.IsGood(id);
-    int speed_class = SpeedClass(upstreams_.speeds().Of(session->info()));
+    bool good = upstreams_.IsGood(session->info().id);
     if (good) {
       class_room& all = classes_[speed_class];
       all.free_cpu_millis += std::max<int64_t>(room.cpu_millis, 0);
@@ -46,7 +56,7 @@
     }
     if (room.cpu_millis <= 0)
       continue;
-    open_.push_back({session.get(), room, good, speed_class});
+    open_.push_back({session, room, good, speed_class});
     largest_cpu_ = std::max(largest_cpu_, room.cpu_millis);
   }
 }
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/base.h"
@@ -49,6 +50,10 @@
   upstream_session* PlaceAlone(const home_job& job, const home_task& task);
 
  private:
+  struct listed_upstream {
+    upstream_session* session = nullptr;
+    int speed_class = 0;
+  };
   // An upstream that can be given tasks, with room for some.
   struct open_upstream {
     upstream_session* session = nullptr;
@@ -65,6 +70,7 @@
     double free_share() const;
   };
 
+  void ListUpstreams();
   bool MayTry(const open_upstream& open);
   bool PaysOffRack(const home_job& job, const home_task& task) const;
   // The objective, or what the job's runs lead to if that is later.
@@ -82,6 +88,9 @@
   scheduler& clock_;
   home_upstreams& upstreams_;
   placement_rule rule_;
+  // All, by id; right while `home_upstreams::changes` is `listed_`.
+  std::vector<listed_upstream> upstreams_listed_;
+  std::optional<uint64_t> listed_;
   std::map<int, class_room> classes_;
   // By id.
   std::vector<open_upstream> open_;
--- a/tests/home_speeds/home_speeds_test.cc
+++ b/tests/home_speeds/home_speeds_test.cc
@@ -1,6 +1,7 @@
 // What a home tells of its upstreams' speeds, and what is believed of it.
 
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -107,4 +108,44 @@
   CHECK(f.speeds.ByKind().at("parts").upstreams == 3);
 }
 
+// Guards against upstreams that are placed by a class that they had once.
+TEST_CASE("home_speeds: no class of speed changes unseen") {
+  speeds_fixture f;
+  upstream_info like = f.Info(0);
+  like.id = upstream_id("not registered");
+  auto classes = [&] {
+    std::vector<int> all{f.speeds.ClassOf(like)};
+    for (int i = 0; i < 4; ++i) {
+      CHECK(f.speeds.ClassOf(f.Info(i)) == SpeedClass(f.speeds.Of(f.Info(i))));
+      all.push_back(f.speeds.ClassOf(f.Info(i)));
+    }
+    return all;
+  };
+  std::vector<int> before = classes();
+  uint64_t seen = f.speeds.changes();
+  int changed = 0;
+  auto look = [&] {
+    std::vector<int> now = classes();
+    if (now != before) {
+      ++changed;
+      CHECK(f.speeds.changes() != seen);
+    }
+    before = now;
+    seen = f.speeds.changes();
+  };
+  for (int n = 0; n < 160; ++n) {
+    f.now += milliseconds(20);
+    f.speeds.Note(f.Info(n % 4), milliseconds(100),
+                  milliseconds(n % 4 == 0 ? 200 : 100), f.now);
+    look();
+  }
+  f.Info(0).birth = upstream_birth(2);
+  f.speeds.Keep(f.registered);
+  look();
+  f.speeds.Take({{{f.Info(1).id, upstream_birth(1), 0.4}}}, f.registered,
+                f.now);
+  look();
+  CHECK(changed > 2);
+}
+
 }  // namespace jasminedyke
