Tell callers that are sent away when room becomes free

Cause: Retry-After of a job refused for load was one second, or the wait of the job that would come last, for all that were refused together and whatever their priority.

Now the home sees the rate at which work ends while more waits, takes off what more urgent jobs leave it and what the priority usually takes, and tells each job the end of those sent away before it. The first home that refuses keeps the place, and the owner passes on its word.

Tests: load_day learns callers that come back; job_desk's fixture can refuse from either home with a time. No existing check changed.

--- a/src/runs/admission_estimate.cc
+++ b/src/runs/admission_estimate.cc
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 
+#include "runs/room_rate.h"
+
 namespace jasminedyke {
 
 namespace {
 
-// Tasks of 14 cores leave some of 32 unused; in plays of days at full load 0.8
-// to 0.85 of all cores were at work.
-constexpr double kUsableShare = 0.8;
 // Without any upstream that takes work, one may come back within about this.
 constexpr duration kWaitWithoutCores = std::chrono::seconds(1);
 
@@ -17,7 +16,7 @@
 duration EstimateWait(const home_load& load) {
   if (load.cores <= 0)
     return kWaitWithoutCores;
-  return FromSeconds(load.work_ahead / (load.cores * kUsableShare));
+  return FromSeconds(load.work_ahead / (load.cores * room_rate::kUsableShare));
 }
 
 bool IsHopeless(const job_outlook& outlook, duration wait, time_point now) {
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -95,6 +95,15 @@
   job_outlook Outlook() const;
 };
 
+// A job with tasks that wait for room.
+struct waiting_job {
+  job_rank rank;
+  job_outlook outlook;
+  // Core-seconds of the tasks that wait.
+  double work = 0;
+  home_job* job = nullptr;
+};
+
 using home_job_map = std::map<job_key, home_job>;
 
 // Of a task away from the rack of its data, at most.
--- /dev/null
+++ b/src/runs/home_room.cc
@@ -0,0 +1,47 @@
+#include "runs/home_room.h"
+
+#include <algorithm>
+
+namespace jasminedyke {
+
+namespace {
+
+// Callers come back no sooner than that; Retry-After counts whole seconds.
+constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
+// Load changes within seconds: nothing is known of later times.
+constexpr duration kMostRetryAfter = std::chrono::seconds(10);
+constexpr duration kWaitWithoutCores = std::chrono::seconds(1);
+
+}  // namespace
+
+void home_room::Look(time_point now, const room_sight& sight) {
+  rate_.Look(now, sight.done, sight.cores, !sight.waiting.empty());
+  ahead_ = {};
+  for (const waiting_job& each : sight.waiting) {
+    if (each.rank.chance == job_chance::kInTime)
+      ahead_.Add(each.rank.priority, each.work);
+  }
+  cores_ = sight.cores;
+  std::erase_if(promised_, [&](const auto& each) { return each.second < now; });
+}
+
+duration home_room::WaitOf(int priority) const {
+  if (cores_ <= 0)
+    return kWaitWithoutCores;
+  return std::min(kMostRetryAfter,
+                  FromSeconds(ahead_.UpTo(priority) / rate_.LeftTo(priority)));
+}
+
+duration home_room::RetryAfter(time_point now, const waiting_job& sent_away) {
+  int priority = sent_away.rank.priority;
+  time_point room = now + WaitOf(priority);
+  for (const auto& [each, until] : promised_)
+    room = each <= priority ? std::max(room, until) : room;
+  room = std::min(room, now + kMostRetryAfter);
+  if (cores_ > 0 && sent_away.job->request.sending <= 1)
+    promised_[priority] =
+        room + FromSeconds(sent_away.work / rate_.SpareFor(priority));
+  return std::max(kLeastRetryAfter, room - now);
+}
+
+}  // namespace jasminedyke
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -272,7 +272,14 @@
     job.sent.clear();
     bool passed = report.refusal == run_refusal::kBusy;
     (passed ? job.passed_by : job.refused_by).insert(job.group);
-    ChooseHome(job, report.retry_after, report.refusal);
+    duration retry_after = report.retry_after;
+    if (report.refusal == run_refusal::kOverload) {
+      // The one that keeps a place for it.
+      if (!job.room_at)
+        job.room_at = clock_.now() + retry_after;
+      retry_after = *job.room_at - clock_.now();
+    }
+    ChooseHome(job, retry_after, report.refusal);
     return;
   }
   if (report.refusal == run_refusal::kNotHome) {
--- a/src/runs/job_desk.h
+++ b/src/runs/job_desk.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -124,6 +125,8 @@
     // How often its group got another home.
     int moved = 0;
     std::set<home_group> refused_by;
+    // When the first home that refused it for load expects room for it.
+    std::optional<time_point> room_at;
     // Groups that handed the job back because another one seemed to have
     // places.
     std::set<home_group> passed_by;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -525,7 +525,7 @@
   CancelJob(job);
 }
 
-std::vector<run_home::waiting_job> run_home::WaitingInOrder() {
+std::vector<waiting_job> run_home::WaitingInOrder() {
   std::vector<waiting_job> waiting;
   for (auto& [key, job] : jobs_) {
     double work = job.cancelled ? 0 : job.WaitingWork();
@@ -658,9 +658,8 @@
   home_load load;
   load.cores = upstreams_.UsableCores();
   duration delay = answer_times_.Delay();
-  // For all that are refused now: it sums up all jobs.
-  std::optional<duration> room_wait;
   std::vector<waiting_job> waiting = WaitingInOrder();
+  room_.Look(clock_.now(), {waiting, run_times_.done(), load.cores});
   for (waiting_job& each : waiting) {
     home_job& job = *each.job;
     bool hopeless =
@@ -670,12 +669,10 @@
       load.work_ahead += each.work;
       continue;
     }
-    if (!room_wait)
-      room_wait = WaitForRoom();
-    Refuse(job,
-           upstreams_.CouldEverRun(job) ? run_refusal::kOverload
-                                        : run_refusal::kNoUpstream,
-           std::max(kLeastRetryAfter, *room_wait));
+    if (upstreams_.CouldEverRun(job))
+      Refuse(job, run_refusal::kOverload, room_.RetryAfter(clock_.now(), each));
+    else
+      Refuse(job, run_refusal::kNoUpstream, kLeastRetryAfter);
     CancelJob(job);
   }
   DropCancelled();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -18,6 +18,7 @@
 #include "runs/crash_record.h"
 #include "runs/home_job.h"
 #include "runs/home_reports.h"
+#include "runs/home_room.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
 #include "runs/queue_latency.h"
@@ -149,14 +150,6 @@
   void QueueUnclear();
   void ScheduleDispatch();
   void Dispatch();
-  // A job with tasks that wait for room.
-  struct waiting_job {
-    job_rank rank;
-    job_outlook outlook;
-    // Core-seconds of the tasks that wait.
-    double work = 0;
-    home_job* job = nullptr;
-  };
   std::vector<waiting_job> WaitingInOrder();
   void PassOn(home_job& job);
   void HandBack(home_job& job, run_refusal reason);
@@ -206,6 +199,7 @@
   byte_rate spec_rate_;
   answer_times answer_times_;
   run_times run_times_;
+  home_room room_;
   stuck_runs stuck_runs_;
   bool owners_start_ = false;
   scoped_timer dispatch_timer_;
--- a/src/runs/run_times.cc
+++ b/src/runs/run_times.cc
@@ -99,6 +99,7 @@
                        const home_task& task,
                        duration took,
                        time_point now) {
+  done_.Add(job.request.priority, CoreSeconds(task.demand));
   const upstream_session* session = upstreams_.Find(task.upstream);
   if (!session || took <= duration::zero())
     return;
--- a/src/runs/run_times.h
+++ b/src/runs/run_times.h
@@ -8,6 +8,7 @@
 #include "policy/run_time_model.h"
 #include "runs/home_job.h"
 #include "runs/home_upstreams.h"
+#include "runs/room_rate.h"
 
 namespace jasminedyke {
 
@@ -25,6 +26,8 @@
               const home_task& task,
               duration took,
               time_point now);
+  // Of all tasks that ended, by callers' guesses.
+  const priority_work& done() const { return done_; }
   // `task` will take about `takes` in all, by its progress.
   void OnForetold(const home_job& job,
                   const home_task& task,
@@ -53,6 +56,7 @@
 
   home_upstreams& upstreams_;
   run_time_model model_;
+  priority_work done_;
 };
 
 }  // namespace jasminedyke
--- a/tests/fakes/load_day.cc
+++ b/tests/fakes/load_day.cc
@@ -25,6 +25,10 @@
 constexpr double kUsableShare = 0.85;
 // Long enough to take down one upstream after another.
 constexpr duration kCrasherLimit = std::chrono::seconds(20);
+constexpr size_t kCallersOfQueue = 4;
+// Of callers that ignore Retry-After; and until callers give a job up.
+constexpr duration kImpatience = milliseconds(100);
+constexpr duration kPatience = std::chrono::seconds(20);
 constexpr duration kRebirthTime = std::chrono::seconds(3);
 
 }  // namespace
@@ -35,6 +39,16 @@
           {"long", 2, 4, milliseconds(900), 0.044}};
 }
 
+caller_result& caller_result::operator+=(const caller_result& other) {
+  asked += other.asked;
+  tries += other.tries;
+  served += other.served;
+  returns += other.returns;
+  returns_served += other.returns_served;
+  waited += other.waited;
+  return *this;
+}
+
 std::vector<load_class> AuctionClasses() {
   return {{"short", 0, 8, milliseconds(51), 0.25},
           {"middle", 1, 2, milliseconds(170), 0.69},
@@ -46,7 +60,7 @@
                    int upstreams,
                    uint64_t seed,
                    const run_home::settings& home)
-    : random_(seed) {
+    : random_(seed), returns_random_(seed) {
   home_settings = home;
   for (const std::string& domain : domains) {
     for (int i = 0; i < upstreams; ++i) {
@@ -166,7 +180,17 @@
   size_t number = 0;
   while (number + 1 < classes_.size() && at >= classes_[number].share)
     at -= classes_[number++].share;
-  const load_class& kind = classes_[number];
+  Ask(classes_[number]);
+}
+
+void load_day::Crowd(const std::string& queue, int jobs) {
+  const load_class& kind =
+      *std::ranges::find(classes_, queue, &load_class::queue);
+  for (int i = 0; i < jobs; ++i)
+    Ask(kind);
+}
+
+void load_day::Ask(const load_class& kind) {
   std::string key = "job" + std::to_string(jobs_++);
   duration run_time = RunTime(kind);
   int64_t millis = TaskMillis();
@@ -194,20 +218,66 @@
   duration objective =
       job.target_latency +
       std::chrono::duration_cast<duration>(run_time * job.stretch);
+  std::vector<caller_result>& callers = callers_[kind.queue];
+  callers.resize(kCallersOfQueue);
+  size_t number = static_cast<size_t>(result.asked) % kCallersOfQueue;
+  asked_job asked;
+  asked.job = std::move(job);
+  asked.objective = objective;
+  asked.caller = &callers[number];
+  asked.habit = number == 0 ? habit_of_first_.value_or(habit_) : habit_;
+  asked.asked = clock.now();
+  ++asked.caller->asked;
+  Try(std::move(asked));
+}
+
+void load_day::Try(asked_job asked) {
+  ++asked.tries;
+  ++asked.caller->tries;
+  asked.caller->returns += asked.tries == 2 ? 1 : 0;
+  run_job job = asked.job;
   auto live = Live();
-  live[random_() % live.size()]->cluster->desk().Submit(
-      std::move(job), [this, &result, objective,
+  uint64_t draw = asked.tries == 1 ? random_() : returns_random_();
+  live[draw % live.size()]->cluster->desk().Submit(
+      std::move(job), [this, asked = std::move(asked),
                        arrived = clock.now()](const run_answer& answer) {
         duration took = clock.now() - arrived;
+        load_result& result = results_[asked.job.queue.str()];
         bool served = answer.outcome == run_outcome::kSucceeded;
-        result.in_time += served && took <= objective ? 1 : 0;
-        result.late += served && took > objective ? 1 : 0;
+        bool in_time = served && took <= asked.objective;
+        if (in_time) {
+          ++asked.caller->served;
+          asked.caller->returns_served += asked.tries == 2 ? 1 : 0;
+          asked.caller->waited += clock.now() - asked.asked;
+        }
+        if (answer.outcome == run_outcome::kNotRun)
+          OnRefused(asked, answer.retry_after);
+        if (asked.tries > 1)
+          return;
+        result.in_time += in_time ? 1 : 0;
+        result.late += served && !in_time ? 1 : 0;
         result.refused += served ? 0 : 1;
         result.failed += answer.outcome == run_outcome::kFailed ? 1 : 0;
-        result.refused_late += !served && took > objective / 4 ? 1 : 0;
+        result.refused_late += !served && took > asked.objective / 4 ? 1 : 0;
       });
 }
 
+void load_day::OnRefused(asked_job asked, duration retry_after) {
+  if (asked.habit == caller_habit::kLeave)
+    return;
+  duration pause =
+      asked.habit == caller_habit::kReturnAtOnce
+          ? kImpatience
+          : duration(std::chrono::ceil<std::chrono::seconds>(retry_after));
+  if (clock.now() + pause - asked.asked > kPatience)
+    return;
+  clock.CallAfter(pause, [this, asked = std::move(asked)] { Try(asked); });
+}
+
+std::vector<caller_result> load_day::CallersOf(const std::string& queue) {
+  return callers_[queue];
+}
+
 void load_day::ArriveCrasher() {
   std::string key = kCrasher + std::to_string(jobs_++);
   run_times_[key] = kCrasherRunTime;
--- a/tests/fakes/load_day.h
+++ b/tests/fakes/load_day.h
@@ -4,6 +4,7 @@
 #define TESTS_FAKES_LOAD_DAY_H_
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -53,6 +54,32 @@
 // an auction house.
 std::vector<load_class> AuctionClasses();
 
+// What callers do whose job was refused.
+enum class caller_habit {
+  kLeave,
+  kReturnAsTold,  // after Retry-After, which has whole seconds
+  kReturnAtOnce,  // they ignore it
+};
+
+// Of one of the callers that share a queue.
+struct caller_result {
+  int asked = 0;
+  int tries = 0;
+  int served = 0;   // by any try, within the objective of that try
+  int returns = 0;  // first returns after a refusal
+  int returns_served = 0;
+  // From the first try to the answer, of those served.
+  duration waited = duration::zero();
+
+  double served_share() const { return served / static_cast<double>(asked); }
+  double tries_of_each() const { return tries / static_cast<double>(asked); }
+  double returns_served_share() const {
+    return returns_served / static_cast<double>(returns);
+  }
+  double seconds_waited() const { return ToSeconds(waited) / served; }
+  caller_result& operator+=(const caller_result& other);
+};
+
 // Jobs arrive at random over all instances. Run times vary by a fifth between
 // jobs, and callers' guesses are off by up to 40 %.
 class load_day : public run_nodes {
@@ -66,9 +93,17 @@
 
   // Before `Play`.
   void MakeUneven(const uneven_load& uneven);
+  void SetClasses(const std::vector<load_class>& classes) {
+    classes_ = classes;
+  }
+  // Of all callers, and of one in each queue.
+  void SetHabit(caller_habit habit) { habit_ = habit; }
+  void SetHabitOfFirst(caller_habit habit) { habit_of_first_ = habit; }
 
   // `load` of 1 keeps all places for tasks busy.
   void Play(duration length, double load);
+  // So many jobs of a queue come at one moment.
+  void Crowd(const std::string& queue, int jobs);
   // While the day plays, these jobs come as well, spread over its first half;
   // of each, one task crashes every upstream that starts it. An upstream is
   // back after some seconds, under another id.
@@ -83,6 +118,8 @@
   void Finish() { Run(std::chrono::seconds(6)); }
 
   const load_result& Of(const std::string& queue) { return results_[queue]; }
+  // Of each caller of the queue, the first one first.
+  std::vector<caller_result> CallersOf(const std::string& queue);
   // Over all classes, by work: in time counts whole, late a fifth.
   double Worth() const;
 
@@ -90,6 +127,18 @@
   fake_upstream& AddUpstream(const std::string& id, const std::string& domain);
   void Rebirth(const std::string& id, const std::string& domain);
   void Arrive();
+  void Ask(const load_class& kind);
+  // A job in the hands of its caller.
+  struct asked_job {
+    run_job job;
+    duration objective = duration::zero();
+    caller_result* caller = nullptr;
+    caller_habit habit = caller_habit::kLeave;
+    time_point asked;
+    int tries = 0;
+  };
+  void Try(asked_job asked);
+  void OnRefused(asked_job asked, duration retry_after);
   // How long the longest task of a job of that kind takes at the usual speed.
   duration RunTime(const load_class& kind);
   int64_t TaskMillis();
@@ -99,9 +148,14 @@
   std::vector<load_class> classes_ = DeskClasses();
   bool uneven_ = false;
   std::mt19937_64 random_;
+  // Arrivals stay the same whoever comes back.
+  std::mt19937_64 returns_random_;
   std::map<std::string, duration> run_times_;
   std::map<std::string, load_result> results_;
   std::map<std::string, double> work_;
+  std::map<std::string, std::vector<caller_result>> callers_;
+  caller_habit habit_ = caller_habit::kLeave;
+  std::optional<caller_habit> habit_of_first_;
   // For one task each, at the usual speed.
   double places_ = 0;
   int jobs_ = 0;
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -52,11 +52,19 @@
   }
 
   void Refuse(const run_request& request, run_refusal why) {
+    Refuse(kNorth, request, why, duration::zero());
+  }
+
+  void Refuse(const instance_id& home,
+              const run_request& request,
+              run_refusal why,
+              duration retry_after) {
     run_report report{request.job, request.submission, {}};
     report.refusal = why;
+    report.retry_after = retry_after;
     report.not_run = true;
     report.sending = request.sending;
-    desk.OnReport(kNorth, report);
+    desk.OnReport(home, report);
   }
 
   manual_scheduler clock;
@@ -156,4 +164,22 @@
   }
 }
 
+// Guards against a caller that is told of the last home's room, where no place
+// is kept for its job.
+TEST_CASE("job_desk: a refused caller is told when the first home has room") {
+  desk_fixture f;
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  f.Refuse(kNorth, f.sent[0].second, run_refusal::kOverload,
+           milliseconds(3000));
+  f.clock.Advance(milliseconds(100));
+  REQUIRE(f.sent.size() == 2);
+  f.Refuse(kSouth, f.sent[1].second, run_refusal::kOverload,
+           milliseconds(1000));
+  f.clock.Advance(milliseconds(1));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].outcome == run_outcome::kNotRun);
+  CHECK(f.answers[0].retry_after == milliseconds(2900));
+}
+
 }  // namespace jasminedyke
