Take the waits by priority out of the homes' status

Cause: home_status.waits and WaitOf were agreed on for hard load, but no home filled them and nobody read them.

Tests: run_codec's lines on waits and WaitOf go with the field; the round trip of the status stays.

--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -3797,118 +3797,6 @@
 }
 
 
-priority_wait::~priority_wait() noexcept {
-}
-
-
-void priority_wait::__set_priority(const int32_t val) {
-  this->priority = val;
-}
-
-void priority_wait::__set_wait_us(const int64_t val) {
-  this->wait_us = val;
-}
-std::ostream& operator<<(std::ostream& out, const priority_wait& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t priority_wait::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->priority);
-          this->__isset.priority = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->wait_us);
-          this->__isset.wait_us = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t priority_wait::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("priority_wait");
-
-  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->priority);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->wait_us);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(priority_wait &a, priority_wait &b) {
-  using ::std::swap;
-  swap(a.priority, b.priority);
-  swap(a.wait_us, b.wait_us);
-  swap(a.__isset, b.__isset);
-}
-
-priority_wait::priority_wait(const priority_wait& other130) noexcept {
-  priority = other130.priority;
-  wait_us = other130.wait_us;
-  __isset = other130.__isset;
-}
-priority_wait& priority_wait::operator=(const priority_wait& other131) noexcept {
-  priority = other131.priority;
-  wait_us = other131.wait_us;
-  __isset = other131.__isset;
-  return *this;
-}
-void priority_wait::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "priority_wait(";
-  out << "priority=" << to_string(priority);
-  out << ", " << "wait_us=" << to_string(wait_us);
-  out << ")";
-}
-
-
 home_status::~home_status() noexcept {
 }
 
@@ -3954,11 +3842,6 @@
   this->owners_start = val;
 __isset.owners_start = true;
 }
-
-void home_status::__set_waits(const std::vector<priority_wait> & val) {
-  this->waits = val;
-__isset.waits = true;
-}
 std::ostream& operator<<(std::ostream& out, const home_status& obj)
 {
   obj.printTo(out);
@@ -4067,26 +3950,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->waits.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->waits.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
-            {
-              xfer += this->waits[_i136].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.waits = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4146,19 +4009,6 @@
     xfer += oprot->writeBool(this->owners_start);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.waits) {
-    xfer += oprot->writeFieldBegin("waits", ::apache::thrift::protocol::T_LIST, 11);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waits.size()));
-      std::vector<priority_wait> ::const_iterator _iter137;
-      for (_iter137 = this->waits.begin(); _iter137 != this->waits.end(); ++_iter137)
-      {
-        xfer += (*_iter137).write(oprot);
-      }
-      xfer += oprot->writeListEnd();
-    }
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4176,37 +4026,34 @@
   swap(a.wait_us, b.wait_us);
   swap(a.yielding, b.yielding);
   swap(a.owners_start, b.owners_start);
-  swap(a.waits, b.waits);
   swap(a.__isset, b.__isset);
 }
 
-home_status::home_status(const home_status& other138) {
-  failure_domain = other138.failure_domain;
-  group = other138.group;
-  token = other138.token;
-  serving = other138.serving;
-  settled = other138.settled;
-  free_cpu_millis = other138.free_cpu_millis;
-  total_cpu_millis = other138.total_cpu_millis;
-  wait_us = other138.wait_us;
-  yielding = other138.yielding;
-  owners_start = other138.owners_start;
-  waits = other138.waits;
-  __isset = other138.__isset;
-}
-home_status& home_status::operator=(const home_status& other139) {
-  failure_domain = other139.failure_domain;
-  group = other139.group;
-  token = other139.token;
-  serving = other139.serving;
-  settled = other139.settled;
-  free_cpu_millis = other139.free_cpu_millis;
-  total_cpu_millis = other139.total_cpu_millis;
-  wait_us = other139.wait_us;
-  yielding = other139.yielding;
-  owners_start = other139.owners_start;
-  waits = other139.waits;
-  __isset = other139.__isset;
+home_status::home_status(const home_status& other130) {
+  failure_domain = other130.failure_domain;
+  group = other130.group;
+  token = other130.token;
+  serving = other130.serving;
+  settled = other130.settled;
+  free_cpu_millis = other130.free_cpu_millis;
+  total_cpu_millis = other130.total_cpu_millis;
+  wait_us = other130.wait_us;
+  yielding = other130.yielding;
+  owners_start = other130.owners_start;
+  __isset = other130.__isset;
+}
+home_status& home_status::operator=(const home_status& other131) {
+  failure_domain = other131.failure_domain;
+  group = other131.group;
+  token = other131.token;
+  serving = other131.serving;
+  settled = other131.settled;
+  free_cpu_millis = other131.free_cpu_millis;
+  total_cpu_millis = other131.total_cpu_millis;
+  wait_us = other131.wait_us;
+  yielding = other131.yielding;
+  owners_start = other131.owners_start;
+  __isset = other131.__isset;
   return *this;
 }
 void home_status::printTo(std::ostream& out) const {
@@ -4222,7 +4069,6 @@
   out << ", " << "wait_us=" << to_string(wait_us);
   out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
   out << ", " << "owners_start="; (__isset.owners_start ? (out << to_string(owners_start)) : (out << "<null>"));
-  out << ", " << "waits="; (__isset.waits ? (out << to_string(waits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4455,31 +4301,31 @@
   swap(a.__isset, b.__isset);
 }
 
-delegated_start::delegated_start(const delegated_start& other140) {
-  number = other140.number;
-  job = other140.job;
-  submission = other140.submission;
-  step = other140.step;
-  index = other140.index;
-  run = other140.run;
-  upstream = other140.upstream;
-  address = other140.address;
-  token = other140.token;
-  not_after_ms = other140.not_after_ms;
-  __isset = other140.__isset;
-}
-delegated_start& delegated_start::operator=(const delegated_start& other141) {
-  number = other141.number;
-  job = other141.job;
-  submission = other141.submission;
-  step = other141.step;
-  index = other141.index;
-  run = other141.run;
-  upstream = other141.upstream;
-  address = other141.address;
-  token = other141.token;
-  not_after_ms = other141.not_after_ms;
-  __isset = other141.__isset;
+delegated_start::delegated_start(const delegated_start& other132) {
+  number = other132.number;
+  job = other132.job;
+  submission = other132.submission;
+  step = other132.step;
+  index = other132.index;
+  run = other132.run;
+  upstream = other132.upstream;
+  address = other132.address;
+  token = other132.token;
+  not_after_ms = other132.not_after_ms;
+  __isset = other132.__isset;
+}
+delegated_start& delegated_start::operator=(const delegated_start& other133) {
+  number = other133.number;
+  job = other133.job;
+  submission = other133.submission;
+  step = other133.step;
+  index = other133.index;
+  run = other133.run;
+  upstream = other133.upstream;
+  address = other133.address;
+  token = other133.token;
+  not_after_ms = other133.not_after_ms;
+  __isset = other133.__isset;
   return *this;
 }
 void delegated_start::printTo(std::ostream& out) const {
@@ -4610,17 +4456,17 @@
   swap(a.__isset, b.__isset);
 }
 
-delegated_start_result::delegated_start_result(const delegated_start_result& other142) noexcept {
-  number = other142.number;
-  result = other142.result;
-  clock_ms = other142.clock_ms;
-  __isset = other142.__isset;
+delegated_start_result::delegated_start_result(const delegated_start_result& other134) noexcept {
+  number = other134.number;
+  result = other134.result;
+  clock_ms = other134.clock_ms;
+  __isset = other134.__isset;
 }
-delegated_start_result& delegated_start_result::operator=(const delegated_start_result& other143) noexcept {
-  number = other143.number;
-  result = other143.result;
-  clock_ms = other143.clock_ms;
-  __isset = other143.__isset;
+delegated_start_result& delegated_start_result::operator=(const delegated_start_result& other135) noexcept {
+  number = other135.number;
+  result = other135.result;
+  clock_ms = other135.clock_ms;
+  __isset = other135.__isset;
   return *this;
 }
 void delegated_start_result::printTo(std::ostream& out) const {
@@ -4736,14 +4582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->labels.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->labels.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += iprot->readString(this->labels[_i148]);
+              xfer += iprot->readString(this->labels[_i140]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4814,10 +4660,10 @@
     xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-      std::vector<std::string> ::const_iterator _iter149;
-      for (_iter149 = this->labels.begin(); _iter149 != this->labels.end(); ++_iter149)
+      std::vector<std::string> ::const_iterator _iter141;
+      for (_iter141 = this->labels.begin(); _iter141 != this->labels.end(); ++_iter141)
       {
-        xfer += oprot->writeString((*_iter149));
+        xfer += oprot->writeString((*_iter141));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4855,27 +4701,27 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_row::upstream_row(const upstream_row& other150) {
-  id = other150.id;
-  address = other150.address;
-  upstream_service = other150.upstream_service;
-  rack = other150.rack;
-  labels = other150.labels;
-  capacity = other150.capacity;
-  draining = other150.draining;
-  birth = other150.birth;
-  __isset = other150.__isset;
-}
-upstream_row& upstream_row::operator=(const upstream_row& other151) {
-  id = other151.id;
-  address = other151.address;
-  upstream_service = other151.upstream_service;
-  rack = other151.rack;
-  labels = other151.labels;
-  capacity = other151.capacity;
-  draining = other151.draining;
-  birth = other151.birth;
-  __isset = other151.__isset;
+upstream_row::upstream_row(const upstream_row& other142) {
+  id = other142.id;
+  address = other142.address;
+  upstream_service = other142.upstream_service;
+  rack = other142.rack;
+  labels = other142.labels;
+  capacity = other142.capacity;
+  draining = other142.draining;
+  birth = other142.birth;
+  __isset = other142.__isset;
+}
+upstream_row& upstream_row::operator=(const upstream_row& other143) {
+  id = other143.id;
+  address = other143.address;
+  upstream_service = other143.upstream_service;
+  rack = other143.rack;
+  labels = other143.labels;
+  capacity = other143.capacity;
+  draining = other143.draining;
+  birth = other143.birth;
+  __isset = other143.__isset;
   return *this;
 }
 void upstream_row::printTo(std::ostream& out) const {
@@ -4949,14 +4795,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->rows.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->rows.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->rows[_i156].read(iprot);
+              xfer += this->rows[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4969,14 +4815,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->gone.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->gone.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += iprot->readString(this->gone[_i161]);
+              xfer += iprot->readString(this->gone[_i153]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5009,10 +4855,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<upstream_row> ::const_iterator _iter162;
-    for (_iter162 = this->rows.begin(); _iter162 != this->rows.end(); ++_iter162)
+    std::vector<upstream_row> ::const_iterator _iter154;
+    for (_iter154 = this->rows.begin(); _iter154 != this->rows.end(); ++_iter154)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5022,10 +4868,10 @@
     xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->gone.size()));
-      std::vector<std::string> ::const_iterator _iter163;
-      for (_iter163 = this->gone.begin(); _iter163 != this->gone.end(); ++_iter163)
+      std::vector<std::string> ::const_iterator _iter155;
+      for (_iter155 = this->gone.begin(); _iter155 != this->gone.end(); ++_iter155)
       {
-        xfer += oprot->writeString((*_iter163));
+        xfer += oprot->writeString((*_iter155));
       }
       xfer += oprot->writeListEnd();
     }
@@ -5044,17 +4890,17 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_news::upstream_news(const upstream_news& other164) {
-  full = other164.full;
-  rows = other164.rows;
-  gone = other164.gone;
-  __isset = other164.__isset;
+upstream_news::upstream_news(const upstream_news& other156) {
+  full = other156.full;
+  rows = other156.rows;
+  gone = other156.gone;
+  __isset = other156.__isset;
 }
-upstream_news& upstream_news::operator=(const upstream_news& other165) {
-  full = other165.full;
-  rows = other165.rows;
-  gone = other165.gone;
-  __isset = other165.__isset;
+upstream_news& upstream_news::operator=(const upstream_news& other157) {
+  full = other157.full;
+  rows = other157.rows;
+  gone = other157.gone;
+  __isset = other157.__isset;
   return *this;
 }
 void upstream_news::printTo(std::ostream& out) const {
@@ -5119,14 +4965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->domains.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->domains.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->domains.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += iprot->readString(this->domains[_i170]);
+              xfer += iprot->readString(this->domains[_i162]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5160,10 +5006,10 @@
     xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-      std::vector<std::string> ::const_iterator _iter171;
-      for (_iter171 = this->domains.begin(); _iter171 != this->domains.end(); ++_iter171)
+      std::vector<std::string> ::const_iterator _iter163;
+      for (_iter163 = this->domains.begin(); _iter163 != this->domains.end(); ++_iter163)
       {
-        xfer += oprot->writeString((*_iter171));
+        xfer += oprot->writeString((*_iter163));
       }
       xfer += oprot->writeListEnd();
     }
@@ -5181,15 +5027,15 @@
   swap(a.__isset, b.__isset);
 }
 
-drained_domains::drained_domains(const drained_domains& other172) {
-  as_of = other172.as_of;
-  domains = other172.domains;
-  __isset = other172.__isset;
+drained_domains::drained_domains(const drained_domains& other164) {
+  as_of = other164.as_of;
+  domains = other164.domains;
+  __isset = other164.__isset;
 }
-drained_domains& drained_domains::operator=(const drained_domains& other173) {
-  as_of = other173.as_of;
-  domains = other173.domains;
-  __isset = other173.__isset;
+drained_domains& drained_domains::operator=(const drained_domains& other165) {
+  as_of = other165.as_of;
+  domains = other165.domains;
+  __isset = other165.__isset;
   return *this;
 }
 void drained_domains::printTo(std::ostream& out) const {
@@ -5346,21 +5192,21 @@
   swap(a.__isset, b.__isset);
 }
 
-crash_suspect::crash_suspect(const crash_suspect& other174) {
-  job = other174.job;
-  step = other174.step;
-  index = other174.index;
-  lost = other174.lost;
-  crashed = other174.crashed;
-  __isset = other174.__isset;
-}
-crash_suspect& crash_suspect::operator=(const crash_suspect& other175) {
-  job = other175.job;
-  step = other175.step;
-  index = other175.index;
-  lost = other175.lost;
-  crashed = other175.crashed;
-  __isset = other175.__isset;
+crash_suspect::crash_suspect(const crash_suspect& other166) {
+  job = other166.job;
+  step = other166.step;
+  index = other166.index;
+  lost = other166.lost;
+  crashed = other166.crashed;
+  __isset = other166.__isset;
+}
+crash_suspect& crash_suspect::operator=(const crash_suspect& other167) {
+  job = other167.job;
+  step = other167.step;
+  index = other167.index;
+  lost = other167.lost;
+  crashed = other167.crashed;
+  __isset = other167.__isset;
   return *this;
 }
 void crash_suspect::printTo(std::ostream& out) const {
@@ -5414,14 +5260,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->suspects.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->suspects.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->suspects[_i180].read(iprot);
+              xfer += this->suspects[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5450,10 +5296,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<crash_suspect> ::const_iterator _iter181;
-    for (_iter181 = this->suspects.begin(); _iter181 != this->suspects.end(); ++_iter181)
+    std::vector<crash_suspect> ::const_iterator _iter173;
+    for (_iter173 = this->suspects.begin(); _iter173 != this->suspects.end(); ++_iter173)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5470,13 +5316,13 @@
   swap(a.__isset, b.__isset);
 }
 
-crash_news::crash_news(const crash_news& other182) {
-  suspects = other182.suspects;
-  __isset = other182.__isset;
+crash_news::crash_news(const crash_news& other174) {
+  suspects = other174.suspects;
+  __isset = other174.__isset;
 }
-crash_news& crash_news::operator=(const crash_news& other183) {
-  suspects = other183.suspects;
-  __isset = other183.__isset;
+crash_news& crash_news::operator=(const crash_news& other175) {
+  suspects = other175.suspects;
+  __isset = other175.__isset;
   return *this;
 }
 void crash_news::printTo(std::ostream& out) const {
@@ -5598,17 +5444,17 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_speed::upstream_speed(const upstream_speed& other184) {
-  id = other184.id;
-  thousandths = other184.thousandths;
-  birth = other184.birth;
-  __isset = other184.__isset;
+upstream_speed::upstream_speed(const upstream_speed& other176) {
+  id = other176.id;
+  thousandths = other176.thousandths;
+  birth = other176.birth;
+  __isset = other176.__isset;
 }
-upstream_speed& upstream_speed::operator=(const upstream_speed& other185) {
-  id = other185.id;
-  thousandths = other185.thousandths;
-  birth = other185.birth;
-  __isset = other185.__isset;
+upstream_speed& upstream_speed::operator=(const upstream_speed& other177) {
+  id = other177.id;
+  thousandths = other177.thousandths;
+  birth = other177.birth;
+  __isset = other177.__isset;
   return *this;
 }
 void upstream_speed::printTo(std::ostream& out) const {
@@ -5660,14 +5506,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->speeds.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->speeds.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->speeds[_i190].read(iprot);
+              xfer += this->speeds[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5696,10 +5542,10 @@
   xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-    std::vector<upstream_speed> ::const_iterator _iter191;
-    for (_iter191 = this->speeds.begin(); _iter191 != this->speeds.end(); ++_iter191)
+    std::vector<upstream_speed> ::const_iterator _iter183;
+    for (_iter183 = this->speeds.begin(); _iter183 != this->speeds.end(); ++_iter183)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5716,13 +5562,13 @@
   swap(a.__isset, b.__isset);
 }
 
-speed_news::speed_news(const speed_news& other192) {
-  speeds = other192.speeds;
-  __isset = other192.__isset;
+speed_news::speed_news(const speed_news& other184) {
+  speeds = other184.speeds;
+  __isset = other184.__isset;
 }
-speed_news& speed_news::operator=(const speed_news& other193) {
-  speeds = other193.speeds;
-  __isset = other193.__isset;
+speed_news& speed_news::operator=(const speed_news& other185) {
+  speeds = other185.speeds;
+  __isset = other185.__isset;
   return *this;
 }
 void speed_news::printTo(std::ostream& out) const {
@@ -6171,51 +6017,51 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other194) {
-  hello_message = other194.hello_message;
-  proof_message = other194.proof_message;
-  demand = other194.demand;
-  grant = other194.grant;
-  release = other194.release;
-  status_message = other194.status_message;
-  wanted = other194.wanted;
-  document_message = other194.document_message;
-  request = other194.request;
-  reply = other194.reply;
-  run = other194.run;
-  cancel = other194.cancel;
-  report = other194.report;
-  home = other194.home;
-  upstreams = other194.upstreams;
-  delegated = other194.delegated;
-  delegated_result = other194.delegated_result;
-  drained = other194.drained;
-  crashes = other194.crashes;
-  speeds = other194.speeds;
-  __isset = other194.__isset;
-}
-frame& frame::operator=(const frame& other195) {
-  hello_message = other195.hello_message;
-  proof_message = other195.proof_message;
-  demand = other195.demand;
-  grant = other195.grant;
-  release = other195.release;
-  status_message = other195.status_message;
-  wanted = other195.wanted;
-  document_message = other195.document_message;
-  request = other195.request;
-  reply = other195.reply;
-  run = other195.run;
-  cancel = other195.cancel;
-  report = other195.report;
-  home = other195.home;
-  upstreams = other195.upstreams;
-  delegated = other195.delegated;
-  delegated_result = other195.delegated_result;
-  drained = other195.drained;
-  crashes = other195.crashes;
-  speeds = other195.speeds;
-  __isset = other195.__isset;
+frame::frame(const frame& other186) {
+  hello_message = other186.hello_message;
+  proof_message = other186.proof_message;
+  demand = other186.demand;
+  grant = other186.grant;
+  release = other186.release;
+  status_message = other186.status_message;
+  wanted = other186.wanted;
+  document_message = other186.document_message;
+  request = other186.request;
+  reply = other186.reply;
+  run = other186.run;
+  cancel = other186.cancel;
+  report = other186.report;
+  home = other186.home;
+  upstreams = other186.upstreams;
+  delegated = other186.delegated;
+  delegated_result = other186.delegated_result;
+  drained = other186.drained;
+  crashes = other186.crashes;
+  speeds = other186.speeds;
+  __isset = other186.__isset;
+}
+frame& frame::operator=(const frame& other187) {
+  hello_message = other187.hello_message;
+  proof_message = other187.proof_message;
+  demand = other187.demand;
+  grant = other187.grant;
+  release = other187.release;
+  status_message = other187.status_message;
+  wanted = other187.wanted;
+  document_message = other187.document_message;
+  request = other187.request;
+  reply = other187.reply;
+  run = other187.run;
+  cancel = other187.cancel;
+  report = other187.report;
+  home = other187.home;
+  upstreams = other187.upstreams;
+  delegated = other187.delegated;
+  delegated_result = other187.delegated_result;
+  drained = other187.drained;
+  crashes = other187.crashes;
+  speeds = other187.speeds;
+  __isset = other187.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -78,8 +78,6 @@
 
 class run_report;
 
-class priority_wait;
-
 class home_status;
 
 class delegated_start;
@@ -1590,58 +1588,8 @@
 
 std::ostream& operator<<(std::ostream& out, const run_report& obj);
 
-typedef struct _priority_wait__isset {
-  _priority_wait__isset() : priority(false), wait_us(false) {}
-  bool priority :1;
-  bool wait_us :1;
-} _priority_wait__isset;
-
-class priority_wait : public virtual ::apache::thrift::TBase {
- public:
-
-  priority_wait(const priority_wait&) noexcept;
-  priority_wait& operator=(const priority_wait&) noexcept;
-  priority_wait() noexcept
-                : priority(0),
-                  wait_us(0) {
-  }
-
-  virtual ~priority_wait() noexcept;
-  int32_t priority;
-  int64_t wait_us;
-
-  _priority_wait__isset __isset;
-
-  void __set_priority(const int32_t val);
-
-  void __set_wait_us(const int64_t val);
-
-  bool operator == (const priority_wait & rhs) const
-  {
-    if (!(priority == rhs.priority))
-      return false;
-    if (!(wait_us == rhs.wait_us))
-      return false;
-    return true;
-  }
-  bool operator != (const priority_wait &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const priority_wait & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(priority_wait &a, priority_wait &b);
-
-std::ostream& operator<<(std::ostream& out, const priority_wait& obj);
-
 typedef struct _home_status__isset {
-  _home_status__isset() : failure_domain(false), group(false), token(false), serving(false), settled(false), free_cpu_millis(false), total_cpu_millis(false), wait_us(false), yielding(false), owners_start(false), waits(false) {}
+  _home_status__isset() : failure_domain(false), group(false), token(false), serving(false), settled(false), free_cpu_millis(false), total_cpu_millis(false), wait_us(false), yielding(false), owners_start(false) {}
   bool failure_domain :1;
   bool group :1;
   bool token :1;
@@ -1652,7 +1600,6 @@
   bool wait_us :1;
   bool yielding :1;
   bool owners_start :1;
-  bool waits :1;
 } _home_status__isset;
 
 class home_status : public virtual ::apache::thrift::TBase {
@@ -1684,7 +1631,6 @@
   int64_t wait_us;
   bool yielding;
   bool owners_start;
-  std::vector<priority_wait>  waits;
 
   _home_status__isset __isset;
 
@@ -1708,8 +1654,6 @@
 
   void __set_owners_start(const bool val);
 
-  void __set_waits(const std::vector<priority_wait> & val);
-
   bool operator == (const home_status & rhs) const
   {
     if (!(failure_domain == rhs.failure_domain))
@@ -1736,10 +1680,6 @@
       return false;
     else if (__isset.owners_start && !(owners_start == rhs.owners_start))
       return false;
-    if (__isset.waits != rhs.__isset.waits)
-      return false;
-    else if (__isset.waits && !(waits == rhs.waits))
-      return false;
     return true;
   }
   bool operator != (const home_status &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -181,12 +181,6 @@
   7: optional i32 sending
 }
 
-// How long a job of a priority would wait for room.
-struct priority_wait {
-  1: i32 priority
-  2: i64 wait_us
-}
-
 struct home_status {
   1: string failure_domain
   2: i32 group
@@ -198,8 +192,6 @@
   8: i64 wait_us
   9: optional bool yielding
   10: optional bool owners_start
-  // By rising priority numbers.
-  11: optional list<priority_wait> waits
 }
 
 // The home has the job's owner send a start, as only that one has the
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -185,15 +185,6 @@
     wire.__set_yielding(true);
   if (status.owners_start)
     wire.__set_owners_start(true);
-  std::vector<wire::priority_wait> waits;
-  for (const priority_wait& each : status.waits) {
-    wire::priority_wait wait;
-    wait.priority = each.priority;
-    wait.wait_us = each.wait.count();
-    waits.push_back(wait);
-  }
-  if (!waits.empty())
-    wire.__set_waits(waits);
   return wire;
 }
 
@@ -209,8 +200,6 @@
   status.wait = duration(wire.wait_us);
   status.yielding = wire.yielding;
   status.owners_start = wire.owners_start;
-  for (const wire::priority_wait& each : wire.waits)
-    status.waits.push_back({each.priority, duration(each.wait_us)});
   return status;
 }
 
--- a/src/runs/run_messages.cc
+++ b/src/runs/run_messages.cc
@@ -1,18 +1,7 @@
 #include "runs/run_messages.h"
 
-#include <algorithm>
-
 namespace jasminedyke {
 
-duration home_status::WaitOf(int priority) const {
-  if (waits.empty())
-    return wait;
-  auto told = std::ranges::find_if(waits, [priority](const auto& each) {
-    return each.priority >= priority;
-  });
-  return told == waits.end() ? waits.back().wait : told->wait;
-}
-
 const char* ToString(run_refusal reason) {
   switch (reason) {
     case run_refusal::kNone:
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -118,14 +118,6 @@
   bool operator==(const run_report&) const = default;
 };
 
-// How long a job of a priority that comes now would wait for room.
-struct priority_wait {
-  int priority = 0;
-  duration wait = duration::zero();
-
-  bool operator==(const priority_wait&) const = default;
-};
-
 // Sent by each home to all entry instances, at intervals and when it begins or
 // ends to be home.
 struct home_status {
@@ -145,11 +137,6 @@
   int64_t total_cpu_millis = 0;
   // How long a task that comes now would wait for room.
   duration wait = duration::zero();
-  // The same by rising priority numbers; empty from a home of an older release.
-  std::vector<priority_wait> waits;
-
-  // Of the nearest priority that is told of and no more urgent.
-  duration WaitOf(int priority) const;
 
   bool operator==(const home_status&) const = default;
 };
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -81,14 +81,7 @@
   status.token = fencing_token(9);
   status.yielding = true;
   status.wait = std::chrono::milliseconds(3);
-  status.waits = {{0, std::chrono::milliseconds(1)},
-                  {2, std::chrono::milliseconds(8)}};
   CHECK(ThroughTheWire(status) == status);
-  CHECK(status.WaitOf(0) == std::chrono::milliseconds(1));
-  CHECK(status.WaitOf(1) == std::chrono::milliseconds(8));
-  CHECK(status.WaitOf(5) == std::chrono::milliseconds(8));
-  status.waits.clear();
-  CHECK(status.WaitOf(0) == std::chrono::milliseconds(3));
   upstream_news news;
   news.full = true;
   upstream_info info;
