--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -18,6 +18,8 @@
 // begin soon after the first instances, after a planned stop at once. When
 // there has been none for longer, nothing says that one is near.
 constexpr duration kWaitForFirstHome = std::chrono::milliseconds(500);
+// That a caller is told, also where room was expected sooner.
+constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Operators drain a failure domain for work that takes many seconds.
 constexpr duration kRetryAfterDrained = std::chrono::seconds(5);
 
@@ -278,7 +280,14 @@
     job.sent.clear();
     bool passed = report.refusal == run_refusal::kBusy;
     (passed ? job.passed_by : job.refused_by).insert(job.group);
-    ChooseHome(job, report.retry_after, report.refusal);
+    duration retry_after = report.retry_after;
+    if (report.refusal == run_refusal::kOverload) {
+      // The one that keeps a place for it.
+      if (!job.room_at)
+        job.room_at = clock_.now() + retry_after;
+      retry_after = std::max(*job.room_at - clock_.now(), kLeastRetryAfter);
+    }
+    ChooseHome(job, retry_after, report.refusal);
     return;
   }
   if (report.refusal == run_refusal::kNotHome) {
