--- a/tests/home_election/home_election_test.cc
+++ b/tests/home_election/home_election_test.cc
@@ -1,6 +1,7 @@
 // Which instance becomes home while the store can't be reached.
 
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -69,6 +70,65 @@
   CHECK(d.ServedNow("after"));
 }
 
+TEST_CASE("the two strongest instances are lost in the dark") {
+  // Both are back before the store is, and neither knows the last home.
+  dark_domain d;
+  d.Add("north", 4, 1.9);
+  d.Add("north", 5);
+  d.Run(seconds(1));
+  d.SilenceStore();
+  for (const char* name : {"north-1", "north-4"})
+    d.Kill(*d.Find(name), true);
+  d.Run(milliseconds(700));
+  d.Add("north", 1, 2);
+  d.Add("north", 4, 1.9);
+  d.Run(milliseconds(1200));
+  CHECK(d.ServedNow("after"));
+  CHECK_FALSE(d.ran_twice);
+}
+
+TEST_CASE("two claimants behind a cut and when it heals") {
+  // Both restarted there, met only the home that is lost then, and have no list
+  // of members. Callers whose answer broke come again through the other one.
+  dark_domain d;
+  d.SilenceStore();
+  d.linked_from_start = false;
+  run_node& home = *d.Find("north-1");
+  std::vector<run_node*> claimants;
+  for (int number : {2, 3}) {
+    d.Kill(*d.Find("north-" + std::to_string(number)), true);
+    claimants.push_back(&d.Add("north", number));
+    d.Heal(home, *claimants.back());
+    d.Run(milliseconds(400));
+  }
+  for (run_node* node : claimants)
+    node->cluster->SetMembers({{node->self.instance, node->self}});
+  d.Kill(home, true);
+  bool both_began[2] = {false, false};
+  for (int i = 0; i < 60; ++i) {
+    std::string key = "job" + std::to_string(i);
+    d.Submit(*claimants[i % 2], key, 2);
+    std::string earlier = "job" + std::to_string(i - 14);
+    if (i >= 14 && (d.answers[earlier].empty() ||
+                    d.answers[earlier][0].outcome != run_outcome::kSucceeded))
+      d.Submit(*claimants[(i + 1) % 2], earlier, 2);
+    d.Run(milliseconds(100));
+    for (int n : {0, 1}) {
+      both_began[n] = both_began[n] || claimants[n]->cluster->home().serving();
+    }
+  }
+  CHECK(both_began[0]);
+  CHECK(both_began[1]);
+  d.store.outage = false;
+  d.store.delay = milliseconds(3);
+  d.Heal(*claimants[0], *claimants[1]);
+  d.Run(seconds(3));
+  CHECK(claimants[0]->cluster->home().serving() !=
+        claimants[1]->cluster->home().serving());
+  CHECK(d.ServedNow("after"));
+  CHECK_FALSE(d.ran_twice);
+}
+
 TEST_CASE("a home that is fenced while it waits for a silent store") {
   // It went on beside its successor until the call timed out.
   dark_domain d;
