--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -26,12 +26,9 @@
 // Without the store: after a home whose process is known to be gone, and after
 // one that is only silent.
 constexpr duration kStorelessAfterGone = std::chrono::milliseconds(700);
-// A home that lives and was only out of reach takes its upstreams back when it
-// finds itself fenced.
+// The silence itself has lasted a second by then. A home that lives and was
+// only out of reach takes its upstreams back when it finds itself fenced.
 constexpr duration kStorelessAfterSilence = std::chrono::milliseconds(1500);
-// A call that the store has not answered for so long is as good as failed; a
-// slow store answers sooner.
-constexpr duration kStoreSilence = std::chrono::milliseconds(600);
 // Tokens of a row's version are so far apart, with room between them for those
 // of homes that began without the store.
 // As many as addresses differ in, within one private network; row versions up
@@ -81,8 +78,6 @@
 
 void home_election::OnPeerUp(const peer_identity& peer) {
   peers_up_.emplace(peer.instance, clock_.now());
-  if (incarnations_[peer.instance] != peer.incarnation)
-    met_[peer.instance] = clock_.now();
   incarnations_[peer.instance] = peer.incarnation;
   refused_.erase(peer.instance);
   leaving_peers_.erase(peer.instance);
@@ -237,7 +232,7 @@
   });
 }
 
-int home_election::RankAmong(candidate_rule is_candidate) const {
+int home_election::OwnRank() const {
   auto score = [&](const entry_member& member) {
     return std::pair(member.weight, StableHash(group_.ToString() + "/" +
                                                member.instance.str()));
@@ -245,26 +240,14 @@
   auto own = score(self_);
   int rank = 0;
   for (const auto& [id, member] : members_) {
-    if ((this->*is_candidate)(member) && score(member) > own)
+    bool candidate = member.domain == group_.domain && peers_up_.contains(id) &&
+                     !leaving_peers_.contains(id);
+    if (candidate && score(member) > own)
       ++rank;
   }
   return rank;
 }
 
-bool home_election::IsCandidate(const entry_member& member) const {
-  return member.domain == group_.domain &&
-         peers_up_.contains(member.instance) &&
-         !leaving_peers_.contains(member.instance);
-}
-
-// A process that has started since the home was lost has heard of no token and
-// of no upstreams, so it can't begin and must not be waited for.
-bool home_election::KnowsLastHome(const entry_member& member) const {
-  auto met = met_.find(member.instance);
-  return IsCandidate(member) && met != met_.end() &&
-         met->second <= *without_home_since_;
-}
-
 bool home_election::SeesHalf() const {
   return (peers_up_.size() + 1) * 2 >= members_.size();
 }
@@ -284,37 +267,24 @@
   duration wait = kWaitPerRank * OwnRank();
   if (!home && homes_.HighestToken(group_).value() == 0)
     wait += kSettleTime;
-  if (call_in_flight_) {
-    WatchSilence();
-    return;
-  }
-  if (clock_.now() - *without_home_since_ < wait)
+  if (call_in_flight_ || clock_.now() - *without_home_since_ < wait)
     return;
   call_in_flight_ = true;
-  row_asked_ = clock_.now();
   store_.Read(
       kTable, group_.ToString(),
       [this, asked = clock_.now()](const auto& row) { OnRowRead(asked, row); });
 }
 
-// Waiting for the call to time out would leave the group without a home as
-// long.
-void home_election::WatchSilence() {
-  if (!KnowsMembers() || !row_asked_)
-    return;
-  if (store_away_since_ || clock_.now() - *row_asked_ >= kStoreSilence)
-    OnStoreAway(*row_asked_);
-}
-
 void home_election::OnRowRead(time_point asked,
                               const outcome<table_row, store_error>& result) {
   call_in_flight_ = false;
-  row_asked_.reset();
-  // A home may have been heard of while the store was asked.
-  if (holding_ || leaving_ || !without_home_since_)
+  if (holding_ || leaving_)
     return;
   if (!result.ok() && result.error() != store_error::kNotFound) {
-    OnStoreAway(asked);
+    // A store that is silent has been away since it was asked.
+    if (!store_away_since_)
+      store_away_since_ = asked;
+    TakeOverWithoutStore();
     return;
   }
   store_away_since_.reset();
@@ -327,13 +297,6 @@
     TakeOver(result.value().version, true);
 }
 
-// A store that is silent has been away since it was asked.
-void home_election::OnStoreAway(time_point asked) {
-  if (!store_away_since_)
-    store_away_since_ = asked;
-  TakeOverWithoutStore();
-}
-
 bool home_election::MayTake(const home_row& row, uint64_t version) {
   bool gone = row.holder == self_.instance || row.released || HasEnded(row);
   if (gone)
@@ -383,11 +346,8 @@
     auto member = members_.find(id);
     return member != members_.end() && member->second.domain == group_.domain;
   });
-  bool is_first = KnowsMembers() ? RankAmong(&home_election::KnowsLastHome) == 0
-                                 : OwnRank() == 0;
-  duration wait = known_gone || KnowsMembers() ? kStorelessAfterGone
-                                               : kStorelessAfterSilence;
-  bool may = SeesHalf() && highest.value() > 0 && is_first &&
+  duration wait = known_gone ? kStorelessAfterGone : kStorelessAfterSilence;
+  bool may = SeesHalf() && highest.value() > 0 && OwnRank() == 0 &&
              clock_.now() - *store_away_since_ >= wait;
   if (!may)
     return;
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -83,15 +83,7 @@
   void Watch();
   void Hold();
   // The position of this instance among the candidates, best first.
-  int OwnRank() const { return RankAmong(&home_election::IsCandidate); }
-  using candidate_rule = bool (home_election::*)(const entry_member&) const;
-  int RankAmong(candidate_rule is_candidate) const;
-  bool IsCandidate(const entry_member& member) const;
-  // Also without the store.
-  bool KnowsLastHome(const entry_member& member) const;
-  // An instance that restarted out of the store's reach knows only itself, and
-  // can't tell whether another one begins beside it.
-  bool KnowsMembers() const { return members_.size() > 1; }
+  int OwnRank() const;
   bool SeesHalf() const;
   bool SeesStronger() const;
   bool IsMuchStrongerThan(const instance_id& other) const;
@@ -102,9 +94,6 @@
   void OnRowRead(time_point asked, const outcome<table_row, store_error>& row);
   // `anew`: another home may have served the group since we began.
   void TakeOver(uint64_t expected_version, bool anew);
-  void WatchSilence();
-  // The store has not answered what it was asked then.
-  void OnStoreAway(time_point asked);
   void TakeOverWithoutStore();
   fencing_token TokenWithoutStore(fencing_token highest) const;
   void Renew();
@@ -124,8 +113,6 @@
   std::map<instance_id, time_point> peers_up_;
   // Of each peer that ever had a link, the newest known.
   std::map<instance_id, incarnation_id> incarnations_;
-  // When that one was first heard of.
-  std::map<instance_id, time_point> met_;
   std::set<instance_id> refused_;
   std::set<instance_id> leaving_peers_;
   bool holding_ = false;
@@ -144,8 +131,6 @@
   time_point seen_since_;
   std::optional<time_point> without_home_since_;
   std::optional<time_point> store_away_since_;
-  // While watching: of the read that is under way.
-  std::optional<time_point> row_asked_;
   time_point last_renewal_;
   scoped_timer tick_timer_;
 };
