Mend what reviews found in Retry-After and in listed upstreams

Retry-After: a caller could be told a time that had passed, or the last home's one second although the first had told more. Of several homes none kept a place where the first one had passed the job on, or after a move of the group's home: the owner says now whether some home has told a time ('has_place', an optional field of the request). Places end at the horizon and with the home's term.

Listed upstreams: a registration counts as a change, whatever order news come in.

--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -2992,6 +2992,11 @@
   this->kept_spec_bytes = val;
 __isset.kept_spec_bytes = true;
 }
+
+void run_request::__set_has_place(const bool val) {
+  this->has_place = val;
+__isset.has_place = true;
+}
 std::ostream& operator<<(std::ostream& out, const run_request& obj)
 {
   obj.printTo(out);
@@ -3144,6 +3149,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_place);
+          this->__isset.has_place = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3229,6 +3242,11 @@
     xfer += oprot->writeI32(this->kept_spec_bytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.has_place) {
+    xfer += oprot->writeFieldBegin("has_place", ::apache::thrift::protocol::T_BOOL, 15);
+    xfer += oprot->writeBool(this->has_place);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3250,6 +3268,7 @@
   swap(a.may_pass, b.may_pass);
   swap(a.sending, b.sending);
   swap(a.kept_spec_bytes, b.kept_spec_bytes);
+  swap(a.has_place, b.has_place);
   swap(a.__isset, b.__isset);
 }
 
@@ -3268,6 +3287,7 @@
   may_pass = other116.may_pass;
   sending = other116.sending;
   kept_spec_bytes = other116.kept_spec_bytes;
+  has_place = other116.has_place;
   __isset = other116.__isset;
 }
 run_request& run_request::operator=(const run_request& other117) {
@@ -3285,6 +3305,7 @@
   may_pass = other117.may_pass;
   sending = other117.sending;
   kept_spec_bytes = other117.kept_spec_bytes;
+  has_place = other117.has_place;
   __isset = other117.__isset;
   return *this;
 }
@@ -3305,6 +3326,7 @@
   out << ", " << "may_pass="; (__isset.may_pass ? (out << to_string(may_pass)) : (out << "<null>"));
   out << ", " << "sending="; (__isset.sending ? (out << to_string(sending)) : (out << "<null>"));
   out << ", " << "kept_spec_bytes="; (__isset.kept_spec_bytes ? (out << to_string(kept_spec_bytes)) : (out << "<null>"));
+  out << ", " << "has_place="; (__isset.has_place ? (out << to_string(has_place)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -1249,7 +1249,7 @@
 std::ostream& operator<<(std::ostream& out, const task_group& obj);
 
 typedef struct _run_request__isset {
-  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), tasks(false), may_pass(false), sending(false), kept_spec_bytes(false) {}
+  _run_request__isset() : job(false), submission(false), queue(false), upstream_service(false), spec(false), to_objective_us(false), to_limit_us(false), age_us(false), max_attempts(false), priority(false), tasks(false), may_pass(false), sending(false), kept_spec_bytes(false), has_place(false) {}
   bool job :1;
   bool submission :1;
   bool queue :1;
@@ -1264,6 +1264,7 @@
   bool may_pass :1;
   bool sending :1;
   bool kept_spec_bytes :1;
+  bool has_place :1;
 } _run_request__isset;
 
 class run_request : public virtual ::apache::thrift::TBase {
@@ -1284,7 +1285,8 @@
                 priority(0),
                 may_pass(0),
                 sending(0),
-                kept_spec_bytes(0) {
+                kept_spec_bytes(0),
+                has_place(0) {
   }
 
   virtual ~run_request() noexcept;
@@ -1302,6 +1304,7 @@
   bool may_pass;
   int32_t sending;
   int32_t kept_spec_bytes;
+  bool has_place;
 
   _run_request__isset __isset;
 
@@ -1333,6 +1336,8 @@
 
   void __set_kept_spec_bytes(const int32_t val);
 
+  void __set_has_place(const bool val);
+
   bool operator == (const run_request & rhs) const
   {
     if (!(job == rhs.job))
@@ -1371,6 +1376,10 @@
       return false;
     else if (__isset.kept_spec_bytes && !(kept_spec_bytes == rhs.kept_spec_bytes))
       return false;
+    if (__isset.has_place != rhs.__isset.has_place)
+      return false;
+    else if (__isset.has_place && !(has_place == rhs.has_place))
+      return false;
     return true;
   }
   bool operator != (const run_request &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -156,6 +156,7 @@
   12: optional bool may_pass
   13: optional i32 sending
   14: optional i32 kept_spec_bytes
+  15: optional bool has_place
 }
 
 struct run_cancel {
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -74,6 +74,8 @@
     wire.__set_priority(request.priority);
   if (request.may_pass)
     wire.__set_may_pass(true);
+  if (request.has_place)
+    wire.__set_has_place(true);
   wire.__set_sending(static_cast<int32_t>(request.sending));
   if (request.kept_spec_bytes)
     wire.__set_kept_spec_bytes(ToInt32(*request.kept_spec_bytes));
@@ -112,6 +114,7 @@
   request.max_attempts = wire.max_attempts;
   request.priority = wire.priority;
   request.may_pass = wire.may_pass;
+  request.has_place = wire.has_place;
   request.sending = static_cast<uint32_t>(wire.sending);
   if (wire.__isset.kept_spec_bytes)
     request.kept_spec_bytes = static_cast<uint32_t>(wire.kept_spec_bytes);
--- a/src/runs/home_room.cc
+++ b/src/runs/home_room.cc
@@ -38,10 +38,19 @@
   for (const auto& [each, until] : promised_)
     room = each <= priority ? std::max(room, until) : room;
   room = std::min(room, now + kMostRetryAfter);
-  if (cores_ > 0 && sent_away.job->request.sending <= 1)
-    promised_[priority] =
-        room + FromSeconds(sent_away.work / rate_.SpareFor(priority));
+  if (cores_ > 0 && !sent_away.job->request.has_place)
+    KeepPlace(priority, room, sent_away.work);
+  for (auto& [each, until] : promised_)
+    until = std::min(until, now + kMostRetryAfter);
   return std::max(kLeastRetryAfter, room - now);
 }
 
+// Those that are less urgent come after it.
+void home_room::KeepPlace(int priority, time_point room, double work) {
+  promised_[priority] = room + FromSeconds(work / rate_.SpareFor(priority));
+  for (auto& [each, until] : promised_)
+    until += each > priority ? FromSeconds(work / rate_.SpareFor(each))
+                             : duration::zero();
+}
+
 }  // namespace jasminedyke
--- a/src/runs/home_room.h
+++ b/src/runs/home_room.h
@@ -33,11 +33,14 @@
   // Of a job that comes now, until the work that goes before it has begun.
   duration WaitOf(int priority) const;
   // For a job that is sent away now: no earlier than room is expected for it,
-  // behind those that were sent away before it. Only the first home that was
-  // asked keeps a place for it, since it comes back once.
+  // behind those that were sent away before it, and up to a horizon. Only the
+  // first home that refuses it for load keeps a place, since it comes back
+  // once.
   duration RetryAfter(time_point now, const waiting_job& sent_away);
 
  private:
+  void KeepPlace(int priority, time_point room, double work);
+
   room_rate rate_;
   // Of waiting jobs that can still be in time: what goes before a new job.
   priority_work ahead_;
--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -18,6 +18,12 @@
   ++session_changes_;
 }
 
+void home_upstreams::SetInfo(upstream_session& session,
+                             const upstream_info& info) {
+  session.SetInfo(info);
+  ++session_changes_;
+}
+
 void home_upstreams::Forget(const upstream_registry& registered) {
   session_changes_ += std::erase_if(sessions_, [&](const auto& entry) {
     return entry.second->idle() && !registered.contains(entry.first);
--- a/src/runs/home_upstreams.h
+++ b/src/runs/home_upstreams.h
@@ -25,6 +25,8 @@
   // Null if there is none.
   upstream_session* Find(const upstream_id& id) const;
   void Add(std::unique_ptr<upstream_session> session);
+  // As the upstream registers now.
+  void SetInfo(upstream_session& session, const upstream_info& info);
   // Those that are no longer registered, once nothing runs there.
   void Forget(const upstream_registry& registered);
   void Clear();
@@ -40,8 +42,8 @@
   void ForgetStanding(const upstream_id& id) { standings_.erase(id); }
   home_speeds& speeds() { return speeds_; }
   const home_speeds& speeds() const { return speeds_; }
-  // Differs from an earlier value if there are other sessions, or an upstream
-  // may be of another class of speeds.
+  // Never falls, and rises if there are other sessions, or an upstream may be
+  // of another class of speeds or have registered anew.
   uint64_t changes() const { return session_changes_ + speeds_.changes(); }
   // Of those that take work; a fast one counts as more.
   double UsableCores() const;
@@ -51,7 +53,7 @@
 
  private:
   session_map sessions_;
-  // Rises whenever one comes or goes.
+  // Rises whenever one comes, goes or registers.
   uint64_t session_changes_ = 0;
   std::map<upstream_id, upstream_standing> standings_;
   // Outlives the home's term.
--- a/src/runs/job_desk.cc
+++ b/src/runs/job_desk.cc
@@ -18,8 +18,6 @@
 // begin soon after the first instances, after a planned stop at once. When
 // there has been none for longer, nothing says that one is near.
 constexpr duration kWaitForFirstHome = std::chrono::milliseconds(500);
-// That a caller is told, also where room was expected sooner.
-constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Operators drain a failure domain for work that takes many seconds.
 constexpr duration kRetryAfterDrained = std::chrono::seconds(5);
 
@@ -179,6 +177,7 @@
     request.max_attempts = job.asked.max_attempts;
     request.priority = job.asked.priority;
     request.may_pass = job.may_pass;
+    request.has_place = job.room_at.has_value();
     request.sending = ++job.sendings;
     for (uint32_t index = 0; index < asked.tasks; ++index) {
       task_position position{step, index};
@@ -280,13 +279,12 @@
     job.sent.clear();
     bool passed = report.refusal == run_refusal::kBusy;
     (passed ? job.passed_by : job.refused_by).insert(job.group);
+    // The first one keeps a place for it.
+    if (report.refusal == run_refusal::kOverload && !job.room_at)
+      job.room_at = clock_.now() + report.retry_after;
     duration retry_after = report.retry_after;
-    if (report.refusal == run_refusal::kOverload) {
-      // The one that keeps a place for it.
-      if (!job.room_at)
-        job.room_at = clock_.now() + retry_after;
-      retry_after = std::max(*job.room_at - clock_.now(), kLeastRetryAfter);
-    }
+    if (job.room_at && *job.room_at > clock_.now())
+      retry_after = *job.room_at - clock_.now();
     ChooseHome(job, retry_after, report.refusal);
     return;
   }
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -63,6 +63,7 @@
   serving_ = true;
   begun_ = clock_.now();
   claims_.Begin();
+  room_ = home_room();
   confirmed_ = false;
   knew_upstreams_ = !registry_.empty();
   gate_.Restart();
@@ -95,7 +96,7 @@
     if (info.draining)
       crashes_.OnExplained({id, info.birth}, clock_.now());
     if (upstream_session* known = upstreams_.Find(id)) {
-      known->SetInfo(info);
+      upstreams_.SetInfo(*known, info);
       continue;
     }
     upstreams_.Add(std::make_unique<upstream_session>(
--- a/src/runs/run_messages.h
+++ b/src/runs/run_messages.h
@@ -61,6 +61,8 @@
   // Another group seems to have places for all its tasks: the job is to be
   // handed back at once rather than wait here.
   bool may_pass = false;
+  // A home that refused it for load has told when it expects room for it.
+  bool has_place = false;
   // Counts the owner's requests for this job.
   uint32_t sending = 0;
   // The owner kept the specification, of so many bytes, and sends the starts
--- a/tests/job_desk/job_desk_test.cc
+++ b/tests/job_desk/job_desk_test.cc
@@ -204,23 +204,44 @@
   CHECK(f.sent.size() == 1);
   REQUIRE(f.answers.size() == 1);
   CHECK(f.answers[0].outcome == run_outcome::kUnknown);
+}
 
-  // Guards against a caller that is told of the last home's room, where no
-  // place is kept for its job.
-  TEST_CASE("job_desk: a refused caller is told when the first home has room") {
-    desk_fixture f;
-    f.Submit();
-    REQUIRE(f.sent.size() == 1);
-    f.Refuse(kNorth, f.sent[0].second, run_refusal::kOverload,
-             milliseconds(3000));
-    f.clock.Advance(milliseconds(100));
-    REQUIRE(f.sent.size() == 2);
-    f.Refuse(kSouth, f.sent[1].second, run_refusal::kOverload,
-             milliseconds(1000));
-    f.clock.Advance(milliseconds(1));
-    REQUIRE(f.answers.size() == 1);
-    CHECK(f.answers[0].outcome == run_outcome::kNotRun);
-    CHECK(f.answers[0].retry_after == milliseconds(2900));
+// Guards against a caller that is told of the last home's room, where no place
+// is kept for its job.
+TEST_CASE("job_desk: a refused caller is told when the first home has room") {
+  desk_fixture f;
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  CHECK(!f.sent[0].second.has_place);
+  f.Refuse(kNorth, f.sent[0].second, run_refusal::kOverload,
+           milliseconds(3000));
+  run_refusal last = run_refusal::kOverload;
+  SUBCASE("which the next one refuses for load too") {}
+  SUBCASE("whatever the next one says") {
+    last = run_refusal::kNoUpstream;
   }
+  f.clock.Advance(milliseconds(100));
+  REQUIRE(f.sent.size() == 2);
+  CHECK(f.sent[1].second.has_place);
+  f.Refuse(kSouth, f.sent[1].second, last, milliseconds(1000));
+  f.clock.Advance(milliseconds(1));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].outcome == run_outcome::kNotRun);
+  CHECK(f.answers[0].retry_after == milliseconds(2900));
+}
+
+TEST_CASE("job_desk: a refused caller is never told a time that has passed") {
+  desk_fixture f;
+  f.Submit();
+  f.Refuse(kNorth, f.sent[0].second, run_refusal::kOverload,
+           milliseconds(1000));
+  f.clock.Advance(milliseconds(1200));
+  REQUIRE(f.sent.size() == 2);
+  f.Refuse(kSouth, f.sent[1].second, run_refusal::kOverload,
+           milliseconds(4000));
+  f.clock.Advance(milliseconds(1));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].retry_after == milliseconds(4000));
+}
 
 }  // namespace jasminedyke
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -31,6 +31,7 @@
   request.max_attempts = 3;
   request.priority = 2;
   request.may_pass = true;
+  request.has_place = true;
   request.sending = 3;
   task_demand plain;
   plain.need = {14'000, 64, 0};
