Have the soak check jobs that are answered as failed

It took 'failed' for any other answer, and its upstreams crash: the incident's class of fault would have gone by. A job answered so must have had a task whose runs ended as failed as often as allowed.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,7 +10,8 @@
 
 - no task has two runs at one time;
 - a job whose every attempt was refused as not run never began;
-- a job answered as succeeded had each task end done;
+- a job answered as succeeded had each task end done, one answered as failed had
+  a task end as failed as often as allowed;
 - an instance that is asked to stop ends by itself, with status 0;
 - after all faults every instance serves a job again;
 - nothing starts in a drained failure domain then, and jobs go to the other one.
@@ -22,6 +23,7 @@
 import argparse
 import asyncio
 import base64
+import collections
 import json
 import os
 import random
@@ -32,6 +34,8 @@
 import tempfile
 
 TASKS = 4
+# Of the stand-in's routes.
+MAX_ATTEMPTS = 2
 RESEND_S = 1.3
 DOMAINS = ("domain-0", "domain-1")
 # From the order to drain a domain until nothing starts there, with room.
@@ -90,6 +94,7 @@
 
     def __init__(self):
         self.running, self.begun, self.done, self.broken = {}, set(), set(), []
+        self.failures = collections.Counter()
         # Nothing may start in this failure domain, which has long been drained.
         self.drained = None
 
@@ -108,11 +113,16 @@
             del self.running[task]
         if event == "end-done":
             self.done.add(task)
+        if event == "end-failed":
+            self.failures[task] += 1
 
     def check_answers(self, answers):
         for job, statuses in answers.items():
             if statuses and all(s == "not_run" for s in statuses) and job in self.begun:
                 self.broken.append(f"{job} was refused as not run, and ran")
+            failures = max(self.failures[f"{job}.0.0.{i}"] for i in range(TASKS))
+            if "failed" in statuses and failures < MAX_ATTEMPTS:
+                self.broken.append(f"{job} is answered as failed after {failures} failed ends of a task")
             if "succeeded" in statuses:
                 missing = [i for i in range(TASKS) if f"{job}.0.0.{i}" not in self.done]
                 if missing:
