--- a/src/runs/admission_estimate.cc
+++ b/src/runs/admission_estimate.cc
@@ -6,13 +6,6 @@
 
 namespace jasminedyke {
 
-namespace {
-
-// Without any upstream that takes work, one may come back within about this.
-constexpr duration kWaitWithoutCores = std::chrono::seconds(1);
-
-}  // namespace
-
 duration EstimateWait(const home_load& load) {
   if (load.cores <= 0)
     return kWaitWithoutCores;
--- a/src/runs/admission_estimate.h
+++ b/src/runs/admission_estimate.h
@@ -8,6 +8,11 @@
 
 namespace jasminedyke {
 
+// Callers come back no sooner than that; Retry-After counts whole seconds.
+constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
+// Without any upstream that takes work, one may come back within about this.
+constexpr duration kWaitWithoutCores = std::chrono::seconds(1);
+
 // What a home has to do and to do it with.
 struct home_load {
   // Core-seconds of waiting tasks that go before the job.
--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -53,10 +53,7 @@
 }
 
 bool crash_record::Add(const task_name& task, const loss& added) {
-  bool is_explained = std::ranges::any_of(explained_, [&](const auto& each) {
-    return IsSame(each.first, added.what.upstream);
-  });
-  if (added.heard && is_explained)
+  if (added.heard && IsExplained(added.what.upstream))
     return false;
   entry* found = FindOrAdd(task);
   if (!found)
@@ -73,6 +70,12 @@
   return true;
 }
 
+bool crash_record::IsExplained(const upstream_incarnation& upstream) const {
+  return std::ranges::any_of(explained_, [&](const auto& each) {
+    return IsSame(each.first, upstream);
+  });
+}
+
 void crash_record::OnExplained(const upstream_incarnation& upstream,
                                time_point now) {
   if (Erase(upstream))
@@ -80,12 +83,15 @@
 }
 
 bool crash_record::Erase(const upstream_incarnation& upstream) {
+  return EraseLosses(
+      [&](const loss& known) { return IsSame(known.what.upstream, upstream); });
+}
+
+template <class Condition>
+bool crash_record::EraseLosses(const Condition& of) {
   size_t erased = 0;
-  for (auto& [task, found] : entries_) {
-    erased += std::erase_if(found.losses, [&](const loss& known) {
-      return IsSame(known.what.upstream, upstream);
-    });
-  }
+  for (auto& [task, found] : entries_)
+    erased += std::erase_if(found.losses, of);
   std::erase_if(entries_,
                 [](const auto& each) { return each.second.losses.empty(); });
   return erased > 0;
@@ -137,12 +143,15 @@
   return each.heard || !IsShared(each.at);
 }
 
-crash_suspicion crash_record::Judge(const entry& found) const {
-  auto single = std::ranges::count_if(
-      found.losses, [&](const loss& each) { return IsSingle(each); });
-  auto begun = std::ranges::count_if(found.losses, [&](const loss& each) {
-    return each.what.begun && IsSingle(each);
-  });
+crash_suspicion crash_record::Judge(const entry& found, time_point now) const {
+  int single = 0;
+  int begun = 0;
+  for (const loss& each : found.losses) {
+    if (now - each.at >= kRemembered || !IsSingle(each))
+      continue;
+    ++single;
+    begun += each.what.begun ? 1 : 0;
+  }
   if (single >= kMostLosses || begun >= kMostBegunLosses)
     return crash_suspicion::kHeld;
   return single > 0 ? crash_suspicion::kSuspect : crash_suspicion::kNone;
@@ -161,26 +170,21 @@
 
 crash_suspicion crash_record::Of(const task_name& task, time_point now) const {
   auto found = entries_.find(task);
-  if (found == entries_.end())
-    return crash_suspicion::kNone;
-  entry present = found->second;
-  std::erase_if(present.losses,
-                [&](const loss& each) { return now - each.at >= kRemembered; });
-  return Judge(present);
+  return found == entries_.end() ? crash_suspicion::kNone
+                                 : Judge(found->second, now);
 }
 
 duration crash_record::HeldFor(const task_name& task, time_point now) const {
-  duration held = duration::zero();
+  time_point until = now;
   auto found = entries_.find(task);
   if (found == entries_.end())
-    return held;
-  entry present = found->second;
-  while (Judge(present) == crash_suspicion::kHeld) {
-    auto oldest = std::ranges::min_element(present.losses, {}, &loss::at);
-    held = std::max(held, oldest->at + kRemembered - now);
-    present.losses.erase(oldest);
+    return duration::zero();
+  for (const loss& each : found->second.losses) {
+    if (Judge(found->second, until) != crash_suspicion::kHeld)
+      break;
+    until = std::max(until, each.at + kRemembered);
   }
-  return held;
+  return until - now;
 }
 
 std::vector<task_loss> crash_record::LossesOf(const task_name& task) const {
@@ -193,7 +197,8 @@
 crash_news crash_record::TakeNews() {
   crash_news news;
   for (auto& [task, found] : entries_) {
-    if (found.told || Judge(found) == crash_suspicion::kNone)
+    time_point newest = found.losses.back().at;
+    if (found.told || Judge(found, newest) == crash_suspicion::kNone)
       continue;
     found.told = true;
     news.suspects.push_back(Describe(task, found));
@@ -218,11 +223,7 @@
 
 void crash_record::Forget(time_point now) {
   auto is_old = [now](time_point at) { return now - at >= kRemembered; };
-  for (auto& [task, found] : entries_)
-    std::erase_if(found.losses,
-                  [&](const loss& each) { return is_old(each.at); });
-  std::erase_if(entries_,
-                [](const auto& each) { return each.second.losses.empty(); });
+  EraseLosses([&](const loss& each) { return is_old(each.at); });
   std::erase_if(explained_,
                 [&](const auto& each) { return is_old(each.second.at); });
   // As long as the losses that they judge.
--- a/src/runs/crash_record.h
+++ b/src/runs/crash_record.h
@@ -107,7 +107,7 @@
   };
 
   struct entry {
-    // By time; bounded.
+    // By time; bounded, never empty.
     std::vector<loss> losses;
     bool told = false;
   };
@@ -124,8 +124,12 @@
   void TakeSuspect(const crash_suspect& suspect, time_point now);
   // False if nothing was held against any task.
   bool Erase(const upstream_incarnation& upstream);
+  template <class Condition>
+  bool EraseLosses(const Condition& of);
+  bool IsExplained(const upstream_incarnation& upstream) const;
   bool IsSingle(const loss& each) const;
-  crash_suspicion Judge(const entry& found) const;
+  // By what is not forgotten at that time.
+  crash_suspicion Judge(const entry& found, time_point now) const;
   crash_suspect Describe(const task_name& task, const entry& found) const;
   // Many upstreams were lost at about that time.
   bool IsShared(time_point lost) const;
--- a/src/runs/home_room.cc
+++ b/src/runs/home_room.cc
@@ -2,15 +2,14 @@
 
 #include <algorithm>
 
+#include "runs/admission_estimate.h"
+
 namespace jasminedyke {
 
 namespace {
 
-// Callers come back no sooner than that; Retry-After counts whole seconds.
-constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Load changes within seconds: nothing is known of later times.
 constexpr duration kMostRetryAfter = std::chrono::seconds(10);
-constexpr duration kWaitWithoutCores = std::chrono::seconds(1);
 
 }  // namespace
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -15,8 +15,6 @@
 // second more on a clock that is 2 % slow.
 constexpr duration kUnconfirmedTime = std::chrono::milliseconds(1500);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
-// For a job whose queue is long: callers come back no sooner than that.
-constexpr duration kLeastRetryAfter = std::chrono::seconds(1);
 // Of the objective, counted from the job's arrival.
 constexpr int kUsefulLateness = 3;
 // Of this instance's link, the share that specifications in starts may take.
--- a/tests/fakes/home_fixture.h
+++ b/tests/fakes/home_fixture.h
@@ -4,6 +4,7 @@
 #ifndef TESTS_FAKES_HOME_FIXTURE_H_
 #define TESTS_FAKES_HOME_FIXTURE_H_
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,14 @@
 
   size_t StartsOn(const std::string& id) { return At(id).starts.size(); }
 
+  // Tasks of which the owner was told so.
+  int Count(task_verdict verdict) const {
+    int count = 0;
+    for (const run_report& report : reports)
+      count += std::ranges::count(report.tasks, verdict, &task_report::verdict);
+    return count;
+  }
+
   manual_scheduler clock;
   fake_fleet fleet{clock};
   fake_upstream_port port;
--- a/tests/fakes/load_day.h
+++ b/tests/fakes/load_day.h
@@ -42,8 +42,8 @@
 // reinsurers.
 std::vector<load_class> DeskClasses();
 
-// Upstreams of several speeds and sizes, tasks of 13 to 19 cores, siblings that
-// differ by 15 %, and 3 % of jobs that take seven times as long.
+// Upstreams of several speeds and sizes, tasks and siblings that differ, and a
+// few jobs that take far longer.
 struct uneven_load {
   // Of upstreams in turn.
   std::vector<double> speeds;
--- a/tests/run_home/failed_verdict_test.cc
+++ b/tests/run_home/failed_verdict_test.cc
@@ -1,7 +1,5 @@
 // What shows a job as failed: only ends of its runs.
 
-#include <algorithm>
-
 #include <string>
 
 #include <doctest/doctest.h>
@@ -46,13 +44,6 @@
   // That runs the task, and the other one.
   fake_upstream& Busy() { return At(StartsOn("u1") > 0 ? "u1" : "u2"); }
   fake_upstream& Idle() { return At(StartsOn("u1") > 0 ? "u2" : "u1"); }
-
-  int Count(task_verdict verdict) const {
-    int count = 0;
-    for (const run_report& report : reports)
-      count += std::ranges::count(report.tasks, verdict, &task_report::verdict);
-    return count;
-  }
 };
 
 }  // namespace
--- a/tests/stuck_runs/stuck_runs_test.cc
+++ b/tests/stuck_runs/stuck_runs_test.cc
@@ -8,7 +8,7 @@
 
 #include <doctest/doctest.h>
 
-#include "fakes/fake_upstreams.h"
+#include "fakes/home_fixture.h"
 
 namespace jasminedyke {
 
@@ -32,20 +32,7 @@
 }
 
 // A home among upstreams that list how far their runs are.
-struct stuck_home {
-  stuck_home()
-      : port(fleet, "home"),
-        home(
-            clock,
-            port,
-            {failure_domain_id("north"), 0},
-            {},
-            [this](const instance_id&, const run_report& report) {
-              for (const task_report& task : report.tasks)
-                done += task.verdict == task_verdict::kDone ? 1 : 0;
-            },
-            [] {}) {}
-
+struct stuck_home : home_fixture {
   // Upstreams of these speeds in turn, each with room for two tasks.
   void Begin(int upstreams, const std::vector<double>& speeds) {
     for (int i = 0; i < upstreams; ++i) {
@@ -57,9 +44,7 @@
         return std::pair(LengthOf(task), run_end::kDone);
       };
     }
-    home.Begin(fencing_token(1));
-    home.SetUpstreams(fleet.registry, true);
-    Run(milliseconds(20));
+    home_fixture::Begin();
   }
 
   duration LengthOf(const task_name& task) {
@@ -138,15 +123,10 @@
   }
 
   std::mt19937_64 random{3};
-  manual_scheduler clock;
-  fake_fleet fleet{clock};
-  fake_upstream_port port;
   bool lists_progress = true;
   std::map<task_name, duration> lengths;
   int jobs = 0;
   int asked = 0;
-  int done = 0;
-  run_home home;
 };
 
 }  // namespace
@@ -246,7 +226,7 @@
   d.Run(std::chrono::seconds(3));
   CHECK(d.Stuck() == 0);
   CHECK(d.home.metrics().trials == 0);
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
 }
 
 TEST_CASE("stuck_runs: three speeds, and long tasks that nobody foresees") {
@@ -256,7 +236,7 @@
   d.Run(std::chrono::seconds(6));
   CHECK(d.Stuck() == 0);
   CHECK(d.home.metrics().trials <= 2);
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
 }
 
 TEST_CASE("stuck_runs: a task that hangs") {
@@ -283,7 +263,7 @@
     upstream->hangs = nullptr;
   d.lengths.erase({job, 0, {}});
   d.Run(std::chrono::seconds(1));
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
 }
 
 TEST_CASE("stuck_runs: a queue without guesses") {
@@ -323,7 +303,7 @@
     d.Run(milliseconds(500));
   }
   CHECK(hung.starts.size() > touched + 10);
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
 }
 
 TEST_CASE("stuck_runs: all upstreams of one kind are slow at once") {
@@ -340,7 +320,7 @@
   d.Run(std::chrono::seconds(3));
   CHECK(d.Stuck() <= 2);
   CHECK(d.home.metrics().trials <= 4);
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
 }
 
 TEST_CASE("stuck_runs: runs of a slowed upstream advance") {
@@ -375,7 +355,7 @@
   d.Run(std::chrono::seconds(4));
   CHECK((d.Stuck() > 0) == pays);
   CHECK(d.Stuck() <= 3);
-  CHECK(d.done == d.asked);
+  CHECK(d.Count(task_verdict::kDone) == d.asked);
   CHECK(d.home.metrics().done == static_cast<uint64_t>(d.asked));
 }
 
