Tell where a configuration came from and how late it is

The incident's hypotheses can't be told apart by the logs at hand: they don't say whether a document came from the store or a peer, whether it was of use, nor since when the instance had known of a newer one.

configuration_in_force has from=, bytes= and behind_ms=; a document that is of no use has a line of its own. Metrics: config_documents_total{from,newer}, config_requests_total, config_behind_seconds. No change of logic.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -74,12 +74,22 @@
     out.Summary("task_run_seconds", values, queue.str());
 }
 
+void WriteConfiguration(prometheus_writer& out, const run_cluster& cluster) {
+  out.Gauge("config_version",
+            static_cast<double>(cluster.routes().config().version.value()));
+  out.Gauge("config_behind_seconds", ToSeconds(cluster.config_behind()));
+  const config_metrics& metrics = cluster.config_traffic();
+  out.Counter("config_requests_total", static_cast<double>(metrics.requests));
+  for (const auto& [kind, count] : metrics.documents)
+    out.Counter("config_documents_total", static_cast<double>(count),
+                {{"from", kind.first}, {"newer", kind.second ? "yes" : "no"}});
+}
+
 }  // namespace
 
 void WriteRunMetrics(prometheus_writer& out, const run_cluster& cluster) {
   out.Gauge("ready", cluster.ready() ? 1 : 0);
-  out.Gauge("config_version",
-            static_cast<double>(cluster.routes().config().version.value()));
+  WriteConfiguration(out, cluster);
   const drained_domains& drained = cluster.drained();
   out.Gauge("drains_known_as_of", static_cast<double>(drained.as_of.value()));
   for (const failure_domain_id& domain : drained.domains)
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -206,25 +206,44 @@
   return identity && identity->failure_domain == self_.domain;
 }
 
-void run_cluster::OnConfigDocument(const std::string& document) {
+void run_cluster::OnConfigDocument(const std::string& document,
+                                   const char* from) {
   auto config = parse_config_(document);
   if (!config) {
     LogEvent(log_level::kError, "configuration_malformed",
-             {{"bytes", document.size()}});
+             {{"bytes", document.size()}, {"from", from}});
     return;
   }
-  if (!routes_.Update(*config))
+  bool is_newer = routes_.Update(*config);
+  ++config_metrics_.documents[{from, is_newer}];
+  if (!is_newer) {
+    LogEvent(log_level::kInfo, "configuration_not_newer",
+             {{"version", config->version.value()},
+              {"bytes", document.size()},
+              {"from", from}});
     return;
+  }
   config_document_ = document;
   LogEvent(log_level::kInfo, "configuration_in_force",
            {{"version", config->version.value()},
-            {"routes", config->routes.size()}});
+            {"routes", config->routes.size()},
+            {"bytes", document.size()},
+            {"from", from},
+            {"behind_ms", WholeMilliseconds(config_behind())}});
+  std::erase_if(newer_since_, [this](const auto& entry) {
+    return entry.first <= routes_.config().version;
+  });
   // It may name other services than the last one.
   if (home_->serving() && !listed_upstreams_.empty())
     UseListedUpstreams();
   SendToAll(OwnStatus());
 }
 
+duration run_cluster::config_behind() const {
+  return newer_since_.empty() ? duration::zero()
+                              : clock_.now() - newer_since_.begin()->second;
+}
+
 // Each instance tells its peers when something changed for it, and each link
 // when it opens; so all that can reach one that knows do, also those that
 // restart while the store is away.
@@ -343,7 +362,7 @@
                  [&](const speed_news& m) { TakeSpeedNews(from, m); },
                  [&](const peer_status& m) { TakeStatus(from, m); },
                  [&](const document_request&) { SendConfig(from); },
-                 [&](const peer_document& m) { OnConfigDocument(m.json); },
+                 [&](const peer_document& m) { OnConfigDocument(m.json, "peer"); },
                  // Of the slot strategies, which this instance does not use.
                  [](const auto&) {},
              },
@@ -356,12 +375,14 @@
     election_->OnPeerLeaving(from);
   if (status.config <= routes_.config().version)
     return;
+  newer_since_.try_emplace(status.config, clock_.now());
   // The store may be away for us only, and the bound for a configuration to
   // be in force is shorter than most outages.
   auto [asked, is_new] = asked_.try_emplace(from, clock_.now());
   if (!is_new && clock_.now() - asked->second < kAskAgainAfter)
     return;
   asked->second = clock_.now();
+  ++config_metrics_.requests;
   Send(from, document_request{document_kind::kConfiguration});
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/base.h"
 #include "cluster/home_election.h"
@@ -20,6 +21,14 @@
 
 namespace jasminedyke {
 
+// What configuration documents have cost this instance.
+struct config_metrics {
+  // Whole documents that came, by where from and whether they were newer.
+  std::map<std::pair<std::string, bool>, uint64_t> documents;
+  // Sent to peers for a document.
+  uint64_t requests = 0;
+};
+
 // Puts the parts together for one instance. What it decides on its own is only
 // which message goes where; a message to itself takes no link.
 class run_cluster : public peer_listener {
@@ -45,8 +54,9 @@
   void SetMembers(const std::map<instance_id, entry_member>& members);
   // From the store. Peers of the own failure domain are told what changed.
   void SetUpstreams(const upstream_registry& upstreams);
-  // From the store or a peer; older ones change nothing.
-  void OnConfigDocument(const std::string& document);
+  // From the store or a peer, as `from` says in the log; older ones change
+  // nothing.
+  void OnConfigDocument(const std::string& document, const char* from);
 
   // From the store or a peer; older ones change nothing.
   void OnDrainedDomains(const drained_domains& drained);
@@ -61,6 +71,9 @@
   const home_directory& homes() const { return homes_; }
   const upstream_registry& upstreams() const { return upstreams_; }
   const drained_domains& drained() const { return drains_.newest(); }
+  const config_metrics& config_traffic() const { return config_metrics_; }
+  // How long a newer configuration has been known to be in force elsewhere.
+  duration config_behind() const;
   bool leaving() const { return leaving_; }
   // Can take jobs: it has a configuration and knows a home.
   bool ready() const;
@@ -124,6 +137,9 @@
   bool leaving_ = false;
   // When each peer was last asked for its configuration.
   std::map<instance_id, time_point> asked_;
+  // Versions that peers have told of and that are not in force here, since when.
+  std::map<config_version, time_point> newer_since_;
+  config_metrics config_metrics_;
   scoped_timer heartbeat_timer_;
   scoped_timer home_status_timer_;
 };
--- a/tests/domain_drains/domain_drains_test.cc
+++ b/tests/domain_drains/domain_drains_test.cc
@@ -39,7 +39,7 @@
       Add(domain, 2);
     }
     for (run_node* node : Live())
-      node->cluster->OnConfigDocument("parts");
+      node->cluster->OnConfigDocument("parts", "store");
     Run(milliseconds(1500));
   }
 
@@ -326,7 +326,7 @@
     d.Kill(*node, true);
   d.Run(milliseconds(500));
   run_node& first = d.Restart(*all[0]);
-  first.cluster->OnConfigDocument("parts");
+  first.cluster->OnConfigDocument("parts", "store");
   d.Run(milliseconds(180));
   REQUIRE(first.cluster->home().serving());
   d.Submit(first, "job", 2);
--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -95,7 +95,7 @@
   // Each gets a clear answer and is counted under its reason, and the next
   // caller is served as if nothing had been.
   ingress_fixture f;
-  f.cluster.OnConfigDocument(kConfig);
+  f.cluster.OnConfigDocument(kConfig, "store");
   CHECK(Has(f.Post("/other/00000000000000aa", "{}"), "HTTP/1.1 404"));
   CHECK(f.Rejected("no_route") == 1);
   CHECK(Has(f.Post("/q/not-an-id", "{}"), "HTTP/1.1 404"));
@@ -115,7 +115,7 @@
   // It stops in the middle of its request. Another caller is answered
   // meanwhile, and then so is the first.
   ingress_fixture f;
-  f.cluster.OnConfigDocument(kConfig);
+  f.cluster.OnConfigDocument(kConfig, "store");
   raw_client slow(f.address);
   slow.Write("GET /q/ HTTP/1.1\r\nHost: par");
   std::string answer = f.Ask("GET /q/ HTTP/1.1\r\nHost: parts.example\r\n\r\n");
--- a/tests/run_cluster/run_cluster_test.cc
+++ b/tests/run_cluster/run_cluster_test.cc
@@ -360,7 +360,7 @@
   // Another program registered it. A caller's task must not go there, nor any
   // other call.
   one_domain d;
-  d.Home().cluster->OnConfigDocument("parts");
+  d.Home().cluster->OnConfigDocument("parts", "store");
   fake_upstream& stranger = d.fleet.Add("stranger", "north");
   d.fleet.registry.at(upstream_id("stranger")).service = service_id("other");
   int calls = 0;
