--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -3,6 +3,8 @@
 #ifndef TESTS_FAKES_FAKE_PEERS_H_
 #define TESTS_FAKES_FAKE_PEERS_H_
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,7 +18,8 @@
 class fake_peer_port;
 
 // All ports of a test. Messages take a millisecond and pass through the real
-// codec.
+// codec; where ports have a bandwidth, they also wait for what goes before them
+// on the sender's link and on the receiver's.
 class fake_network {
  public:
   explicit fake_network(scheduler& clock) : clock(clock) {}
@@ -28,6 +31,10 @@
   wire_names names;
   uint64_t messages = 0;
   uint64_t bytes = 0;
+  // Of each port's own link, each way; 0: as much as wanted.
+  double bytes_per_second = 0;
+  // Between a message's sending and its arrival, so far.
+  duration longest_way = duration::zero();
 };
 
 class fake_peer_port : public peer_port {
@@ -49,9 +56,14 @@
     std::string frame = EncodeFrame(message, network_.names);
     ++network_.messages;
     network_.bytes += frame.size() + 4;
-    network_.clock.CallAfter(
-        std::chrono::milliseconds(1),
-        [this, to = found->second, frame] { Deliver(to, frame); });
+    time_point sent = network_.clock.now();
+    time_point arrival = Pass(frame.size(), &out_free_at_, sent);
+    arrival = Pass(frame.size(), &found->second->in_free_at_, arrival);
+    arrival += std::chrono::milliseconds(1);
+    network_.longest_way = std::max(network_.longest_way, arrival - sent);
+    network_.clock.CallAt(arrival, [this, to = found->second, frame] {
+      Deliver(to, frame);
+    });
     return true;
   }
   std::optional<peer_identity> Identity(
@@ -84,7 +96,21 @@
                                 std::get<peer_message>(decoded.value()));
   }
 
+  // When bytes that reach a link at `when` have passed it.
+  time_point Pass(size_t bytes, time_point* free_at, time_point when) {
+    if (network_.bytes_per_second <= 0)
+      return when;
+    double seconds = static_cast<double>(bytes) / network_.bytes_per_second;
+    *free_at =
+        std::max(*free_at, when) + std::chrono::duration_cast<duration>(
+                                       std::chrono::duration<double>(seconds));
+    return *free_at;
+  }
+
   fake_network& network_;
+  // When all that was given to this port's link has passed it.
+  time_point out_free_at_;
+  time_point in_free_at_;
 };
 
 inline void fake_network::Connect(fake_peer_port& a, fake_peer_port& b) {
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "document_codec.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -10,8 +12,11 @@
 
 constexpr char kNeed[] = "10000";
 
-// A document of these tests names the one service that there is.
-std::optional<routing_config> ParseServiceName(const std::string& document) {
+// A document of these tests is one of the platform's, or names the one service
+// that there is.
+std::optional<routing_config> ParseDocument(const std::string& document) {
+  if (document.starts_with('{'))
+    return ParseRoutingConfig(document);
   routing_config config;
   config.version = config_version(1);
   config.services[document] = {};
@@ -67,7 +72,7 @@
                                             upstreams,
                                             member,
                                             home,
-                                            ParseServiceName)) {}
+                                            ParseDocument)) {}
 
 run_nodes::run_nodes() = default;
 run_nodes::~run_nodes() = default;
