Read the configuration once, route by route, and only if it is newer

Callers were answered by old routes while weak instances were busy with documents: for one change of 4,000 routes (0.8 MB) each instance read the store's answer, made values of the row's text, text of the values and values of that text again, and built its routes anew; all of it also when another row of the operators' table had changed, and for documents that it had already.

Rows of a watched table are text now, and whoever needs a row parses it (of the upstreams' table: the rows that changed). Routes are taken one by one while the text is read, and reading ends at a version that is not newer.

Tests: a configuration that is not newer; a row of many megabytes; texts cut short.

--- a/bench/fuzz/fuzz_targets.cc
+++ b/bench/fuzz/fuzz_targets.cc
@@ -12,6 +12,7 @@
 #include "entry/entry.h"
 #include "fuzz/fuzz_targets.h"
 #include "protocol/protocol.h"
+#include "routing_document.h"
 #include "store/store.h"
 
 namespace jasminedyke {
@@ -28,6 +29,8 @@
     return;
   (void)ParseConfiguration(document, unknown_fields::kRefuse);
   (void)ParseConfiguration(document, unknown_fields::kIgnore);
+  if (auto routing = ParseRoutingConfig(bytes))
+    (void)ParseRoutingConfig(WriteRoutingConfig(*routing));
 }
 
 void FuzzSettings(const std::string& bytes) {
@@ -57,7 +60,7 @@
 // A row of the upstreams' registrations, as it comes from the platform's store.
 void FuzzRegistration(const std::string& bytes) {
   table_snapshot table;
-  table.rows["u"] = {1, nlohmann::json::parse(bytes, nullptr, false)};
+  table.rows["u"] = {1, bytes};
   for (const auto& [id, info] : upstream_rows().Parse(table)) {
     // Whoever is named can be called and has room that is not negative.
     if (!socket_address::Parse(info.address) || info.capacity.cpu_millis < 0)
--- a/src/cluster/member_registry.cc
+++ b/src/cluster/member_registry.cc
@@ -28,7 +28,7 @@
 std::map<instance_id, entry_member> ParseMembers(const table_snapshot& table) {
   std::map<instance_id, entry_member> members;
   for (const auto& [key, row] : table.rows) {
-    if (auto member = ParseMember(key, row.value))
+    if (auto member = ParseMember(key, row.value()))
       members.emplace(member->instance, *member);
     else
       LogEvent(log_level::kWarning, "member_row_malformed", {{"key", key}});
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -208,7 +208,7 @@
 
 void run_cluster::OnConfigDocument(const std::string& document,
                                    const char* from) {
-  auto config = parse_config_(document);
+  auto config = parse_config_(document, routes_.config().version);
   if (!config) {
     LogEvent(log_level::kError, "configuration_malformed",
              {{"bytes", document.size()}, {"from", from}});
@@ -347,26 +347,27 @@
 }
 
 void run_cluster::Take(const instance_id& from, const peer_message& message) {
-  std::visit(overloaded{
-                 [&](const run_request& m) { home_->OnRequest(from, m); },
-                 [&](const run_cancel& m) { home_->OnCancel(from, m); },
-                 [&](const run_report& m) { desk_->OnReport(from, m); },
-                 [&](const delegated_start& m) { starter_->OnStart(from, m); },
-                 [&](const delegated_start_result& m) {
-                   delegator_->OnResult(from, m);
-                 },
-                 [&](const home_status& m) { TakeHomeStatus(from, m); },
-                 [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
-                 [&](const drained_domains& m) { TakeDrainedDomains(from, m); },
-                 [&](const crash_news& m) { home_->TakeCrashNews(m); },
-                 [&](const speed_news& m) { TakeSpeedNews(from, m); },
-                 [&](const peer_status& m) { TakeStatus(from, m); },
-                 [&](const document_request&) { SendConfig(from); },
-                 [&](const peer_document& m) { OnConfigDocument(m.json, "peer"); },
-                 // Of the slot strategies, which this instance does not use.
-                 [](const auto&) {},
-             },
-             message);
+  std::visit(
+      overloaded{
+          [&](const run_request& m) { home_->OnRequest(from, m); },
+          [&](const run_cancel& m) { home_->OnCancel(from, m); },
+          [&](const run_report& m) { desk_->OnReport(from, m); },
+          [&](const delegated_start& m) { starter_->OnStart(from, m); },
+          [&](const delegated_start_result& m) {
+            delegator_->OnResult(from, m);
+          },
+          [&](const home_status& m) { TakeHomeStatus(from, m); },
+          [&](const upstream_news& m) { TakeUpstreamNews(from, m); },
+          [&](const drained_domains& m) { TakeDrainedDomains(from, m); },
+          [&](const crash_news& m) { home_->TakeCrashNews(m); },
+          [&](const speed_news& m) { TakeSpeedNews(from, m); },
+          [&](const peer_status& m) { TakeStatus(from, m); },
+          [&](const document_request&) { SendConfig(from); },
+          [&](const peer_document& m) { OnConfigDocument(m.json, "peer"); },
+          // Of the slot strategies, which this instance does not use.
+          [](const auto&) {},
+      },
+      message);
 }
 
 void run_cluster::TakeStatus(const instance_id& from,
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -34,8 +34,10 @@
 class run_cluster : public peer_listener {
  public:
   // Turns a configuration document into routes; nothing if it makes no sense.
+  // The routes may be missing if its version is not above `known`.
   using config_parser =
-      std::function<std::optional<routing_config>(const std::string&)>;
+      std::function<std::optional<routing_config>(const std::string& document,
+                                                  config_version known)>;
 
   run_cluster(scheduler& clock,
               peer_port& peers,
@@ -137,7 +139,8 @@
   bool leaving_ = false;
   // When each peer was last asked for its configuration.
   std::map<instance_id, time_point> asked_;
-  // Versions that peers have told of and that are not in force here, since when.
+  // Versions that peers have told of and that are not in force here, since
+  // when.
   std::map<config_version, time_point> newer_since_;
   config_metrics config_metrics_;
   scoped_timer heartbeat_timer_;
--- a/src/policy/route_table.h
+++ b/src/policy/route_table.h
@@ -46,6 +46,8 @@
   std::map<std::string, service_settings> services;
   size_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 256 * 1024;
+
+  bool operator==(const routing_config&) const = default;
 };
 
 // Looks routes up. Only moves to higher versions.
--- a/src/store/table_feed.h
+++ b/src/store/table_feed.h
@@ -17,7 +17,15 @@
 
 struct feed_row {
   uint64_t version = 0;
-  nlohmann::json value;
+  // JSON, as the store has it. Most changes concern few rows of a table, so
+  // whoever needs a row parses it.
+  std::string text;
+
+  // Null if the text is no JSON.
+  nlohmann::json value() const {
+    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    return parsed.is_discarded() ? nlohmann::json(nullptr) : parsed;
+  }
 };
 
 // A table as of one moment, by key.
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "document_codec.h"
+#include "routing_document.h"
 
 namespace jasminedyke {
 
@@ -14,9 +14,10 @@
 
 // A document of these tests is one of the platform's, or names the one service
 // that there is.
-std::optional<routing_config> ParseDocument(const std::string& document) {
+std::optional<routing_config> ParseDocument(const std::string& document,
+                                            config_version known) {
   if (document.starts_with('{'))
-    return ParseRoutingConfig(document);
+    return ParseRoutingConfig(document, known);
   routing_config config;
   config.version = config_version(1);
   config.services[document] = {};
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -8,6 +8,7 @@
 #include "document_codec.h"
 #include "job_ingress.h"
 #include "platform_settings.h"
+#include "routing_document.h"
 #include "wire_text.h"
 
 namespace jasminedyke {
@@ -22,6 +23,10 @@
     "labels":["a","r1-3"],"capacity":{"cpu":16000,"mem_mb":10,"gpus":1}})");
 }
 
+feed_row Row(uint64_t version, const nlohmann::json& value) {
+  return {version, value.dump()};
+}
+
 }  // namespace
 
 TEST_CASE("document_codec: a configuration") {
@@ -39,12 +44,39 @@
   CHECK(config->max_body_bytes == 1000);
   for (const char* wrong :
        {"", "[]", "{}", R"({"version":0,"routes":[]})", R"({"version":4})",
-        R"({"version":"x","routes":[]})"}) {
+        R"({"version":"x","routes":[]})", R"({"version":-4,"routes":[]})",
+        R"({"version":4,"routes":[)", R"({"version":4,"routes":[]}x)"}) {
     CAPTURE(wrong);
     CHECK(!ParseRoutingConfig(wrong));
   }
 }
 
+// Guards against the cost of documents that are of no use.
+TEST_CASE("document_codec: a configuration that is not newer") {
+  const std::string kText = R"({"version":7,"routes":[{"hostname":"h"}]})";
+  auto config = ParseRoutingConfig(kText, config_version(7));
+  REQUIRE(config);
+  CHECK(config->version == config_version(7));
+  CHECK(config->routes.empty());
+  config = ParseRoutingConfig(kText, config_version(6));
+  REQUIRE(config);
+  CHECK(config->routes.size() == 1);
+}
+
+TEST_CASE("document_codec: a configuration that is written is read again") {
+  auto config = ParseRoutingConfig(R"({"version":7,
+    "routes":[{"name":"r","hostname":"h.example","path_prefix":"/a/",
+      "timeout_ms":1500,"target_latency_ms":60,"priority":2,"service":"s",
+      "max_attempts":3,"stretch":1.6}],
+    "services":[{"name":"s","max_connections":64,"admission_check":false,
+      "health_path":"/h"}],
+    "limits":{"max_header_bytes":9,"max_body_bytes":1000}})");
+  REQUIRE(config);
+  auto again = ParseRoutingConfig(WriteRoutingConfig(*config));
+  REQUIRE(again);
+  CHECK(*again == *config);
+}
+
 TEST_CASE("document_codec: registrations that make no sense are left out") {
   // Other programs write to the table as well. A caller's task that is sent to
   // what such a row names fails or never ends, so a row with any field missing,
@@ -82,21 +114,21 @@
       {"/born", -1},
   };
   table_snapshot table;
-  table.rows["good"] = {1, kGood};
+  table.rows["good"] = Row(1, kGood);
   for (const wrong_field& each : kWrong) {
     nlohmann::json row = kGood;
     row[nlohmann::json::json_pointer(each.path)] = each.value;
-    table.rows[each.path + each.value.dump()] = {1, row};
+    table.rows[each.path + each.value.dump()] = Row(1, row);
   }
   for (const char* missing : {"service", "address", "zone", "version", "slots",
                               "state", "sequence", "labels", "capacity"}) {
     nlohmann::json row = kGood;
     row.erase(missing);
-    table.rows[missing] = {1, row};
+    table.rows[missing] = Row(1, row);
   }
-  table.rows["text"] = {1, "text"};
-  table.rows["null"] = {1, nullptr};
-  table.rows["list"] = {1, nlohmann::json::array({1})};
+  table.rows["text"] = Row(1, "text");
+  table.rows["null"] = Row(1, nullptr);
+  table.rows["list"] = Row(1, nlohmann::json::array({1}));
   upstream_registry registry = upstream_rows().Parse(table);
   for (const auto& [id, info] : registry)
     CHECK(id == upstream_id("good"));
@@ -115,22 +147,25 @@
   const nlohmann::json kGood = GoodRow();
   upstream_rows rows(failure_domain_id("z"));
   table_snapshot table;
-  table.rows["stays"] = {1, kGood};
-  table.rows["leaves"] = {2, kGood};
-  table.rows["leaves"].value["state"] = "ready";
-  table.rows["elsewhere"] = {3, kGood};
-  table.rows["elsewhere"].value["zone"] = "another";
+  table.rows["stays"] = Row(1, kGood);
+  nlohmann::json ready = kGood;
+  ready["state"] = "ready";
+  table.rows["leaves"] = Row(2, ready);
+  nlohmann::json elsewhere = kGood;
+  elsewhere["zone"] = "another";
+  table.rows["elsewhere"] = Row(3, elsewhere);
   upstream_registry registry = rows.Parse(table);
   REQUIRE(registry.size() == 2);
   CHECK(!registry.at(upstream_id("leaves")).draining);
-  table.rows["leaves"] = {4, kGood};
+  table.rows["leaves"] = Row(4, kGood);
   table.rows.erase("stays");
   registry = rows.Parse(table);
   REQUIRE(registry.size() == 1);
   CHECK(registry.at(upstream_id("leaves")).draining);
   // Back under its id after a crash.
-  table.rows["leaves"] = {5, kGood};
-  table.rows["leaves"].value["born"] = 1'700'000'000'123;
+  nlohmann::json reborn = kGood;
+  reborn["born"] = 1'700'000'000'123;
+  table.rows["leaves"] = Row(5, reborn);
   registry = rows.Parse(table);
   CHECK(registry.at(upstream_id("leaves")).birth ==
         upstream_birth(1'700'000'000'123));
@@ -183,14 +218,14 @@
 TEST_CASE("drained domains: rows that make no sense change nothing") {
   table_snapshot table;
   table.version = 140;
-  table.rows["config"] = {7, nlohmann::json::object()};
-  table.rows["evacuate/north"] = {120, nlohmann::json::object()};
-  table.rows["evacuate/south"] = {130, {{"later", "field"}}};
-  table.rows["evacuate/east"] = {131, "text"};
-  table.rows["evacuate/west"] = {132, nullptr};
-  table.rows["evacuate/nowhere"] = {133, nlohmann::json::object()};
-  table.rows["evacuate/"] = {134, nlohmann::json::object()};
-  table.rows["evacuated"] = {135, nlohmann::json::object()};
+  table.rows["config"] = Row(7, nlohmann::json::object());
+  table.rows["evacuate/north"] = Row(120, nlohmann::json::object());
+  table.rows["evacuate/south"] = Row(130, {{"later", "field"}});
+  table.rows["evacuate/east"] = Row(131, "text");
+  table.rows["evacuate/west"] = Row(132, nullptr);
+  table.rows["evacuate/nowhere"] = Row(133, nlohmann::json::object());
+  table.rows["evacuate/"] = Row(134, nlohmann::json::object());
+  table.rows["evacuated"] = Row(135, nlohmann::json::object());
   std::set<failure_domain_id> known;
   for (const char* name : {"north", "south", "east", "west"})
     known.emplace(name);
--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -4,12 +4,12 @@
 
 #include <doctest/doctest.h>
 
-#include "document_codec.h"
 #include "fakes/fake_peers.h"
 #include "fakes/fake_tables.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/raw_socket.h"
 #include "job_ingress.h"
+#include "routing_document.h"
 
 namespace jasminedyke {
 
--- a/tests/platform/row_store_test.cc
+++ b/tests/platform/row_store_test.cc
@@ -110,7 +110,7 @@
     ++changes;
   });
   REQUIRE(RunUntil(f.loop, [&] { return changes == 1; }));
-  CHECK(seen.rows.at("u1").value == "one");
+  CHECK(seen.rows.at("u1").value() == "one");
   f.standin.Put("servers", "u2", "two");
   REQUIRE(RunUntil(f.loop, [&] { return seen.rows.size() == 2; }));
   f.standin.Remove("servers", "u1");
@@ -153,6 +153,19 @@
   CHECK(f.client->metrics().snapshots == 2);
 }
 
+// Guards against a configuration that outgrows what the client takes.
+TEST_CASE("row_store: a row of many megabytes") {
+  store_fixture f;
+  std::string large(8 * 1024 * 1024, 'x');
+  f.standin.Put("op", "config", large);
+  std::string seen;
+  f.client->Watch("op", watch_options(), [&](const table_snapshot& t) {
+    seen = t.rows.at("config").value().get<std::string>();
+  });
+  REQUIRE(RunUntil(f.loop, [&] { return !seen.empty(); }));
+  CHECK(seen == large);
+}
+
 TEST_CASE("row_store: after the end of a watch nothing comes") {
   store_fixture f;
   int changes = 0;
