Ask for a document once while it is on its way

Another peer is asked when the link to the first one ends, or after 5 s. Tests: a large document is asked for once (failed before); the asked peer's link breaks.

--- a/src/cluster/document_sync.cc
+++ b/src/cluster/document_sync.cc
@@ -7,8 +7,10 @@
 namespace {
 
 constexpr duration kHeartbeat = std::chrono::seconds(1);
-// One answer is awaited for so long before another peer is asked.
-constexpr duration kAskAgainAfter = std::chrono::milliseconds(300);
+// One answer is awaited for so long, while the link stands, before another peer
+// is asked. A large document takes a thin link seconds; asked for again
+// meanwhile, it would come several times, each copy behind the other.
+constexpr duration kAskAgainAfter = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -42,6 +44,8 @@
 
 void document_sync::OnPeerDown(const instance_id& peer) {
   sent_news_.erase(peer);
+  std::erase_if(asked_,
+                [&](const auto& entry) { return entry.second.peer == peer; });
 }
 
 void document_sync::OnStatus(const instance_id& peer,
@@ -187,10 +191,12 @@
 }
 
 void document_sync::AskFor(const instance_id& peer, document_kind kind) {
-  auto [asked, is_new] = asked_.try_emplace(kind, clock_.now());
-  if (!is_new && clock_.now() - asked->second < kAskAgainAfter)
+  auto asked = asked_.find(kind);
+  bool is_awaited =
+      asked != asked_.end() && clock_.now() - asked->second.at < kAskAgainAfter;
+  if (is_awaited)
     return;
-  asked->second = clock_.now();
+  asked_[kind] = {peer, clock_.now()};
   peers_.Send(peer, document_request{kind});
 }
 
--- a/src/cluster/document_sync.h
+++ b/src/cluster/document_sync.h
@@ -65,6 +65,11 @@
     uint64_t news = 0;
   };
 
+  struct asked_peer {
+    instance_id peer;
+    time_point at;
+  };
+
   void Heartbeat();
   void SendStatus(const instance_id& peer);
   std::vector<domain_room> RoomsFor(const instance_id& peer) const;
@@ -88,7 +93,7 @@
   uint64_t last_news_ = 0;
   // The news that each peer has been sent.
   std::map<instance_id, uint64_t> sent_news_;
-  std::map<document_kind, time_point> asked_;
+  std::map<document_kind, asked_peer> asked_;
   scoped_timer heartbeat_timer_;
 };
 
--- a/tests/document_sync/document_sync_test.cc
+++ b/tests/document_sync/document_sync_test.cc
@@ -94,6 +94,39 @@
   }
 }
 
+// Guards against copies of one document that pile up on a thin link.
+TEST_CASE("document_sync: a large document is asked for once") {
+  fixture f(2);
+  for (int i = 2; i < 8; ++i) {
+    f.nodes.push_back(std::make_unique<node>(f.network, f.tables, i));
+    f.network.Connect(f.nodes[0]->port, f.nodes[i]->port);
+  }
+  nlohmann::json document = f.Document(100);
+  document["unused"] = std::string(250'000, 'x');
+  for (int i = 1; i < 8; ++i) {
+    f.nodes[i]->port.bytes_per_second = 100e3;
+    f.nodes[i]->config.Offer(config_version(5), document);
+  }
+  f.clock.Advance(std::chrono::seconds(10));
+  CHECK(f.nodes[0]->config.version() == config_version(5));
+  CHECK(f.network.bytes < 2 * 250'000);
+}
+
+TEST_CASE("document_sync: the asked peer's link breaks") {
+  fixture f(3);
+  f.network.Connect(f.nodes[0]->port, f.nodes[2]->port);
+  nlohmann::json document = f.Document(100);
+  document["unused"] = std::string(250'000, 'x');
+  f.nodes[1]->port.bytes_per_second = 100e3;
+  f.nodes[1]->config.Offer(config_version(5), document);
+  f.clock.Advance(std::chrono::seconds(1));
+  f.nodes[2]->config.Offer(config_version(5), document);
+  REQUIRE(f.nodes[0]->config.version() == config_version());
+  f.network.Disconnect(f.nodes[0]->port, f.nodes[1]->port);
+  f.clock.Advance(std::chrono::seconds(5));
+  CHECK(f.nodes[0]->config.version() == config_version(5));
+}
+
 // Two halves are cut off from each other; one gets a newer version. After
 // healing all agree on it, and none ever went back.
 TEST_CASE("document_sync: after a partition all agree on the newest") {
--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -57,13 +57,12 @@
     ++network_.messages;
     network_.bytes += frame.size() + 4;
     time_point sent = network_.clock.now();
+    fake_peer_port* to = found->second;
     time_point arrival = Pass(frame.size(), &out_free_at_, sent);
-    arrival = Pass(frame.size(), &found->second->in_free_at_, arrival);
+    arrival = to->Pass(frame.size(), &to->in_free_at_, arrival);
     arrival += std::chrono::milliseconds(1);
     network_.longest_way = std::max(network_.longest_way, arrival - sent);
-    network_.clock.CallAt(arrival, [this, to = found->second, frame] {
-      Deliver(to, frame);
-    });
+    network_.clock.CallAt(arrival, [this, to, frame] { Deliver(to, frame); });
     return true;
   }
   std::optional<peer_identity> Identity(
@@ -85,6 +84,8 @@
   std::map<instance_id, fake_peer_port*> links;
   std::map<instance_id, socket_address> wanted;
   std::set<instance_id> opened;
+  // Of this port's link, if it is not as the others'.
+  std::optional<double> bytes_per_second;
 
  private:
   void Deliver(fake_peer_port* to, const std::string& frame) {
@@ -98,9 +99,10 @@
 
   // When bytes that reach a link at `when` have passed it.
   time_point Pass(size_t bytes, time_point* free_at, time_point when) {
-    if (network_.bytes_per_second <= 0)
+    double bandwidth = bytes_per_second.value_or(network_.bytes_per_second);
+    if (bandwidth <= 0)
       return when;
-    double seconds = static_cast<double>(bytes) / network_.bytes_per_second;
+    double seconds = static_cast<double>(bytes) / bandwidth;
     *free_at =
         std::max(*free_at, when) + std::chrono::duration_cast<duration>(
                                        std::chrono::duration<double>(seconds));
