--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -76,11 +76,17 @@
 
 void WriteConfiguration(prometheus_writer& out, const run_cluster& cluster) {
   out.Gauge("config_version",
-            static_cast<double>(cluster.routes().config().version.value()));
+            static_cast<double>(cluster.routes().version().value()));
   out.Gauge("config_behind_seconds", ToSeconds(cluster.config_behind()));
-  const config_metrics& metrics = cluster.config_traffic();
+  const routing_sync_metrics& metrics = cluster.config_traffic();
   out.Counter("config_requests_total", static_cast<double>(metrics.requests));
-  for (const auto& [kind, count] : metrics.documents)
+  out.Counter("config_updates_total", static_cast<double>(metrics.updates));
+  out.Counter("config_timeouts_total", static_cast<double>(metrics.timeouts));
+  out.Counter("config_busy_total", static_cast<double>(metrics.refusals));
+  out.Counter("config_mismatches_total",
+              static_cast<double>(metrics.mismatches));
+  out.Counter("config_pieces_sent_total", static_cast<double>(metrics.pieces));
+  for (const auto& [kind, count] : cluster.config_documents())
     out.Counter("config_documents_total", static_cast<double>(count),
                 {{"from", kind.first}, {"newer", kind.second ? "yes" : "no"}});
 }
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -9,7 +9,9 @@
 #include "cluster/member_registry.h"
 #include "cluster/peer_choice.h"
 #include "cluster/peer_router.h"
+#include "cluster/reader_choice.h"
 #include "cluster/remote_jobs.h"
+#include "cluster/routing_sync.h"
 #include "cluster/run_cluster.h"
 
 #endif  // SRC_CLUSTER_CLUSTER_H_
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -25,7 +25,11 @@
 // Registrations lapse while the store can't be reached, and are back within two
 // seconds of its return if the upstream lives.
 constexpr duration kMissingTime = std::chrono::milliseconds(2500);
-constexpr duration kAskAgainAfter = std::chrono::milliseconds(300);
+// A single call that fails is no reason for others to read the whole table.
+constexpr duration kContactSlack = std::chrono::milliseconds(700);
+// Changes come from peers within milliseconds; after so long the store is
+// asked.
+constexpr duration kLongestBehind = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -35,11 +39,26 @@
                          upstream_port& upstreams,
                          const entry_member& self,
                          const run_home::settings& home,
-                         config_parser parse_config)
+                         config_text config)
     : clock_(clock),
       peers_(peers),
       self_(self),
-      parse_config_(std::move(parse_config)),
+      config_text_(std::move(config)),
+      routing_sync_(
+          clock,
+          peers,
+          {self.instance, self.incarnation, self.domain},
+          routes_,
+          [this](const instance_id& from) { OnRoutesChanged(from.str()); }),
+      reader_choice_(
+          clock,
+          peers,
+          self,
+          [this](const instance_id& id) { return IsHome(id); },
+          [this](bool reads) {
+            if (on_reader_)
+              on_reader_(reads);
+          }),
       addresses_(clock),
       homes_(clock),
       heartbeat_timer_(clock),
@@ -100,6 +119,8 @@
   homes_.SetDomains(domains);
   election_->SetMembers(members);
   addresses_.SetMembers(members);
+  reader_choice_.SetMembers(members);
+  ReviewReader();
   peers_.SetWanted(addresses_.Wanted());
 }
 
@@ -107,6 +128,30 @@
   on_home_ = std::move(handler);
 }
 
+void run_cluster::OnReader(std::function<void(bool)> handler) {
+  on_reader_ = std::move(handler);
+  if (reader_choice_.reads())
+    on_reader_(true);
+}
+
+void run_cluster::OnRoutes(std::function<void()> handler) {
+  on_routes_ = std::move(handler);
+}
+
+void run_cluster::SetStoreContact(bool contact) {
+  if (store_contact_ && !contact)
+    store_contact_until_ = clock_.now();
+  store_contact_ = contact;
+}
+
+store_reading run_cluster::OwnReading() const {
+  if (!reader_choice_.reads())
+    return store_reading::kNone;
+  bool follows =
+      store_contact_ || clock_.now() - store_contact_until_ < kContactSlack;
+  return follows ? store_reading::kFollowing : store_reading::kTrying;
+}
+
 void run_cluster::OnHomeBegins(fencing_token token) {
   home_->Begin(token);
   TellHomeStatus();
@@ -147,7 +192,7 @@
 // A registration of a service that operators have not named is from some other
 // program: no call goes there.
 bool run_cluster::IsKnownService(const service_id& service) const {
-  return !routes_.known() || routes_.config().services.contains(service.str());
+  return !routes_.known() || routes_.services().contains(service.str());
 }
 
 // A failure domain that was cut off from the store comes back to a list without
@@ -201,6 +246,11 @@
   home_->speeds().Take(news, upstreams_, clock_.now());
 }
 
+bool run_cluster::IsHome(const instance_id& id) const {
+  const known_home* home = homes_.Find({self_.domain, 0});
+  return home && home->instance == id;
+}
+
 bool run_cluster::IsOfOwnDomain(const instance_id& peer) const {
   auto identity = peers_.Identity(peer);
   return identity && identity->failure_domain == self_.domain;
@@ -208,14 +258,14 @@
 
 void run_cluster::OnConfigDocument(const std::string& document,
                                    const char* from) {
-  auto config = parse_config_(document, routes_.config().version);
+  auto config = config_text_.parse(document, routes_.version());
   if (!config) {
     LogEvent(log_level::kError, "configuration_malformed",
              {{"bytes", document.size()}, {"from", from}});
     return;
   }
   bool is_newer = routes_.Update(*config);
-  ++config_metrics_.documents[{from, is_newer}];
+  ++config_documents_[{from, is_newer}];
   if (!is_newer) {
     LogEvent(log_level::kInfo, "configuration_not_newer",
              {{"version", config->version.value()},
@@ -223,25 +273,27 @@
               {"from", from}});
     return;
   }
-  config_document_ = document;
+  OnRoutesChanged(from);
+  routing_sync_.OnOwnVersion();
+  // Peers that don't read themselves have it from those that do.
+  SendToAll(OwnStatus());
+}
+
+void run_cluster::OnRoutesChanged(const std::string& from) {
   LogEvent(log_level::kInfo, "configuration_in_force",
-           {{"version", config->version.value()},
-            {"routes", config->routes.size()},
-            {"bytes", document.size()},
+           {{"version", routes_.version().value()},
+            {"routes", routes_.size()},
             {"from", from},
             {"behind_ms", WholeMilliseconds(config_behind())}});
-  std::erase_if(newer_since_, [this](const auto& entry) {
-    return entry.first <= routes_.config().version;
-  });
   // It may name other services than the last one.
   if (home_->serving() && !listed_upstreams_.empty())
     UseListedUpstreams();
-  SendToAll(OwnStatus());
+  if (on_routes_)
+    on_routes_();
 }
 
-duration run_cluster::config_behind() const {
-  return newer_since_.empty() ? duration::zero()
-                              : clock_.now() - newer_since_.begin()->second;
+void run_cluster::ReviewReader() {
+  reader_choice_.Review(!routes_.known() || config_behind() > kLongestBehind);
 }
 
 // Each instance tells its peers when something changed for it, and each link
@@ -314,6 +366,9 @@
   delegator_->OnPeerDown(peer);
   desk_->OnPeerDown(peer);
   homes_.OnPeerDown(peer);
+  routing_sync_.OnPeerDown(peer);
+  reader_choice_.OnPeerDown(peer);
+  ReviewReader();
 }
 
 void run_cluster::OnPeerRefused(const instance_id& peer) {
@@ -362,8 +417,11 @@
           [&](const crash_news& m) { home_->TakeCrashNews(m); },
           [&](const speed_news& m) { TakeSpeedNews(from, m); },
           [&](const peer_status& m) { TakeStatus(from, m); },
-          [&](const document_request&) { SendConfig(from); },
-          [&](const peer_document& m) { OnConfigDocument(m.json, "peer"); },
+          [&](const document_request& m) { TakeRequest(from, m); },
+          [&](const routing_piece& m) { routing_sync_.OnPiece(from, m); },
+          [&](const peer_document& m) {
+            OnConfigDocument(m.json, "older_peer");
+          },
           // Of the slot strategies, which this instance does not use.
           [](const auto&) {},
       },
@@ -374,17 +432,9 @@
                              const peer_status& status) {
   if (status.leaving)
     election_->OnPeerLeaving(from);
-  if (status.config <= routes_.config().version)
-    return;
-  newer_since_.try_emplace(status.config, clock_.now());
-  // The store may be away for us only, and the bound for a configuration to
-  // be in force is shorter than most outages.
-  auto [asked, is_new] = asked_.try_emplace(from, clock_.now());
-  if (!is_new && clock_.now() - asked->second < kAskAgainAfter)
-    return;
-  asked->second = clock_.now();
-  ++config_metrics_.requests;
-  Send(from, document_request{document_kind::kConfiguration});
+  reader_choice_.OnStatus(
+      from, status.leaving ? store_reading::kNone : status.reading);
+  routing_sync_.OnStatus(from, status.config);
 }
 
 std::string run_cluster::AddressOf(const upstream_id& id) const {
@@ -392,10 +442,19 @@
   return found == upstreams_.end() ? std::string() : found->second.address;
 }
 
-void run_cluster::SendConfig(const instance_id& to) {
-  if (routes_.known())
-    Send(to, peer_document{document_kind::kConfiguration,
-                           routes_.config().version.value(), config_document_});
+// Older releases ask for the whole document.
+void run_cluster::TakeRequest(const instance_id& from,
+                              const document_request& request) {
+  if (request.have) {
+    routing_sync_.OnRequest(from, request);
+    return;
+  }
+  if (!routes_.known())
+    return;
+  routing_update all = routes_.ChangesSince(config_version());
+  Send(from,
+       peer_document{document_kind::kConfiguration, routes_.version().value(),
+                     config_text_.write(all.to)});
 }
 
 void run_cluster::TakeHomeStatus(const instance_id& from,
@@ -411,12 +470,14 @@
 
 peer_status run_cluster::OwnStatus() const {
   peer_status status;
-  status.config = routes_.config().version;
+  status.config = routes_.version();
   status.leaving = leaving_;
+  status.reading = OwnReading();
   return status;
 }
 
 void run_cluster::Heartbeat() {
+  ReviewReader();
   SendToAll(OwnStatus());
   TellSpeeds();
   if (addresses_.ForgetLeft())
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -14,6 +14,8 @@
 #include "cluster/home_election.h"
 #include "cluster/member_registry.h"
 #include "cluster/peer_addresses.h"
+#include "cluster/reader_choice.h"
+#include "cluster/routing_sync.h"
 #include "policy/policy.h"
 #include "protocol/protocol.h"
 #include "runs/runs.h"
@@ -21,43 +23,52 @@
 
 namespace jasminedyke {
 
-// What configuration documents have cost this instance.
-struct config_metrics {
-  // Whole documents that came, by where from and whether they were newer.
-  std::map<std::pair<std::string, bool>, uint64_t> documents;
-  // Sent to peers for a document.
-  uint64_t requests = 0;
+// The configuration as text, for the store and for peers of older releases.
+struct config_text {
+  // Nothing if the document makes no sense. Its routes may be missing if its
+  // version is not above `known`.
+  std::function<std::optional<routing_config>(const std::string& document,
+                                              config_version known)>
+      parse;
+  std::function<std::string(const routing_config&)> write;
 };
 
+// Whole documents that came, by where from and whether they were newer.
+using config_document_counts = std::map<std::pair<std::string, bool>, uint64_t>;
+
 // Puts the parts together for one instance. What it decides on its own is only
 // which message goes where; a message to itself takes no link.
 class run_cluster : public peer_listener {
  public:
-  // Turns a configuration document into routes; nothing if it makes no sense.
-  // The routes may be missing if its version is not above `known`.
-  using config_parser =
-      std::function<std::optional<routing_config>(const std::string& document,
-                                                  config_version known)>;
-
   run_cluster(scheduler& clock,
               peer_port& peers,
               table_service& store,
               upstream_port& upstreams,
               const entry_member& self,
               const run_home::settings& home,
-              config_parser parse_config);
+              config_text config);
   ~run_cluster() override;
 
   // Called when this instance begins or ends to be home: only then it needs to
   // follow the upstreams' registrations itself.
   void OnHome(std::function<void(bool)> handler);
 
+  // Called when this instance begins or ends to follow the operators' table
+  // itself, and at once if it does.
+  void OnReader(std::function<void(bool)> handler);
+  // Called after each change of the routes.
+  void OnRoutes(std::function<void()> handler);
+
+  // The store answers this instance's calls for changes of the operators'
+  // table, or does not any more.
+  void SetStoreContact(bool contact);
+
   // From the store.
   void SetMembers(const std::map<instance_id, entry_member>& members);
   // From the store. Peers of the own failure domain are told what changed.
   void SetUpstreams(const upstream_registry& upstreams);
-  // From the store or a peer, as `from` says in the log; older ones change
-  // nothing.
+  // From the store, or a peer of an older release, as `from` says in the log;
+  // older ones change nothing.
   void OnConfigDocument(const std::string& document, const char* from);
 
   // From the store or a peer; older ones change nothing.
@@ -73,9 +84,14 @@
   const home_directory& homes() const { return homes_; }
   const upstream_registry& upstreams() const { return upstreams_; }
   const drained_domains& drained() const { return drains_.newest(); }
-  const config_metrics& config_traffic() const { return config_metrics_; }
+  const config_document_counts& config_documents() const {
+    return config_documents_;
+  }
+  const routing_sync_metrics& config_traffic() const {
+    return routing_sync_.metrics();
+  }
   // How long a newer configuration has been known to be in force elsewhere.
-  duration config_behind() const;
+  duration config_behind() const { return routing_sync_.behind(); }
   bool leaving() const { return leaving_; }
   // Can take jobs: it has a configuration and knows a home.
   bool ready() const;
@@ -95,7 +111,10 @@
   void TakeStatus(const instance_id& from, const peer_status& status);
   void TakeHomeStatus(const instance_id& from, const home_status& status);
   std::string AddressOf(const upstream_id& id) const;
-  void SendConfig(const instance_id& to);
+  void TakeRequest(const instance_id& from, const document_request& request);
+  void OnRoutesChanged(const std::string& from);
+  void ReviewReader();
+  store_reading OwnReading() const;
   void TakeDrainedDomains(const instance_id& from,
                           const drained_domains& drained);
   void TakeUpstreamNews(const instance_id& from, upstream_news news);
@@ -108,6 +127,7 @@
   void Heartbeat();
   void TellHomeStatus();
   void OnHomesChanged();
+  bool IsHome(const instance_id& id) const;
   bool IsOfOwnDomain(const instance_id& peer) const;
   bool IsKnownService(const service_id& service) const;
   // Adds upstreams that were known and are missing for a short time only.
@@ -117,10 +137,14 @@
   scheduler& clock_;
   peer_port& peers_;
   entry_member self_;
-  config_parser parse_config_;
+  config_text config_text_;
   route_table routes_;
-  // The document behind `routes_`, for peers that lack it.
-  std::string config_document_;
+  routing_sync routing_sync_;
+  reader_choice reader_choice_;
+  config_document_counts config_documents_;
+  bool store_contact_ = false;
+  // When it ended last.
+  time_point store_contact_until_;
   domain_drains drains_;
   // Of the own failure domain, as the store listed them last, of any service.
   upstream_registry listed_upstreams_;
@@ -136,13 +160,9 @@
   std::unique_ptr<home_election> election_;
   std::unique_ptr<member_registry> members_;
   std::function<void(bool)> on_home_;
+  std::function<void(bool)> on_reader_;
+  std::function<void()> on_routes_;
   bool leaving_ = false;
-  // When each peer was last asked for its configuration.
-  std::map<instance_id, time_point> asked_;
-  // Versions that peers have told of and that are not in force here, since
-  // when.
-  std::map<config_version, time_point> newer_since_;
-  config_metrics config_metrics_;
   scoped_timer heartbeat_timer_;
   scoped_timer home_status_timer_;
 };
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -11,6 +11,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "protocol/routing_codec.h"
 #include "protocol/run_codec.h"
 
 namespace jasminedyke {
@@ -157,6 +158,8 @@
       return room;
     }));
   }
+  if (status.reading != store_reading::kNone)
+    wire.__set_reading(static_cast<int8_t>(status.reading));
   return wire;
 }
 
@@ -203,6 +206,10 @@
   void operator()(const document_request& request) const {
     wire::document_request wire;
     wire.kind = ToWire(request.kind);
+    if (request.have)
+      wire.__set_have(static_cast<int64_t>(request.have->value()));
+    if (request.piece > 0)
+      wire.__set_piece(static_cast<int32_t>(request.piece));
     frame.__set_wanted(wire);
   }
   void operator()(const peer_document& document) const {
@@ -265,6 +272,9 @@
   void operator()(const speed_news& news) const {
     frame.__set_speeds(ToWire(news));
   }
+  void operator()(const routing_piece& piece) const {
+    frame.__set_routing(ToWire(piece));
+  }
 };
 
 // Messages from the wire.
@@ -353,6 +363,11 @@
       status.rooms.push_back(
           {failure_domain_id(room.failure_domain), room.free_slots});
   }
+  bool known_reading =
+      wire.reading >= 0 &&
+      wire.reading <= static_cast<int8_t>(store_reading::kFollowing);
+  if (known_reading)
+    status.reading = static_cast<store_reading>(wire.reading);
   return status;
 }
 
@@ -362,6 +377,15 @@
              : document_kind::kMembership;
 }
 
+document_request FromWire(const wire::document_request& wire) {
+  document_request request;
+  request.kind = FromWire(wire.kind);
+  if (wire.__isset.have)
+    request.have = config_version(static_cast<uint64_t>(wire.have));
+  request.piece = static_cast<uint32_t>(wire.piece);
+  return request;
+}
+
 peer_hello FromWire(const wire::hello& wire) {
   return {wire.version,
           {instance_id(wire.instance), incarnation_id(wire.incarnation),
@@ -397,8 +421,7 @@
   if (set.status_message)
     return peer_frame(peer_message(FromWire(wire.status_message)));
   if (set.wanted)
-    return peer_frame(
-        peer_message(document_request{FromWire(wire.wanted.kind)}));
+    return peer_frame(peer_message(FromWire(wire.wanted)));
   if (set.document_message) {
     const wire::document& document = wire.document_message;
     return peer_frame(peer_message(
@@ -429,6 +452,8 @@
     return peer_frame(peer_message(FromWire(wire.crashes)));
   if (set.speeds)
     return peer_frame(peer_message(FromWire(wire.speeds)));
+  if (set.routing)
+    return peer_frame(peer_message(FromWire(wire.routing)));
   return problem{"frame", "has no message that is known here"};
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1655,6 +1655,11 @@
   this->rooms = val;
 __isset.rooms = true;
 }
+
+void status::__set_reading(const int8_t val) {
+  this->reading = val;
+__isset.reading = true;
+}
 std::ostream& operator<<(std::ostream& out, const status& obj)
 {
   obj.printTo(out);
@@ -1747,6 +1752,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->reading);
+          this->__isset.reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1803,6 +1816,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.reading) {
+    xfer += oprot->writeFieldBegin("reading", ::apache::thrift::protocol::T_BYTE, 6);
+    xfer += oprot->writeByte(this->reading);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1815,6 +1833,7 @@
   swap(a.leaving, b.leaving);
   swap(a.in_force, b.in_force);
   swap(a.rooms, b.rooms);
+  swap(a.reading, b.reading);
   swap(a.__isset, b.__isset);
 }
 
@@ -1824,6 +1843,7 @@
   leaving = other80.leaving;
   in_force = other80.in_force;
   rooms = other80.rooms;
+  reading = other80.reading;
   __isset = other80.__isset;
 }
 status& status::operator=(const status& other81) {
@@ -1832,6 +1852,7 @@
   leaving = other81.leaving;
   in_force = other81.in_force;
   rooms = other81.rooms;
+  reading = other81.reading;
   __isset = other81.__isset;
   return *this;
 }
@@ -1843,6 +1864,7 @@
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "in_force="; (__isset.in_force ? (out << to_string(in_force)) : (out << "<null>"));
   out << ", " << "rooms="; (__isset.rooms ? (out << to_string(rooms)) : (out << "<null>"));
+  out << ", " << "reading="; (__isset.reading ? (out << to_string(reading)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1854,6 +1876,16 @@
 void document_request::__set_kind(const document_kind::type val) {
   this->kind = val;
 }
+
+void document_request::__set_have(const int64_t val) {
+  this->have = val;
+__isset.have = true;
+}
+
+void document_request::__set_piece(const int32_t val) {
+  this->piece = val;
+__isset.piece = true;
+}
 std::ostream& operator<<(std::ostream& out, const document_request& obj)
 {
   obj.printTo(out);
@@ -1892,6 +1924,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have);
+          this->__isset.have = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->piece);
+          this->__isset.piece = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1913,6 +1961,16 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.have) {
+    xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->have);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.piece) {
+    xfer += oprot->writeFieldBegin("piece", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->piece);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1921,15 +1979,21 @@
 void swap(document_request &a, document_request &b) {
   using ::std::swap;
   swap(a.kind, b.kind);
+  swap(a.have, b.have);
+  swap(a.piece, b.piece);
   swap(a.__isset, b.__isset);
 }
 
 document_request::document_request(const document_request& other83) noexcept {
   kind = other83.kind;
+  have = other83.have;
+  piece = other83.piece;
   __isset = other83.__isset;
 }
 document_request& document_request::operator=(const document_request& other84) noexcept {
   kind = other84.kind;
+  have = other84.have;
+  piece = other84.piece;
   __isset = other84.__isset;
   return *this;
 }
@@ -1937,6 +2001,8 @@
   using ::apache::thrift::to_string;
   out << "document_request(";
   out << "kind=" << to_string(kind);
+  out << ", " << "have="; (__isset.have ? (out << to_string(have)) : (out << "<null>"));
+  out << ", " << "piece="; (__isset.piece ? (out << to_string(piece)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5911,117 +5977,53 @@
 }
 
 
-frame::~frame() noexcept {
-}
-
-
-void frame::__set_hello_message(const hello& val) {
-  this->hello_message = val;
-__isset.hello_message = true;
-}
-
-void frame::__set_proof_message(const proof& val) {
-  this->proof_message = val;
-__isset.proof_message = true;
-}
-
-void frame::__set_demand(const slot_demand& val) {
-  this->demand = val;
-__isset.demand = true;
-}
-
-void frame::__set_grant(const slot_grant& val) {
-  this->grant = val;
-__isset.grant = true;
-}
-
-void frame::__set_release(const slot_release& val) {
-  this->release = val;
-__isset.release = true;
-}
-
-void frame::__set_status_message(const status& val) {
-  this->status_message = val;
-__isset.status_message = true;
-}
-
-void frame::__set_wanted(const document_request& val) {
-  this->wanted = val;
-__isset.wanted = true;
-}
-
-void frame::__set_document_message(const document& val) {
-  this->document_message = val;
-__isset.document_message = true;
-}
-
-void frame::__set_request(const job_request& val) {
-  this->request = val;
-__isset.request = true;
-}
-
-void frame::__set_reply(const job_reply& val) {
-  this->reply = val;
-__isset.reply = true;
+route::~route() noexcept {
 }
 
-void frame::__set_run(const run_request& val) {
-  this->run = val;
-__isset.run = true;
-}
 
-void frame::__set_cancel(const run_cancel& val) {
-  this->cancel = val;
-__isset.cancel = true;
+void route::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void frame::__set_report(const run_report& val) {
-  this->report = val;
-__isset.report = true;
+void route::__set_host(const std::string& val) {
+  this->host = val;
 }
 
-void frame::__set_home(const home_status& val) {
-  this->home = val;
-__isset.home = true;
+void route::__set_path_prefix(const std::string& val) {
+  this->path_prefix = val;
 }
 
-void frame::__set_upstreams(const upstream_news& val) {
-  this->upstreams = val;
-__isset.upstreams = true;
+void route::__set_upstream_service(const std::string& val) {
+  this->upstream_service = val;
 }
 
-void frame::__set_delegated(const delegated_start& val) {
-  this->delegated = val;
-__isset.delegated = true;
+void route::__set_timeout_us(const int64_t val) {
+  this->timeout_us = val;
 }
 
-void frame::__set_delegated_result(const delegated_start_result& val) {
-  this->delegated_result = val;
-__isset.delegated_result = true;
+void route::__set_target_latency_us(const int64_t val) {
+  this->target_latency_us = val;
 }
 
-void frame::__set_drained(const drained_domains& val) {
-  this->drained = val;
-__isset.drained = true;
+void route::__set_stretch(const double val) {
+  this->stretch = val;
 }
 
-void frame::__set_crashes(const crash_news& val) {
-  this->crashes = val;
-__isset.crashes = true;
+void route::__set_max_attempts(const int32_t val) {
+  this->max_attempts = val;
 }
 
-void frame::__set_speeds(const speed_news& val) {
-  this->speeds = val;
-__isset.speeds = true;
+void route::__set_priority(const int32_t val) {
+  this->priority = val;
 }
-std::ostream& operator<<(std::ostream& out, const frame& obj)
+std::ostream& operator<<(std::ostream& out, const route& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t frame::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t route::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6043,161 +6045,73 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->hello_message.read(iprot);
-          this->__isset.hello_message = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->proof_message.read(iprot);
-          this->__isset.proof_message = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demand.read(iprot);
-          this->__isset.demand = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path_prefix);
+          this->__isset.path_prefix = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->grant.read(iprot);
-          this->__isset.grant = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream_service);
+          this->__isset.upstream_service = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->release.read(iprot);
-          this->__isset.release = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeout_us);
+          this->__isset.timeout_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->status_message.read(iprot);
-          this->__isset.status_message = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_latency_us);
+          this->__isset.target_latency_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->wanted.read(iprot);
-          this->__isset.wanted = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->stretch);
+          this->__isset.stretch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document_message.read(iprot);
-          this->__isset.document_message = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_attempts);
+          this->__isset.max_attempts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->request.read(iprot);
-          this->__isset.request = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->reply.read(iprot);
-          this->__isset.reply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->run.read(iprot);
-          this->__isset.run = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->cancel.read(iprot);
-          this->__isset.cancel = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report.read(iprot);
-          this->__isset.report = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->home.read(iprot);
-          this->__isset.home = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->upstreams.read(iprot);
-          this->__isset.upstreams = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->delegated.read(iprot);
-          this->__isset.delegated = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->delegated_result.read(iprot);
-          this->__isset.delegated_result = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->drained.read(iprot);
-          this->__isset.drained = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->crashes.read(iprot);
-          this->__isset.crashes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 20:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->speeds.read(iprot);
-          this->__isset.speeds = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6214,15 +6128,1050 @@
   return xfer;
 }
 
-uint32_t frame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t route::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("frame");
+  xfer += oprot->writeStructBegin("route");
 
-  if (this->__isset.hello_message) {
-    xfer += oprot->writeFieldBegin("hello_message", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->hello_message.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path_prefix", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->path_prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream_service", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->upstream_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeout_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_latency_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->target_latency_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stretch", ::apache::thrift::protocol::T_DOUBLE, 7);
+  xfer += oprot->writeDouble(this->stretch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_attempts", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->max_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(route &a, route &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.host, b.host);
+  swap(a.path_prefix, b.path_prefix);
+  swap(a.upstream_service, b.upstream_service);
+  swap(a.timeout_us, b.timeout_us);
+  swap(a.target_latency_us, b.target_latency_us);
+  swap(a.stretch, b.stretch);
+  swap(a.max_attempts, b.max_attempts);
+  swap(a.priority, b.priority);
+  swap(a.__isset, b.__isset);
+}
+
+route::route(const route& other202) {
+  name = other202.name;
+  host = other202.host;
+  path_prefix = other202.path_prefix;
+  upstream_service = other202.upstream_service;
+  timeout_us = other202.timeout_us;
+  target_latency_us = other202.target_latency_us;
+  stretch = other202.stretch;
+  max_attempts = other202.max_attempts;
+  priority = other202.priority;
+  __isset = other202.__isset;
+}
+route& route::operator=(const route& other203) {
+  name = other203.name;
+  host = other203.host;
+  path_prefix = other203.path_prefix;
+  upstream_service = other203.upstream_service;
+  timeout_us = other203.timeout_us;
+  target_latency_us = other203.target_latency_us;
+  stretch = other203.stretch;
+  max_attempts = other203.max_attempts;
+  priority = other203.priority;
+  __isset = other203.__isset;
+  return *this;
+}
+void route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route(";
+  out << "name=" << to_string(name);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "path_prefix=" << to_string(path_prefix);
+  out << ", " << "upstream_service=" << to_string(upstream_service);
+  out << ", " << "timeout_us=" << to_string(timeout_us);
+  out << ", " << "target_latency_us=" << to_string(target_latency_us);
+  out << ", " << "stretch=" << to_string(stretch);
+  out << ", " << "max_attempts=" << to_string(max_attempts);
+  out << ", " << "priority=" << to_string(priority);
+  out << ")";
+}
+
+
+route_key::~route_key() noexcept {
+}
+
+
+void route_key::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void route_key::__set_path_prefix(const std::string& val) {
+  this->path_prefix = val;
+}
+std::ostream& operator<<(std::ostream& out, const route_key& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t route_key::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path_prefix);
+          this->__isset.path_prefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t route_key::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route_key");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path_prefix", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->path_prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(route_key &a, route_key &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.path_prefix, b.path_prefix);
+  swap(a.__isset, b.__isset);
+}
+
+route_key::route_key(const route_key& other204) {
+  host = other204.host;
+  path_prefix = other204.path_prefix;
+  __isset = other204.__isset;
+}
+route_key& route_key::operator=(const route_key& other205) {
+  host = other205.host;
+  path_prefix = other205.path_prefix;
+  __isset = other205.__isset;
+  return *this;
+}
+void route_key::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route_key(";
+  out << "host=" << to_string(host);
+  out << ", " << "path_prefix=" << to_string(path_prefix);
+  out << ")";
+}
+
+
+service_row::~service_row() noexcept {
+}
+
+
+void service_row::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void service_row::__set_guarded(const bool val) {
+  this->guarded = val;
+}
+
+void service_row::__set_max_connections(const int32_t val) {
+  this->max_connections = val;
+}
+
+void service_row::__set_health_path(const std::string& val) {
+  this->health_path = val;
+}
+std::ostream& operator<<(std::ostream& out, const service_row& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t service_row::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->guarded);
+          this->__isset.guarded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_connections);
+          this->__isset.max_connections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->health_path);
+          this->__isset.health_path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t service_row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("service_row");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("guarded", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->guarded);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_connections", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->max_connections);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("health_path", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->health_path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(service_row &a, service_row &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.guarded, b.guarded);
+  swap(a.max_connections, b.max_connections);
+  swap(a.health_path, b.health_path);
+  swap(a.__isset, b.__isset);
+}
+
+service_row::service_row(const service_row& other206) {
+  name = other206.name;
+  guarded = other206.guarded;
+  max_connections = other206.max_connections;
+  health_path = other206.health_path;
+  __isset = other206.__isset;
+}
+service_row& service_row::operator=(const service_row& other207) {
+  name = other207.name;
+  guarded = other207.guarded;
+  max_connections = other207.max_connections;
+  health_path = other207.health_path;
+  __isset = other207.__isset;
+  return *this;
+}
+void service_row::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "service_row(";
+  out << "name=" << to_string(name);
+  out << ", " << "guarded=" << to_string(guarded);
+  out << ", " << "max_connections=" << to_string(max_connections);
+  out << ", " << "health_path=" << to_string(health_path);
+  out << ")";
+}
+
+
+routing_piece::~routing_piece() noexcept {
+}
+
+
+void routing_piece::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void routing_piece::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void routing_piece::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void routing_piece::__set_routes(const std::vector<route> & val) {
+  this->routes = val;
+}
+
+void routing_piece::__set_removed(const std::vector<route_key> & val) {
+  this->removed = val;
+}
+
+void routing_piece::__set_services(const std::vector<service_row> & val) {
+  this->services = val;
+}
+
+void routing_piece::__set_max_header_bytes(const int64_t val) {
+  this->max_header_bytes = val;
+}
+
+void routing_piece::__set_max_body_bytes(const int64_t val) {
+  this->max_body_bytes = val;
+}
+
+void routing_piece::__set_number(const int32_t val) {
+  this->number = val;
+}
+
+void routing_piece::__set_last(const bool val) {
+  this->last = val;
+}
+
+void routing_piece::__set_busy(const bool val) {
+  this->busy = val;
+__isset.busy = true;
+}
+std::ostream& operator<<(std::ostream& out, const routing_piece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t routing_piece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->routes.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
+            {
+              xfer += this->routes[_i212].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->removed.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
+            {
+              xfer += this->removed[_i217].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->services.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
+            {
+              xfer += this->services[_i222].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_header_bytes);
+          this->__isset.max_header_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_body_bytes);
+          this->__isset.max_body_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->busy);
+          this->__isset.busy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t routing_piece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("routing_piece");
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<route> ::const_iterator _iter223;
+    for (_iter223 = this->routes.begin(); _iter223 != this->routes.end(); ++_iter223)
+    {
+      xfer += (*_iter223).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+    std::vector<route_key> ::const_iterator _iter224;
+    for (_iter224 = this->removed.begin(); _iter224 != this->removed.end(); ++_iter224)
+    {
+      xfer += (*_iter224).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<service_row> ::const_iterator _iter225;
+    for (_iter225 = this->services.begin(); _iter225 != this->services.end(); ++_iter225)
+    {
+      xfer += (*_iter225).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_header_bytes", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->max_header_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_body_bytes", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->max_body_bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.busy) {
+    xfer += oprot->writeFieldBegin("busy", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->busy);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(routing_piece &a, routing_piece &b) {
+  using ::std::swap;
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.routes, b.routes);
+  swap(a.removed, b.removed);
+  swap(a.services, b.services);
+  swap(a.max_header_bytes, b.max_header_bytes);
+  swap(a.max_body_bytes, b.max_body_bytes);
+  swap(a.number, b.number);
+  swap(a.last, b.last);
+  swap(a.busy, b.busy);
+  swap(a.__isset, b.__isset);
+}
+
+routing_piece::routing_piece(const routing_piece& other226) {
+  base = other226.base;
+  version = other226.version;
+  digest = other226.digest;
+  routes = other226.routes;
+  removed = other226.removed;
+  services = other226.services;
+  max_header_bytes = other226.max_header_bytes;
+  max_body_bytes = other226.max_body_bytes;
+  number = other226.number;
+  last = other226.last;
+  busy = other226.busy;
+  __isset = other226.__isset;
+}
+routing_piece& routing_piece::operator=(const routing_piece& other227) {
+  base = other227.base;
+  version = other227.version;
+  digest = other227.digest;
+  routes = other227.routes;
+  removed = other227.removed;
+  services = other227.services;
+  max_header_bytes = other227.max_header_bytes;
+  max_body_bytes = other227.max_body_bytes;
+  number = other227.number;
+  last = other227.last;
+  busy = other227.busy;
+  __isset = other227.__isset;
+  return *this;
+}
+void routing_piece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "routing_piece(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "max_header_bytes=" << to_string(max_header_bytes);
+  out << ", " << "max_body_bytes=" << to_string(max_body_bytes);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "last=" << to_string(last);
+  out << ", " << "busy="; (__isset.busy ? (out << to_string(busy)) : (out << "<null>"));
+  out << ")";
+}
+
+
+frame::~frame() noexcept {
+}
+
+
+void frame::__set_hello_message(const hello& val) {
+  this->hello_message = val;
+__isset.hello_message = true;
+}
+
+void frame::__set_proof_message(const proof& val) {
+  this->proof_message = val;
+__isset.proof_message = true;
+}
+
+void frame::__set_demand(const slot_demand& val) {
+  this->demand = val;
+__isset.demand = true;
+}
+
+void frame::__set_grant(const slot_grant& val) {
+  this->grant = val;
+__isset.grant = true;
+}
+
+void frame::__set_release(const slot_release& val) {
+  this->release = val;
+__isset.release = true;
+}
+
+void frame::__set_status_message(const status& val) {
+  this->status_message = val;
+__isset.status_message = true;
+}
+
+void frame::__set_wanted(const document_request& val) {
+  this->wanted = val;
+__isset.wanted = true;
+}
+
+void frame::__set_document_message(const document& val) {
+  this->document_message = val;
+__isset.document_message = true;
+}
+
+void frame::__set_request(const job_request& val) {
+  this->request = val;
+__isset.request = true;
+}
+
+void frame::__set_reply(const job_reply& val) {
+  this->reply = val;
+__isset.reply = true;
+}
+
+void frame::__set_run(const run_request& val) {
+  this->run = val;
+__isset.run = true;
+}
+
+void frame::__set_cancel(const run_cancel& val) {
+  this->cancel = val;
+__isset.cancel = true;
+}
+
+void frame::__set_report(const run_report& val) {
+  this->report = val;
+__isset.report = true;
+}
+
+void frame::__set_home(const home_status& val) {
+  this->home = val;
+__isset.home = true;
+}
+
+void frame::__set_upstreams(const upstream_news& val) {
+  this->upstreams = val;
+__isset.upstreams = true;
+}
+
+void frame::__set_delegated(const delegated_start& val) {
+  this->delegated = val;
+__isset.delegated = true;
+}
+
+void frame::__set_delegated_result(const delegated_start_result& val) {
+  this->delegated_result = val;
+__isset.delegated_result = true;
+}
+
+void frame::__set_drained(const drained_domains& val) {
+  this->drained = val;
+__isset.drained = true;
+}
+
+void frame::__set_crashes(const crash_news& val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
+
+void frame::__set_speeds(const speed_news& val) {
+  this->speeds = val;
+__isset.speeds = true;
+}
+
+void frame::__set_routing(const routing_piece& val) {
+  this->routing = val;
+__isset.routing = true;
+}
+std::ostream& operator<<(std::ostream& out, const frame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t frame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello_message.read(iprot);
+          this->__isset.hello_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proof_message.read(iprot);
+          this->__isset.proof_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->demand.read(iprot);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grant.read(iprot);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->release.read(iprot);
+          this->__isset.release = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status_message.read(iprot);
+          this->__isset.status_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wanted.read(iprot);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_message.read(iprot);
+          this->__isset.document_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reply.read(iprot);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run.read(iprot);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel.read(iprot);
+          this->__isset.cancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->report.read(iprot);
+          this->__isset.report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->home.read(iprot);
+          this->__isset.home = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->upstreams.read(iprot);
+          this->__isset.upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->delegated.read(iprot);
+          this->__isset.delegated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->delegated_result.read(iprot);
+          this->__isset.delegated_result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->drained.read(iprot);
+          this->__isset.drained = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashes.read(iprot);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->speeds.read(iprot);
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routing.read(iprot);
+          this->__isset.routing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t frame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("frame");
+
+  if (this->__isset.hello_message) {
+    xfer += oprot->writeFieldBegin("hello_message", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->hello_message.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.proof_message) {
     xfer += oprot->writeFieldBegin("proof_message", ::apache::thrift::protocol::T_STRUCT, 2);
@@ -6319,6 +7268,11 @@
     xfer += this->speeds.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.routing) {
+    xfer += oprot->writeFieldBegin("routing", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->routing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6346,54 +7300,57 @@
   swap(a.drained, b.drained);
   swap(a.crashes, b.crashes);
   swap(a.speeds, b.speeds);
+  swap(a.routing, b.routing);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other202) {
-  hello_message = other202.hello_message;
-  proof_message = other202.proof_message;
-  demand = other202.demand;
-  grant = other202.grant;
-  release = other202.release;
-  status_message = other202.status_message;
-  wanted = other202.wanted;
-  document_message = other202.document_message;
-  request = other202.request;
-  reply = other202.reply;
-  run = other202.run;
-  cancel = other202.cancel;
-  report = other202.report;
-  home = other202.home;
-  upstreams = other202.upstreams;
-  delegated = other202.delegated;
-  delegated_result = other202.delegated_result;
-  drained = other202.drained;
-  crashes = other202.crashes;
-  speeds = other202.speeds;
-  __isset = other202.__isset;
-}
-frame& frame::operator=(const frame& other203) {
-  hello_message = other203.hello_message;
-  proof_message = other203.proof_message;
-  demand = other203.demand;
-  grant = other203.grant;
-  release = other203.release;
-  status_message = other203.status_message;
-  wanted = other203.wanted;
-  document_message = other203.document_message;
-  request = other203.request;
-  reply = other203.reply;
-  run = other203.run;
-  cancel = other203.cancel;
-  report = other203.report;
-  home = other203.home;
-  upstreams = other203.upstreams;
-  delegated = other203.delegated;
-  delegated_result = other203.delegated_result;
-  drained = other203.drained;
-  crashes = other203.crashes;
-  speeds = other203.speeds;
-  __isset = other203.__isset;
+frame::frame(const frame& other228) {
+  hello_message = other228.hello_message;
+  proof_message = other228.proof_message;
+  demand = other228.demand;
+  grant = other228.grant;
+  release = other228.release;
+  status_message = other228.status_message;
+  wanted = other228.wanted;
+  document_message = other228.document_message;
+  request = other228.request;
+  reply = other228.reply;
+  run = other228.run;
+  cancel = other228.cancel;
+  report = other228.report;
+  home = other228.home;
+  upstreams = other228.upstreams;
+  delegated = other228.delegated;
+  delegated_result = other228.delegated_result;
+  drained = other228.drained;
+  crashes = other228.crashes;
+  speeds = other228.speeds;
+  routing = other228.routing;
+  __isset = other228.__isset;
+}
+frame& frame::operator=(const frame& other229) {
+  hello_message = other229.hello_message;
+  proof_message = other229.proof_message;
+  demand = other229.demand;
+  grant = other229.grant;
+  release = other229.release;
+  status_message = other229.status_message;
+  wanted = other229.wanted;
+  document_message = other229.document_message;
+  request = other229.request;
+  reply = other229.reply;
+  run = other229.run;
+  cancel = other229.cancel;
+  report = other229.report;
+  home = other229.home;
+  upstreams = other229.upstreams;
+  delegated = other229.delegated;
+  delegated_result = other229.delegated_result;
+  drained = other229.drained;
+  crashes = other229.crashes;
+  speeds = other229.speeds;
+  routing = other229.routing;
+  __isset = other229.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -6419,6 +7376,7 @@
   out << ", " << "drained="; (__isset.drained ? (out << to_string(drained)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
+  out << ", " << "routing="; (__isset.routing ? (out << to_string(routing)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -102,6 +102,14 @@
 
 class speed_news;
 
+class route;
+
+class route_key;
+
+class service_row;
+
+class routing_piece;
+
 class frame;
 
 typedef struct _hello__isset {
@@ -721,12 +729,13 @@
 std::ostream& operator<<(std::ostream& out, const domain_room& obj);
 
 typedef struct _status__isset {
-  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false) {}
+  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false), reading(false) {}
   bool config_version :1;
   bool membership_version :1;
   bool leaving :1;
   bool in_force :1;
   bool rooms :1;
+  bool reading :1;
 } _status__isset;
 
 class status : public virtual ::apache::thrift::TBase {
@@ -737,7 +746,8 @@
   status() noexcept
          : config_version(0),
            membership_version(0),
-           leaving(0) {
+           leaving(0),
+           reading(0) {
   }
 
   virtual ~status() noexcept;
@@ -746,6 +756,7 @@
   bool leaving;
   std::vector<instance_version>  in_force;
   std::vector<domain_room>  rooms;
+  int8_t reading;
 
   _status__isset __isset;
 
@@ -759,6 +770,8 @@
 
   void __set_rooms(const std::vector<domain_room> & val);
 
+  void __set_reading(const int8_t val);
+
   bool operator == (const status & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -777,6 +790,10 @@
       return false;
     else if (__isset.rooms && !(rooms == rhs.rooms))
       return false;
+    if (__isset.reading != rhs.__isset.reading)
+      return false;
+    else if (__isset.reading && !(reading == rhs.reading))
+      return false;
     return true;
   }
   bool operator != (const status &rhs) const {
@@ -796,8 +813,10 @@
 std::ostream& operator<<(std::ostream& out, const status& obj);
 
 typedef struct _document_request__isset {
-  _document_request__isset() : kind(false) {}
+  _document_request__isset() : kind(false), have(false), piece(false) {}
   bool kind :1;
+  bool have :1;
+  bool piece :1;
 } _document_request__isset;
 
 class document_request : public virtual ::apache::thrift::TBase {
@@ -806,7 +825,9 @@
   document_request(const document_request&) noexcept;
   document_request& operator=(const document_request&) noexcept;
   document_request() noexcept
-                   : kind(static_cast<document_kind::type>(0)) {
+                   : kind(static_cast<document_kind::type>(0)),
+                     have(0),
+                     piece(0) {
   }
 
   virtual ~document_request() noexcept;
@@ -815,15 +836,29 @@
    * @see document_kind
    */
   document_kind::type kind;
+  int64_t have;
+  int32_t piece;
 
   _document_request__isset __isset;
 
   void __set_kind(const document_kind::type val);
 
+  void __set_have(const int64_t val);
+
+  void __set_piece(const int32_t val);
+
   bool operator == (const document_request & rhs) const
   {
     if (!(kind == rhs.kind))
       return false;
+    if (__isset.have != rhs.__isset.have)
+      return false;
+    else if (__isset.have && !(have == rhs.have))
+      return false;
+    if (__isset.piece != rhs.__isset.piece)
+      return false;
+    else if (__isset.piece && !(piece == rhs.piece))
+      return false;
     return true;
   }
   bool operator != (const document_request &rhs) const {
@@ -2415,8 +2450,333 @@
 
 std::ostream& operator<<(std::ostream& out, const speed_news& obj);
 
+typedef struct _route__isset {
+  _route__isset() : name(false), host(false), path_prefix(false), upstream_service(false), timeout_us(false), target_latency_us(false), stretch(false), max_attempts(false), priority(false) {}
+  bool name :1;
+  bool host :1;
+  bool path_prefix :1;
+  bool upstream_service :1;
+  bool timeout_us :1;
+  bool target_latency_us :1;
+  bool stretch :1;
+  bool max_attempts :1;
+  bool priority :1;
+} _route__isset;
+
+class route : public virtual ::apache::thrift::TBase {
+ public:
+
+  route(const route&);
+  route& operator=(const route&);
+  route() noexcept
+        : name(),
+          host(),
+          path_prefix(),
+          upstream_service(),
+          timeout_us(0),
+          target_latency_us(0),
+          stretch(0),
+          max_attempts(0),
+          priority(0) {
+  }
+
+  virtual ~route() noexcept;
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  std::string upstream_service;
+  int64_t timeout_us;
+  int64_t target_latency_us;
+  double stretch;
+  int32_t max_attempts;
+  int32_t priority;
+
+  _route__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_path_prefix(const std::string& val);
+
+  void __set_upstream_service(const std::string& val);
+
+  void __set_timeout_us(const int64_t val);
+
+  void __set_target_latency_us(const int64_t val);
+
+  void __set_stretch(const double val);
+
+  void __set_max_attempts(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  bool operator == (const route & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(path_prefix == rhs.path_prefix))
+      return false;
+    if (!(upstream_service == rhs.upstream_service))
+      return false;
+    if (!(timeout_us == rhs.timeout_us))
+      return false;
+    if (!(target_latency_us == rhs.target_latency_us))
+      return false;
+    if (!(stretch == rhs.stretch))
+      return false;
+    if (!(max_attempts == rhs.max_attempts))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    return true;
+  }
+  bool operator != (const route &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route &a, route &b);
+
+std::ostream& operator<<(std::ostream& out, const route& obj);
+
+typedef struct _route_key__isset {
+  _route_key__isset() : host(false), path_prefix(false) {}
+  bool host :1;
+  bool path_prefix :1;
+} _route_key__isset;
+
+class route_key : public virtual ::apache::thrift::TBase {
+ public:
+
+  route_key(const route_key&);
+  route_key& operator=(const route_key&);
+  route_key() noexcept
+            : host(),
+              path_prefix() {
+  }
+
+  virtual ~route_key() noexcept;
+  std::string host;
+  std::string path_prefix;
+
+  _route_key__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_path_prefix(const std::string& val);
+
+  bool operator == (const route_key & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(path_prefix == rhs.path_prefix))
+      return false;
+    return true;
+  }
+  bool operator != (const route_key &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route_key & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route_key &a, route_key &b);
+
+std::ostream& operator<<(std::ostream& out, const route_key& obj);
+
+typedef struct _service_row__isset {
+  _service_row__isset() : name(false), guarded(false), max_connections(false), health_path(false) {}
+  bool name :1;
+  bool guarded :1;
+  bool max_connections :1;
+  bool health_path :1;
+} _service_row__isset;
+
+class service_row : public virtual ::apache::thrift::TBase {
+ public:
+
+  service_row(const service_row&);
+  service_row& operator=(const service_row&);
+  service_row() noexcept
+              : name(),
+                guarded(0),
+                max_connections(0),
+                health_path() {
+  }
+
+  virtual ~service_row() noexcept;
+  std::string name;
+  bool guarded;
+  int32_t max_connections;
+  std::string health_path;
+
+  _service_row__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_guarded(const bool val);
+
+  void __set_max_connections(const int32_t val);
+
+  void __set_health_path(const std::string& val);
+
+  bool operator == (const service_row & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(guarded == rhs.guarded))
+      return false;
+    if (!(max_connections == rhs.max_connections))
+      return false;
+    if (!(health_path == rhs.health_path))
+      return false;
+    return true;
+  }
+  bool operator != (const service_row &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const service_row & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(service_row &a, service_row &b);
+
+std::ostream& operator<<(std::ostream& out, const service_row& obj);
+
+typedef struct _routing_piece__isset {
+  _routing_piece__isset() : base(false), version(false), digest(false), routes(false), removed(false), services(false), max_header_bytes(false), max_body_bytes(false), number(false), last(false), busy(false) {}
+  bool base :1;
+  bool version :1;
+  bool digest :1;
+  bool routes :1;
+  bool removed :1;
+  bool services :1;
+  bool max_header_bytes :1;
+  bool max_body_bytes :1;
+  bool number :1;
+  bool last :1;
+  bool busy :1;
+} _routing_piece__isset;
+
+class routing_piece : public virtual ::apache::thrift::TBase {
+ public:
+
+  routing_piece(const routing_piece&);
+  routing_piece& operator=(const routing_piece&);
+  routing_piece() noexcept
+                : base(0),
+                  version(0),
+                  digest(0),
+                  max_header_bytes(0),
+                  max_body_bytes(0),
+                  number(0),
+                  last(0),
+                  busy(0) {
+  }
+
+  virtual ~routing_piece() noexcept;
+  int64_t base;
+  int64_t version;
+  int64_t digest;
+  std::vector<route>  routes;
+  std::vector<route_key>  removed;
+  std::vector<service_row>  services;
+  int64_t max_header_bytes;
+  int64_t max_body_bytes;
+  int32_t number;
+  bool last;
+  bool busy;
+
+  _routing_piece__isset __isset;
+
+  void __set_base(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_routes(const std::vector<route> & val);
+
+  void __set_removed(const std::vector<route_key> & val);
+
+  void __set_services(const std::vector<service_row> & val);
+
+  void __set_max_header_bytes(const int64_t val);
+
+  void __set_max_body_bytes(const int64_t val);
+
+  void __set_number(const int32_t val);
+
+  void __set_last(const bool val);
+
+  void __set_busy(const bool val);
+
+  bool operator == (const routing_piece & rhs) const
+  {
+    if (!(base == rhs.base))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(max_header_bytes == rhs.max_header_bytes))
+      return false;
+    if (!(max_body_bytes == rhs.max_body_bytes))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    if (__isset.busy != rhs.__isset.busy)
+      return false;
+    else if (__isset.busy && !(busy == rhs.busy))
+      return false;
+    return true;
+  }
+  bool operator != (const routing_piece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const routing_piece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(routing_piece &a, routing_piece &b);
+
+std::ostream& operator<<(std::ostream& out, const routing_piece& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false), speeds(false) {}
+  _frame__isset() : hello_message(false), proof_message(false), demand(false), grant(false), release(false), status_message(false), wanted(false), document_message(false), request(false), reply(false), run(false), cancel(false), report(false), home(false), upstreams(false), delegated(false), delegated_result(false), drained(false), crashes(false), speeds(false), routing(false) {}
   bool hello_message :1;
   bool proof_message :1;
   bool demand :1;
@@ -2437,6 +2797,7 @@
   bool drained :1;
   bool crashes :1;
   bool speeds :1;
+  bool routing :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -2468,6 +2829,7 @@
   drained_domains drained;
   crash_news crashes;
   speed_news speeds;
+  routing_piece routing;
 
   _frame__isset __isset;
 
@@ -2511,6 +2873,8 @@
 
   void __set_speeds(const speed_news& val);
 
+  void __set_routing(const routing_piece& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_message != rhs.__isset.hello_message)
@@ -2593,6 +2957,10 @@
       return false;
     else if (__isset.speeds && !(speeds == rhs.speeds))
       return false;
+    if (__isset.routing != rhs.__isset.routing)
+      return false;
+    else if (__isset.routing && !(routing == rhs.routing))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -83,6 +83,8 @@
   3: optional bool leaving
   4: optional list<instance_version> in_force
   5: optional list<domain_room> rooms
+  // The number is that of `store_reading`.
+  6: optional i8 reading
 }
 
 enum document_kind {
@@ -90,8 +92,12 @@
   MEMBERSHIP = 2
 }
 
+// With `have` the answer is what changed since that version, as routing pieces,
+// and piece 0 begins it; without, as of older releases, the whole document.
 struct document_request {
   1: document_kind kind
+  2: optional i64 have
+  3: optional i32 piece
 }
 
 struct document {
@@ -285,6 +291,47 @@
   1: list<upstream_speed> speeds
 }
 
+struct route {
+  1: string name
+  2: string host
+  3: string path_prefix
+  4: string upstream_service
+  5: i64 timeout_us
+  6: i64 target_latency_us
+  7: double stretch
+  8: i32 max_attempts
+  9: i32 priority
+}
+
+struct route_key {
+  1: string host
+  2: string path_prefix
+}
+
+struct service_row {
+  1: string name
+  2: bool guarded
+  3: i32 max_connections
+  4: string health_path
+}
+
+// A part of what leads from one version of the configuration to another. The
+// base is 0 if the parts together hold all routes. The digest is that of all
+// routes, services and limits at the new version.
+struct routing_piece {
+  1: i64 base
+  2: i64 version
+  3: i64 digest
+  4: list<route> routes
+  5: list<route_key> removed
+  6: list<service_row> services
+  7: i64 max_header_bytes
+  8: i64 max_body_bytes
+  9: i32 number
+  10: bool last
+  11: optional bool busy
+}
+
 // Exactly one field is set.
 struct frame {
   1: optional hello hello_message
@@ -307,4 +354,5 @@
   18: optional drained_domains drained
   19: optional crash_news crashes
   20: optional speed_news speeds
+  21: optional routing_piece routing
 }
--- a/src/protocol/peer_message.cc
+++ b/src/protocol/peer_message.cc
@@ -27,6 +27,7 @@
           [](const drained_domains&) { return "drained_domains"; },
           [](const crash_news&) { return "crash_news"; },
           [](const speed_news&) { return "speed_news"; },
+          [](const routing_piece&) { return "routing_piece"; },
       },
       message);
 }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -4,6 +4,7 @@
 #define SRC_PROTOCOL_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,6 +12,7 @@
 
 #include "base/base.h"
 #include "policy/policy.h"
+#include "protocol/routing_piece.h"
 #include "runs/runs.h"
 
 namespace jasminedyke {
@@ -31,6 +33,13 @@
   bool operator==(const instance_version&) const = default;
 };
 
+// Whether an instance hears of operators' changes from the store itself.
+enum class store_reading {
+  kNone,
+  kTrying,  // the store does not answer it
+  kFollowing,
+};
+
 // A heartbeat with the sender's versions, and what it heard newly of others.
 struct peer_status {
   config_version config;
@@ -40,6 +49,7 @@
   std::vector<instance_version> in_force;
   // Failure domains that can take others' tasks.
   std::vector<domain_room> rooms;
+  store_reading reading = store_reading::kNone;
 
   bool operator==(const peer_status&) const = default;
 };
@@ -48,6 +58,11 @@
 
 struct document_request {
   document_kind kind = document_kind::kConfiguration;
+  // The answer is what changed since then, as routing pieces; nothing: the
+  // whole document.
+  std::optional<config_version> have = std::nullopt;
+  // 0 begins anew.
+  uint32_t piece = 0;
 
   bool operator==(const document_request&) const = default;
 };
@@ -99,7 +114,8 @@
                                   delegated_start_result,
                                   drained_domains,
                                   crash_news,
-                                  speed_news>;
+                                  speed_news,
+                                  routing_piece>;
 
 // A literal, for counts and logs.
 const char* KindOf(const peer_message& message);
--- a/src/protocol/protocol.h
+++ b/src/protocol/protocol.h
@@ -9,6 +9,7 @@
 #include "protocol/peer_mesh.h"
 #include "protocol/peer_message.h"
 #include "protocol/peer_port.h"
+#include "protocol/routing_piece.h"
 #include "protocol/wire_names.h"
 
 #endif  // SRC_PROTOCOL_PROTOCOL_H_
--- a/src/store/table_feed.h
+++ b/src/store/table_feed.h
@@ -42,6 +42,8 @@
   // After a change the next call waits so long, so that a series of changes
   // costs few calls.
   duration pause = duration::zero();
+  // Told when the store begins to answer calls for changes, and when it stops.
+  std::function<void(bool)> on_contact = nullptr;
 };
 
 // Brings each change of the watched tables; while the store is away, nothing.
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -67,13 +67,14 @@
       peers(network, {member.instance, member.incarnation, member.domain}),
       tables(clock, store),
       upstreams(fleet, member.instance.str()),
-      cluster(std::make_unique<run_cluster>(clock,
-                                            peers,
-                                            tables,
-                                            upstreams,
-                                            member,
-                                            home,
-                                            ParseDocument)) {}
+      cluster(std::make_unique<run_cluster>(
+          clock,
+          peers,
+          tables,
+          upstreams,
+          member,
+          home,
+          config_text{ParseDocument, WriteRoutingConfig})) {}
 
 run_nodes::run_nodes() = default;
 run_nodes::~run_nodes() = default;
--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -69,7 +69,7 @@
                       upstreams,
                       self,
                       run_home::settings(),
-                      ParseRoutingConfig};
+                      {ParseRoutingConfig, WriteRoutingConfig}};
   job_ingress ingress{loop, cluster};
   http_server server{loop, http_server_limits(),
                      [this](const http_exchange_ptr& e) { ingress.Handle(e); }};
--- a/tests/platform/row_store_test.cc
+++ b/tests/platform/row_store_test.cc
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -166,6 +167,21 @@
   CHECK(seen == large);
 }
 
+TEST_CASE("row_store: whoever watches is told whether the store answers") {
+  store_fixture f;
+  std::vector<bool> told;
+  watch_options options;
+  options.wait = std::chrono::milliseconds(100);
+  options.on_contact = [&](bool contact) { told.push_back(contact); };
+  f.client->Watch("op", options, [](const table_snapshot&) {});
+  REQUIRE(RunUntil(f.loop, [&] { return told.size() == 1; }));
+  f.standin.SetFaults({503, false, false, false});
+  REQUIRE(RunUntil(f.loop, [&] { return told.size() == 2; }));
+  f.standin.SetFaults({});
+  REQUIRE(RunUntil(f.loop, [&] { return told.size() == 3; }));
+  CHECK(told == std::vector{true, false, true});
+}
+
 TEST_CASE("row_store: after the end of a watch nothing comes") {
   store_fixture f;
   int changes = 0;
