Wait for a newer configuration before saying that there is no such route

An instance that knew from its peers that its configuration was old answered 404 for paths that it did not have: a caller takes that for final, and it was untrue. Weighed: refusing at once (a new route would be refused on each change, though it is served a moment later); passing the request to a peer (two hops for what a few bytes mend).

Test: an unknown path while a newer configuration is known, in both ends.

--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -111,6 +111,33 @@
   CHECK(Has(answer, "HTTP/1.1 200"));
 }
 
+// Guards against "no such queue" from an instance that is behind.
+TEST_CASE("job_ingress: an unknown path while a newer configuration is known") {
+  ingress_fixture f;
+  f.cluster.OnConfigDocument(kConfig, "store");
+  peer_status status;
+  status.config = config_version(1'000'000);
+  f.cluster.OnPeerMessage(instance_id("north-2"), status);
+  const char kGet[] = "GET /new/ HTTP/1.1\r\nHost: parts.example\r\n\r\n";
+  SUBCASE("it comes in time") {
+    f.loop.CallAfter(std::chrono::milliseconds(20), [&] {
+      std::string later = kConfig;
+      size_t version = later.find("\"version\":") + 10;
+      later.replace(version, later.find(',') - version, "1000000");
+      size_t prefix = later.find("/q/");
+      later.replace(prefix, 3, "/new/");
+      f.cluster.OnConfigDocument(later, "store");
+    });
+    CHECK(Has(f.Ask(kGet), "HTTP/1.1 200"));
+  }
+  SUBCASE("it does not come") {
+    std::string answer = f.Ask(kGet);
+    CHECK(Has(answer, "HTTP/1.1 503"));
+    CHECK(Has(answer, "Retry-After: 1"));
+    CHECK(f.Rejected("configuration_behind") == 1);
+  }
+}
+
 TEST_CASE("job_ingress: a caller that sends slowly holds up nobody") {
   // It stops in the middle of its request. Another caller is answered
   // meanwhile, and then so is the first.
