--- a/tests/routing_sync/large_configuration_test.cc
+++ b/tests/routing_sync/large_configuration_test.cc
@@ -59,8 +59,9 @@
   }
 
   static bool Has(const run_node& node, int route) {
-    return node.cluster->routes().Find(
-               "nony24.example", "/r" + std::to_string(route) + "/a") != nullptr;
+    return node.cluster->routes().Find("nony24.example",
+                                       "/r" + std::to_string(route) + "/a") !=
+           nullptr;
   }
 
   // How long it takes until all serve the route; the bound if they don't.
