Have the soak change a configuration of thousands of routes

The incident's fault needs a large configuration and instances that restart or are cut off from the store while it changes; the soak had one route. Operators write 2,000 routes now, in quick succession too, beside all other faults, and after these a change must be in force on every instance within seven seconds and what it removes must be gone.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,8 +5,9 @@
 and injects faults from outside: a proxy in front of the store and of each
 upstream delays, resets, silences or cuts connections one way; instances are
 paused, killed, stopped and started by signals; upstreams crash and are back under
-their ids; operators drain failure domains and take them back. Faults overlap. It checks, from what callers and upstreams
-see, that
+their ids; operators drain failure domains and take them back, and change a
+configuration of thousands of routes. Faults overlap. It checks, from what callers
+and upstreams see, that
 
 - no task has two runs at one time;
 - a job whose every attempt was refused as not run never began;
@@ -14,6 +15,7 @@
   a task end as failed as often as allowed;
 - an instance that is asked to stop ends by itself, with status 0;
 - after all faults every instance serves a job again;
+- a change of the configuration is in force on every instance in time then;
 - nothing starts in a drained failure domain then, and jobs go to the other one.
 
 Exit status 1 and the seed on the first broken promise. Only processes that it
@@ -40,6 +42,10 @@
 DOMAINS = ("domain-0", "domain-1")
 # From the order to drain a domain until nothing starts there, with room.
 DRAIN_S = 1.0
+# From a change of the configuration until it is in force everywhere.
+CONFIGURE_S = 7.0
+# Beside the one for jobs.
+ROUTES = 2000
 ADVERTISE_OFFSET = 1000
 PROXY_MODES = ["pass", "delay", "reset", "silent", "one_way"]
 
@@ -136,6 +142,8 @@
         self.promises, self.answers = Promises(), {}
         self.instances, self.paused, self.stops = {}, set(), []
         self.jobs, self.finished = 0, []
+        # Of the configuration; the stand-in begins with version 1.
+        self.version = 1
 
     def port(self, number, offset):
         return self.args.port + 100 + number * 4 + offset
@@ -219,6 +227,35 @@
             change = {"remove": [row]}
         await self.call(self.args.port, "/api/rows-tx", change)
 
+    async def configure(self):
+        """As operators do: the whole configuration, with a route for its version."""
+        self.version += 1
+        common = {"hostname": "desk.example", "service": "parts", "timeout_ms": 1500,
+                  "target_latency_ms": 60, "stretch": 1.6, "max_attempts": MAX_ATTEMPTS}
+        paths = ["parts", f"version-{self.version}"]
+        paths += [f"route-{i}" for i in range(ROUTES)]
+        document = {"version": self.version,
+                    "routes": [dict(common, name=path, path_prefix=f"/{path}/") for path in paths],
+                    "services": [{"name": "parts", "max_connections": 64, "admission_check": True}]}
+        row = {"table": "op", "part": "", "key": "config",
+               "value": base64.b64encode(json.dumps(document).encode()).decode()}
+        await self.call(self.args.port, "/api/rows-tx", {"writes": [row]})
+
+    async def changes(self):
+        """With luck of its own, as the drains."""
+        luck = random.Random(f"changes {self.seed}")
+        while True:
+            await asyncio.sleep(luck.choice([0.1, 0.1, 0.3, 1.0, 3.0]))
+            await self.configure()
+
+    async def has_version(self, number, version):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port(number, 0))
+        writer.write((f"GET /version-{version}/ HTTP/1.1\r\nHost: desk.example\r\n"
+                      "Connection: close\r\n\r\n").encode())
+        reply = (await asyncio.wait_for(reader.read(), 2.5)).decode()
+        writer.close()
+        return reply.split()[1:2] == ["200"]
+
     async def crash(self, number):
         """An upstream crashes, sometimes twice, and is back under its id; with luck
         behind a cut."""
@@ -301,6 +338,7 @@
         tasks, loop = set(), asyncio.get_running_loop()
         end = loop.time() + self.args.seconds
         drains = asyncio.create_task(self.drains())
+        changes = asyncio.create_task(self.changes())
         while loop.time() < end and not self.promises.broken:
             make = self.fault if self.random.random() < 0.06 else self.caller
             task = asyncio.create_task(make())
@@ -310,11 +348,13 @@
             await asyncio.sleep(0.05)
         await asyncio.gather(*tasks)
         drains.cancel()
+        changes.cancel()
         for domain in DOMAINS:
             await self.drain(domain, False)
         for task in self.finished:
             task.result()
         await self.check_recovery()
+        await self.check_configuration()
         await self.check_drain()
         self.promises.check_answers(self.answers)
 
@@ -335,6 +375,20 @@
             else:
                 self.promises.broken.append(f"entry-{number} serves no job after the faults")
 
+    async def check_configuration(self):
+        """Without faults: a change is in force everywhere, and what it removes is gone."""
+        await self.configure()
+        deadline = asyncio.get_running_loop().time() + CONFIGURE_S
+        for number in range(self.args.instances):
+            while not await self.has_version(number, self.version):
+                if asyncio.get_running_loop().time() > deadline:
+                    self.promises.broken.append(
+                        f"entry-{number} has not version {self.version} in force")
+                    break
+                await asyncio.sleep(0.1)
+            if await self.has_version(number, self.version - 1):
+                self.promises.broken.append(f"entry-{number} serves a removed route")
+
     async def check_drain(self):
         """Without faults: jobs through all instances go to the other domain."""
         await self.drain(DOMAINS[0], True)
