Don't read all from the store while a large change comes in over a thin link

And a peer was passed over after 0.5 s, though on a full link answers take longer, and the next one began anew.

Now the store is asked when no piece has come for a second, and a peer is passed over after 1.5 s: one that is frozen or cut off is known by its link before that.

--- a/src/cluster/routing_sync.cc
+++ b/src/cluster/routing_sync.cc
@@ -7,9 +7,10 @@
 
 namespace {
 
-// A peer's answer is awaited for so long. It is sent at once, so a later one is
-// of a peer that is frozen, overloaded or of an overloaded link.
-constexpr duration kAnswerTime = std::chrono::milliseconds(500);
+// A peer's answer is awaited for so long. One that is frozen or cut off is
+// known sooner, as its link ends; on a full link answers take long, and asking
+// another peer would begin anew.
+constexpr duration kAnswerTime = std::chrono::milliseconds(1500);
 // A peer that did not answer is passed over for so long.
 constexpr duration kSilentPause = std::chrono::seconds(2);
 constexpr duration kBusyPause = std::chrono::milliseconds(100);
@@ -84,6 +85,12 @@
                               : clock_.now() - newer_since_.begin()->second;
 }
 
+duration routing_sync::stalled() const {
+  if (newer_since_.empty())
+    return duration::zero();
+  return clock_.now() - std::max(newer_since_.begin()->second, last_piece_at_);
+}
+
 void routing_sync::FetchIfBehind() {
   if (fetch_)
     return;
@@ -162,6 +169,7 @@
   // The peer may have begun anew with a later version.
   if (piece.number != fetch_->next_piece && piece.number != 0)
     return;
+  last_piece_at_ = clock_.now();
   if (piece.number == 0)
     fetch_->received = {};
   Append(&fetch_->received, piece.update);
--- a/src/cluster/routing_sync.h
+++ b/src/cluster/routing_sync.h
@@ -57,6 +57,8 @@
 
   // How long a newer version has been known to be in force elsewhere.
   duration behind() const;
+  // How long of that no peer has sent anything of it.
+  duration stalled() const;
   const routing_sync_metrics& metrics() const { return metrics_; }
 
  private:
@@ -100,6 +102,7 @@
   // Versions in force elsewhere and not here, with when that was heard first.
   std::map<config_version, time_point> newer_since_;
   std::optional<fetch> fetch_;
+  time_point last_piece_at_;
   std::map<instance_id, transfer> transfers_;
   // The changes that were last asked for, as many peers want the same.
   config_version cached_base_;
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -27,9 +27,9 @@
 constexpr duration kMissingTime = std::chrono::milliseconds(2500);
 // A single call that fails is no reason for others to read the whole table.
 constexpr duration kContactSlack = std::chrono::milliseconds(700);
-// Changes come from peers within milliseconds; after so long the store is
-// asked.
-constexpr duration kLongestBehind = std::chrono::seconds(1);
+// Changes come from peers within milliseconds, large ones piece by piece. With
+// no piece for so long the store is asked.
+constexpr duration kLongestStall = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -293,7 +293,8 @@
 }
 
 void run_cluster::ReviewReader() {
-  reader_choice_.Review(!routes_.known() || config_behind() > kLongestBehind);
+  reader_choice_.Review(!routes_.known() ||
+                        routing_sync_.stalled() > kLongestStall);
 }
 
 // Each instance tells its peers when something changed for it, and each link
