Log what becomes of the jobs of a lost owner

Now a home writes owner_lost, owner_back and job_orphaned, peer_up tells the incarnation, and an owner writes report_without_job, which is the trace of a home that runs a job for which nobody waits. Counters for these and for cancellations that could not be sent. No logic is changed.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -19,6 +19,10 @@
   out.Counter("jobs_accepted_total", static_cast<double>(metrics.accepted));
   out.Counter("jobs_left_total", static_cast<double>(metrics.left));
   out.Counter("jobs_moved_total", static_cast<double>(metrics.moved));
+  out.Counter("job_cancels_unsent_total",
+              static_cast<double>(metrics.cancels_unsent));
+  out.Counter("job_stray_reports_total",
+              static_cast<double>(metrics.stray_reports));
   out.Gauge("jobs_open", static_cast<double>(desk.open_jobs()));
   for (const auto& [outcome, count] : metrics.outcomes)
     out.Counter("jobs_answered_total", static_cast<double>(count),
@@ -55,6 +59,8 @@
   out.Counter("upstreams_lost_total",
               static_cast<double>(metrics.upstreams_lost));
   out.Counter("jobs_given_up_total", static_cast<double>(metrics.given_up));
+  out.Counter("jobs_orphaned_total",
+              static_cast<double>(metrics.orphans_cancelled));
   for (const auto& [kind, speed] : home.speeds().ByKind()) {
     out.Gauge("upstream_speed", speed.mean, {{"kind", kind}, {"of", "mean"}});
     out.Gauge("upstream_speed", speed.slowest,
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -198,7 +198,9 @@
     OnEnded(*old->second, link_end::kClosed);
   }
   by_peer_[peer] = &link;
-  LogEvent(log_level::kInfo, "peer_up", {{"peer", peer.str()}});
+  LogEvent(
+      log_level::kInfo, "peer_up",
+      {{"peer", peer.str()}, {"incarnation", link.peer().incarnation.str()}});
   if (listener_)
     listener_->OnPeerUp(link.peer());
 }
--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -226,17 +226,21 @@
 }
 
 void job_owner::CancelAtHome(const open_job& job) {
-  if (!job.home.empty() && !job.sent.empty())
+  if (job.sent.empty())
+    return;
+  if (job.home.empty())
+    ++metrics_.cancels_unsent;
+  else
     cancel_(job.home, {job.submitted.key, job.submission});
 }
 
 void job_owner::OnReport(const instance_id& from, const run_report& report) {
   auto found = jobs_.find(report.job);
-  if (found == jobs_.end())
+  if (found == jobs_.end() || found->second.submission != report.submission) {
+    LogStrayReport(from, report);
     return;
+  }
   open_job& job = found->second;
-  if (job.submission != report.submission)
-    return;
   if (report.refusal != run_refusal::kNone) {
     bool refuses_latest_request = report.sending == job.requests_sent ||
                                   report.refusal == run_refusal::kSuperseded;
@@ -270,6 +274,17 @@
     SendTasks(job, false);
 }
 
+void job_owner::LogStrayReport(const instance_id& from,
+                               const run_report& report) {
+  ++metrics_.stray_reports;
+  LogEvent(log_level::kInfo, "report_without_job",
+           {{"job", report.job.str()},
+            {"submission", report.submission.value()},
+            {"home", from.str()},
+            {"tasks", report.tasks.size()},
+            {"refusal", ToString(report.refusal)}});
+}
+
 void job_owner::OnRefused(open_job& job, const run_report& report) {
   // The job runs for another submission by the caller, perhaps at the same
   // home.
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -71,6 +71,10 @@
   std::map<run_refusal, uint64_t> refusals;
   // How often a job was sent again because its group had a new home.
   uint64_t moved = 0;
+  // Jobs that ended here while their home could not be told so.
+  uint64_t cancels_unsent = 0;
+  // Reports for submissions that are not open here (any more).
+  uint64_t stray_reports = 0;
   // The time from acceptance to answer.
   latency_by_queue answer_time;
 };
@@ -175,6 +179,9 @@
   bool AnyHomeHasPlaces(const open_job& job) const;
   void LogAnswer(const open_job& job, const run_answer& answer) const;
   void CancelAtHome(const open_job& job);
+  // Logs a report for a submission that is not open here. Its home runs tasks
+  // for which nobody waits, unless it crossed with the job's cancellation.
+  void LogStrayReport(const instance_id& from, const run_report& report);
   void ExpireJobs();
 
   scheduler& clock_;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -234,6 +234,15 @@
   }
 }
 
+void run_home::CancelOrphan(home_job& job) {
+  ++metrics_.orphans_cancelled;
+  LogEvent(log_level::kInfo, "job_orphaned",
+           {{"job", job.key.str()},
+            {"owner", job.owner.str()},
+            {"submission", job.request.submission.value()}});
+  CancelJob(job);
+}
+
 void run_home::EraseIfFinished(const job_key& key) {
   auto found = jobs_.find(key);
   if (found == jobs_.end())
@@ -246,12 +255,24 @@
 }
 
 void run_home::OnPeerDown(const instance_id& peer) {
-  if (serving_)
-    orphaned_until_.try_emplace(peer, clock_.now() + kOrphanGracePeriod);
+  if (!serving_)
+    return;
+  orphaned_until_.try_emplace(peer, clock_.now() + kOrphanGracePeriod);
+  LogOwner("owner_lost", peer);
 }
 
 void run_home::OnPeerUp(const instance_id& peer) {
-  orphaned_until_.erase(peer);
+  if (orphaned_until_.erase(peer) > 0)
+    LogOwner("owner_back", peer);
+}
+
+// Logs what happens to an owner that has jobs here.
+void run_home::LogOwner(const char* event, const instance_id& owner) const {
+  auto jobs = std::ranges::count_if(jobs_, [&](const auto& entry) {
+    return entry.second.owner == owner && !entry.second.cancelled;
+  });
+  if (jobs > 0)
+    LogEvent(log_level::kInfo, event, {{"owner", owner.str()}, {"jobs", jobs}});
 }
 
 home_task* run_home::FindTask(const task_name& task, home_job** job) {
@@ -650,7 +671,7 @@
       continue;
     for (auto& [key, job] : jobs_) {
       if (job.owner == peer && !job.cancelled)
-        CancelJob(job);
+        CancelOrphan(job);
     }
   }
   std::erase_if(orphaned_until_,
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -48,6 +48,8 @@
   // Jobs given up because several upstreams were lost while they ran the same
   // task.
   uint64_t given_up = 0;
+  // Jobs cancelled because their owner was gone.
+  uint64_t orphans_cancelled = 0;
   std::map<start_result, uint64_t> refused_starts;
   // The time from a task's arrival until a start request for it, recorded at
   // every start of the task.
@@ -154,6 +156,9 @@
   // Marks the task as running on `upstream` since before this home began.
   void MarkAdopted(home_job& job, home_task& task, const upstream_id& upstream);
   void CancelJob(home_job& job);
+  // Cancels a job whose owner is gone.
+  void CancelOrphan(home_job& job);
+  void LogOwner(const char* event, const instance_id& owner) const;
   void EraseIfFinished(const job_key& key);
   void OnTaskDone(home_job& job, home_task& task);
   void OnTaskFailed(home_job& job, home_task& task);
