Test: a job ends while the link to its home is down

Callers see a task run twice, once in each of two failure domains. A caller leaves, its limit passes or its instance gives all jobs up while the link to the home is down for 100 ms. job_owner::OnPeerDown has cleared the job's home, so CancelAtHome sends nothing, and the owner forgets the job. The link is back within 350 ms, so the home keeps the job.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -121,4 +121,49 @@
   d.ReturnInSouth(lost_at);
 }
 
+// Guards against cancellations that never reach the home, as the link is down.
+TEST_CASE("two domains: a job ends while the link to its home is down") {
+  two_domains d;
+  run_node& home = d.HomeOf("north");
+  run_node& owner = d.OtherOf("north");
+  constexpr duration kShortLimit = milliseconds(900);
+  constexpr duration kLinkDown = milliseconds(100);
+  time_point submitted_at = d.clock.now();
+  time_point lost_at;
+  submission_id submission;
+  SUBCASE("as the caller leaves") {
+    submission = d.SubmitFirst(owner);
+    d.Cut(owner, home);
+    d.Run(kLinkDown / 2);
+    owner.cluster->owner().OnCallerLeft(job_key(kJob), submission);
+    lost_at = d.clock.now();
+  }
+  SUBCASE("as the caller leaves and the cancellation is lost on the way") {
+    submission = d.SubmitFirst(owner);
+    owner.cluster->owner().OnCallerLeft(job_key(kJob), submission);
+    d.Cut(owner, home);
+    lost_at = d.clock.now();
+  }
+  SUBCASE("as the job's limit passes") {
+    d.SubmitFirst(owner, kShortLimit);
+    d.Run(submitted_at + kShortLimit - d.clock.now() - milliseconds(20));
+    d.Cut(owner, home);
+    d.Run(milliseconds(80));
+    REQUIRE(d.answers[kJob].size() == 1);
+    lost_at = submitted_at + kShortLimit;
+  }
+  SUBCASE("as the owner gives all jobs up") {
+    d.SubmitFirst(owner);
+    d.Cut(owner, home);
+    d.Run(kLinkDown / 2);
+    owner.cluster->owner().GiveUpAll();
+    REQUIRE(d.answers[kJob].size() == 1);
+    lost_at = d.clock.now();
+  }
+  d.Run(kLinkDown / 2);
+  REQUIRE(owner.cluster->owner().open_jobs() == 0);
+  d.Heal(owner, home);
+  d.ReturnInSouth(lost_at);
+}
+
 }  // namespace jasminedyke
