Test: a job comes again to the owner that still has it

Callers see a task run twice, once in each of two failure domains. The owner hasn't noticed that the caller's connection broke, and the caller sends the job again to the same instance after 1.3 s. job_owner::Submit answers the open job without a cancellation at its home and chooses a home anew.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -166,4 +166,31 @@
   d.ReturnInSouth(lost_at);
 }
 
+// Guards against an owner that has a job run in two failure domains at once.
+TEST_CASE("two domains: a job comes again to the owner that still has it") {
+  two_domains d;
+  run_node& home = d.HomeOf("north");
+  run_node& owner = d.OtherOf("north");
+  d.SubmitFirst(owner);
+  SUBCASE("with the link to its home up") {
+    d.Run(kReturnAfter);
+  }
+  SUBCASE("with the link to its home just broken") {
+    d.Run(kReturnAfter);
+    d.Cut(owner, home);
+  }
+  SUBCASE("with the link to its home down for a while") {
+    d.Run(kReturnAfter - milliseconds(200));
+    d.Cut(owner, home);
+    d.Run(milliseconds(200));
+  }
+  d.Submit(owner, kJob, kTasks, kCallerLimit);
+  d.Run(milliseconds(50));
+  d.Heal(owner, home);
+  d.Run(2 * kRunTime);
+  CHECK(!d.ran_twice);
+  REQUIRE(d.answers[kJob].size() == 2);
+  CHECK(d.answers[kJob][0].outcome == run_outcome::kUnknown);
+}
+
 }  // namespace jasminedyke
