Test: a home reads a request after its owner gave it up

Callers see a task run twice, once in each of two failure domains. A home stands still for 1.2 s, its peer closes the link meanwhile, and the caller leaves.

The fake port can stand still: it reads what has arrived, learns of the ends of its links and sends only once it goes on.

--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -50,6 +52,10 @@
     opened.insert(peer);
   }
   bool Send(const instance_id& peer, const peer_message& message) override {
+    if (frozen_) {
+      unsent_.emplace_back(peer, message);
+      return true;
+    }
     auto found = links.find(peer);
     if (found == links.end())
       return false;
@@ -79,6 +85,25 @@
     return up;
   }
 
+  // The process stands still: it reads what has arrived, learns which links
+  // have ended and sends its own messages only once it is thawed.
+  void Freeze() { frozen_ = true; }
+  void Thaw() {
+    frozen_ = false;
+    for (const auto& event : std::exchange(unread_, {}))
+      event();
+    for (const auto& [peer, message] : std::exchange(unsent_, {}))
+      Send(peer, message);
+  }
+  bool frozen() const { return frozen_; }
+  // This side of the link ends.
+  void EndLink(const instance_id& peer) {
+    OnceThawed([this, peer] {
+      if (links.erase(peer) > 0 && listener)
+        listener->OnPeerDown(peer);
+    });
+  }
+
   peer_identity self;
   peer_listener* listener = nullptr;
   std::map<instance_id, fake_peer_port*> links;
@@ -91,10 +116,20 @@
   void Deliver(fake_peer_port* to, const std::string& frame) {
     auto decoded = DecodeFrame(frame, network_.names);
     // What was under way on a link that broke is lost.
-    if (!links.contains(to->self.instance) || !to->listener || !decoded.ok())
+    if (!links.contains(to->self.instance) || !decoded.ok())
       return;
-    to->listener->OnPeerMessage(self.instance,
-                                std::get<peer_message>(decoded.value()));
+    to->OnceThawed([from = self.instance, to,
+                    message = std::get<peer_message>(decoded.value())] {
+      if (to->listener)
+        to->listener->OnPeerMessage(from, message);
+    });
+  }
+
+  void OnceThawed(std::function<void()> event) {
+    if (frozen_)
+      unread_.push_back(std::move(event));
+    else
+      event();
   }
 
   // When bytes that reach a link at `when` have passed it.
@@ -110,6 +145,9 @@
   }
 
   fake_network& network_;
+  bool frozen_ = false;
+  std::vector<std::function<void()>> unread_;
+  std::vector<std::pair<instance_id, peer_message>> unsent_;
   // When all that was given to this port's link has passed it.
   time_point out_free_at_;
   time_point in_free_at_;
@@ -125,10 +163,8 @@
 }
 
 inline void fake_network::Disconnect(fake_peer_port& a, fake_peer_port& b) {
-  if (a.links.erase(b.self.instance) > 0 && a.listener)
-    a.listener->OnPeerDown(b.self.instance);
-  if (b.links.erase(a.self.instance) > 0 && b.listener)
-    b.listener->OnPeerDown(a.self.instance);
+  a.EndLink(b.self.instance);
+  b.EndLink(a.self.instance);
 }
 
 }  // namespace jasminedyke
--- a/tests/fakes/run_nodes.cc
+++ b/tests/fakes/run_nodes.cc
@@ -143,8 +143,8 @@
 
 void run_nodes::Heal(run_node& a, run_node& b) {
   // No instance has a link to itself.
-  if (&a != &b && !a.dead && !b.dead &&
-      !a.peers.links.contains(b.self.instance))
+  if (&a != &b && !a.dead && !b.dead && !a.peers.frozen() &&
+      !b.peers.frozen() && !a.peers.links.contains(b.self.instance))
     network.Connect(a.peers, b.peers);
 }
 
--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -193,4 +193,33 @@
   CHECK(d.answers[kJob][0].outcome == run_outcome::kUnknown);
 }
 
+// Guards against runs for a request whose sender has closed the link since.
+TEST_CASE("two domains: a home reads a request after its owner gave it up") {
+  two_domains d;
+  run_node& home = d.HomeOf("north");
+  run_node& owner = d.OtherOf("north");
+  home.peers.Freeze();
+  submission_id submission = d.Submit(owner, kJob, kTasks, kCallerLimit);
+  d.Run(seconds(1));
+  time_point lost_at;
+  SUBCASE("and the caller left before the link was closed") {
+    owner.cluster->owner().OnCallerLeft(job_key(kJob), submission);
+    lost_at = d.clock.now();
+    d.Run(milliseconds(5));
+    d.Cut(owner, home);
+  }
+  SUBCASE("and the caller left after the link was closed") {
+    d.Cut(owner, home);
+    d.Run(milliseconds(50));
+    owner.cluster->owner().OnCallerLeft(job_key(kJob), submission);
+    lost_at = d.clock.now();
+  }
+  d.Run(milliseconds(200));
+  REQUIRE(d.RunsIn("north") == 0);
+  home.peers.Thaw();
+  d.Run(milliseconds(30));
+  d.Heal(owner, home);
+  d.ReturnInSouth(lost_at);
+}
+
 }  // namespace jasminedyke
