Keep a job that comes again to its owner at its home

Callers saw a task run in two failure domains at once. A caller's connection broke without its owner noticing, and the caller sent the job again to the same instance. The owner answered the open submission as superseded and chose a home for the new one as if it were another job; the runs of the first had made its own home less attractive, so the job went to another domain, and nobody told the first home. An older test of the home describes this as given (a job that its owner no longer has is dropped).

Now the new submission goes to the home of the earlier one, which hands its runs over, or waits for that home as any job does whose home is out of reach.

--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -71,8 +71,11 @@
 
 submission_id job_owner::Submit(run_job submission, answer_callback done) {
   job_key key = submission.key;
-  if (jobs_.contains(key))
+  std::optional<open_job> earlier;
+  if (auto found = jobs_.find(key); found != jobs_.end()) {
+    earlier = found->second;
     Answer(key, {run_outcome::kUnknown, run_refusal::kSuperseded, {}});
+  }
   ++metrics_.accepted;
   open_job job;
   job.submission = submission_id(++last_submission_);
@@ -88,10 +91,26 @@
   job.submitted = std::move(submission);
   submission_id id = job.submission;
   open_job& open = jobs_.emplace(key, std::move(job)).first->second;
-  ChooseHome(open, kRetryAfterNoHome, run_refusal::kNotHome);
+  if (earlier && !earlier->sent.empty())
+    TakeOver(open, *earlier);
+  else
+    ChooseHome(open, kRetryAfterNoHome, run_refusal::kNotHome);
   return id;
 }
 
+// Sends the job to the home that has the runs of the earlier submission, or
+// waits for that home: any other would start the tasks beside those runs.
+void job_owner::TakeOver(open_job& job, const open_job& earlier) {
+  job.group = earlier.group;
+  job.home = earlier.home;
+  job.owner_sends_starts = earlier.owner_sends_starts;
+  job.without_home_since = clock_.now();
+  job.sent = earlier.sent;
+  job.maybe_started = true;
+  if (!job.home.empty())
+    SendTasks(job, true);
+}
+
 void job_owner::ChooseHome(open_job& job,
                            duration retry_after,
                            run_refusal reason) {
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -171,6 +171,7 @@
   // answered with `reason` and `retry_after`.
   void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
   void RetryAwaitingFirstHome();
+  void TakeOver(open_job& job, const open_job& earlier);
   void ClearHome(open_job& job);
   void OnRefused(open_job& job, const run_report& report);
   void Answer(const job_key& key, const run_answer& answer);
