Test an owner's answer about the submission before the open one

The caller's job is not started. `kOwnerGone` for a start of an earlier submission arrives after the same owner has sent a new one, and the home marks the job, which is the new submission's by now, as one whose owner is gone.

Seen: no start of the new submission is asked for within 0.2 s.

--- a/tests/run_home/owner_lacks_job_test.cc
+++ b/tests/run_home/owner_lacks_job_test.cc
@@ -99,4 +99,18 @@
   CHECK(f.home.jobs() == 0);
 }
 
+// Guards against a job that is never started: the owner's answer about an
+// earlier submission was taken for one about the submission that followed it.
+TEST_CASE("run_home: an owner lacks the submission before the open one") {
+  delegating_home f;
+  f.home.OnRequest(kOwner, f.Request(1, 1));
+  f.clock.Advance(milliseconds(2));
+  REQUIRE(f.asked.size() == 1);
+  f.home.OnRequest(kOwner, f.Request(2, 1));
+  f.SayThatJobIsGone(f.asked[0]);
+  f.clock.Advance(milliseconds(200));
+  REQUIRE(f.asked.size() == 2);
+  CHECK(f.asked[1].submission == submission_id(2));
+}
+
 }  // namespace jasminedyke
