Do not send a job any more whose refusal is about to be answered

Callers were told that nothing of their job ran and came again, while its tasks started at a home whose owner had forgotten the job. When the last home has refused a job, the owner answers from a timer in the next turn of the event loop; a status of the group's next home that was read before it made the owner send the job there, and the answer cancelled nothing there.

Such a job is now marked and stays unsent. Test "job_owner: a new home begins when the last one has refused a job": failed before.

--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -154,6 +154,7 @@
     answer = {run_outcome::kNotRun, run_refusal::kDrained, kRetryAfterDrained};
   if (job.maybe_started)
     answer.outcome = run_outcome::kUnknown;
+  job.answer_due = true;
   // Answers from a timer, as the calling function may still use the job.
   clock_.CallAfter(duration::zero(), [this, key = job.submitted.key,
                                       id = job.submission, answer] {
@@ -345,6 +346,8 @@
 void job_owner::OnHomesChanged() {
   RetryAwaitingFirstHome();
   for (auto& [key, job] : jobs_) {
+    if (job.answer_due)
+      continue;
     const known_home* home = homes_.Find(job.group);
     // An instance that stops being home loses its jobs, even if it becomes home
     // again.
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -157,6 +157,9 @@
     // True while no home is known but one is likely to begin soon; nothing was
     // sent yet.
     bool awaits_first_home = false;
+    // True if no home takes the job: it is answered in the next turn of the
+    // event loop and must not be sent any more.
+    bool answer_due = false;
   };
   using job_map = std::map<job_key, open_job>;
 
