Let no earlier submission supersede a later one

Callers saw 504 for the submission that they waited for, and after coming again in another failure domain a task that ran in two of them. The first owner of a job had not noticed that its caller was gone, and its link to the home was down when the job came through another instance, so it never heard that it was superseded. When the link was back it sent its submission again, and the home, which takes each other submission for the newest, went on for the caller that was gone.

A request tells how long its caller has waited; the home now compares by this when each submission was accepted, and refuses the earlier one. No clocks of different instances are compared.

Tests "an older submission does not supersede a newer one" and "a caller that a superseded job turned away comes again": both failed before.

--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -90,6 +90,8 @@
   // No task of the job starts meanwhile.
   std::optional<orphaned_job> orphaned;
   run_request request;
+  // When the owner accepted the submission.
+  time_point submitted_at;
   time_point objective;
   time_point useful_until;
   // The caller stops waiting at this time.
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -160,6 +160,15 @@
   send_(job.owner, report);
 }
 
+void home_reports::SendSuperseded(const instance_id& to,
+                                  const run_request& request) {
+  ++refused_[run_refusal::kSuperseded];
+  run_report report{request.job, request.submission, {}};
+  report.refusal = run_refusal::kSuperseded;
+  report.sending = request.sending;
+  send_(to, report);
+}
+
 void home_reports::SendNotHome(const instance_id& to,
                                const run_request& request) {
   run_report report{request.job, request.submission, {}};
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -47,6 +47,8 @@
                    duration retry_after);
   // Refuses a request whose sender wrongly assumes that this instance is home.
   void SendNotHome(const instance_id& to, const run_request& request);
+  // Refuses a request for a job that runs for a later submission by its caller.
+  void SendSuperseded(const instance_id& to, const run_request& request);
   // Cancels the pending batch of reports.
   void Stop() { timer_.Stop(); }
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -122,15 +122,23 @@
   }
   auto [found, is_new] = jobs_.try_emplace(request.job);
   home_job& job = found->second;
+  time_point submitted_at = clock_.now() - request.age;
   bool other_submission =
       !is_new &&
       (job.owner != from || job.request.submission != request.submission);
   if (other_submission && !job.cancelled) {
+    // The owner of an earlier submission sends it again if its link was down
+    // when that submission was superseded.
+    if (submitted_at < job.submitted_at) {
+      reports_.SendSuperseded(from, request);
+      return;
+    }
     // The caller lost its first connection and came back through another
     // one. The job's runs continue for the new owner.
     Refuse(job, run_refusal::kSuperseded, duration::zero());
   }
   job.key = request.job;
+  job.submitted_at = submitted_at;
   owner_links_.OnJobSent(from, job);
   job.cancelled = false;
   job.request = request;
