Keep ends of tasks for an owner whose link is down

Tasks that were done ran a second time, one after the other. A home reported ends without regard to the link, and forgot a job once all its tasks had ended. An owner whose link was down for a moment never heard of them and sent the job again, and the home started what it no longer knew to be done.

Now ends of an orphaned job wait until its owner sends the job again, at most as long as the job is kept; a task that is known to be done is reported again and not started again. A report that is on its way when the link breaks and was the job's last one is still lost, as there is no acknowledgement; the tasks then run again, never beside each other.

--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -51,6 +51,8 @@
   bool stopping = false;
   // Valid only in phase `kDone`.
   time_point ended_at;
+  // A run of the task has ended as done.
+  bool succeeded = false;
   // Calls to the task's upstream went unanswered during its last run.
   bool answers_lost = false;
   // The run was started by an earlier home, so its start time is not known.
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -50,7 +50,7 @@
   if (all_done)
     LogLate(job);
   if (all_done || verdict == task_verdict::kFailed)
-    Send(job);
+    SendPending(job);
   else if (!timer_.active())
     timer_.StartAfter(kReportDelay, [this] { SendAll(); });
 }
@@ -119,7 +119,9 @@
             {"lost_upstreams", upstreams}});
 }
 
-void home_reports::Send(home_job& job) {
+void home_reports::SendPending(home_job& job) {
+  if (job.unreported.empty() || job.orphaned)
+    return;
   run_report report{job.key, job.request.submission, {}};
   report.tasks = std::exchange(job.unreported, {});
   send_(job.owner, report);
@@ -127,8 +129,8 @@
 
 void home_reports::SendAll() {
   for (auto& [key, job] : jobs_) {
-    if (!job.unreported.empty() && !job.cancelled)
-      Send(job);
+    if (!job.cancelled)
+      SendPending(job);
   }
 }
 
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -26,7 +26,10 @@
   // Reports the end of a task to the job's owner. Owners act only on a failure
   // or on the last end of a job at this home, so other ends are delayed briefly
   // and batched: a job of four tasks usually needs one message instead of four.
+  // Ends of orphaned jobs wait until the owner sends the job again.
   void Report(home_job& job, const home_task& task, task_verdict verdict);
+  // Sends the ends that wait.
+  void SendPending(home_job& job);
   // If the job has missed its objective, logs how its time was spent. Called
   // once its last task has ended or no caller waits for it any more.
   void LogLate(const home_job& job) const;
@@ -55,7 +58,6 @@
   const std::map<run_refusal, uint64_t>& refused() const { return refused_; }
 
  private:
-  void Send(home_job& job);
   void SendAll();
 
   scheduler& clock_;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -150,6 +150,7 @@
                                          (kUsefulObjectiveFactor - 1);
   job.limit = clock_.now() + request.to_limit;
   AddTasks(job, request);
+  reports_.SendPending(job);
   EraseIfFinished(request.job);
   ScheduleDispatch();
 }
@@ -181,12 +182,15 @@
       }
       continue;
     }
-    // The end will be reported to the owner along with others.
     if (job.IsUnreported(task))
       continue;
+    if (task.succeeded) {
+      // The report of this end was lost with the owner's link.
+      reports_.Report(job, task, task_verdict::kDone);
+      continue;
+    }
     if (task.phase == task_phase::kDone) {
-      // Only a task whose job was sent again after the task had ended gets
-      // here, and no report of that end is pending: the task runs again.
+      // The job was sent again after the task had failed or been cancelled.
       task.phase = task_phase::kQueued;
       task.rejections = 0;
     }
@@ -253,7 +257,9 @@
   bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kDone;
   });
-  if (over)
+  const home_job& job = found->second;
+  bool owner_waits = job.orphaned && !job.cancelled && !job.unreported.empty();
+  if (over && !owner_waits)
     jobs_.erase(found);
 }
 
@@ -334,6 +340,7 @@
 
 void run_home::OnTaskDone(home_job& job, home_task& task) {
   task.phase = task_phase::kDone;
+  task.succeeded = true;
   task.ended_at = clock_.now();
   if (!job.cancelled)
     reports_.Report(job, task, task_verdict::kDone);
