Cancel a job that its owner says it does not have

Runs of a job that nobody waits for went on. An owner that is asked to send a start for a submission that it does not have answers so; the home started nothing more of the job, but kept its runs and prolonged their leases. And an answer about an earlier submission was held against the open one, whose tasks then never started.

Such an answer now orphans the job as a broken link does, if it is about the open submission, so there is one rule for jobs that have lost their owner and the separate flag is gone.

Tests "run_home: an owner lacks a job of which a task runs" and "run_home: an owner lacks the submission before the open one": both failed before.

--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -29,10 +29,6 @@
                            &task_report::position) != unreported.end();
 }
 
-bool home_job::OwnerCanStart() const {
-  return !orphaned && !(request.kept_spec_bytes && owner_gone);
-}
-
 bool home_job::HasNotStarted() const {
   return !may_have_run && std::ranges::none_of(tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kOrdered;
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -44,8 +44,10 @@
   std::vector<failed_run> failures;
   // The number of start requests that upstreams refused as malformed.
   int rejections = 0;
-  // These three are valid only in phase `kOrdered`.
+  // These four are valid only in phase `kOrdered`.
   upstream_id upstream;
+  // The submission for which the current run was started.
+  submission_id submission;
   // When the start of the current run was requested or the run was adopted.
   time_point ordered_at;
   bool stopping = false;
@@ -75,8 +77,8 @@
   upstream_id upstream;
 };
 
-// A job whose owner may be gone, as the link to it broke after the owner had
-// sent the job.
+// A job whose owner may not have it any more: the link to the owner broke after
+// it had sent the job, or the owner did not send a start that it was asked for.
 struct orphaned_job {
   time_point since;
   // There is a link to the owner's instance again.
@@ -88,8 +90,8 @@
   instance_id owner;
   // The process of the owner that sent the job; empty if that is this one.
   incarnation_id owner_incarnation;
-  // Set from a break of the owner's link until the owner sends the job again.
-  // No task of the job starts meanwhile.
+  // Set until the owner sends the job again. No task of the job starts
+  // meanwhile.
   std::optional<orphaned_job> orphaned;
   run_request request;
   // When the owner accepted the submission.
@@ -105,20 +107,12 @@
   bool may_have_run = false;
   // Ends of tasks that have not been reported to the owner yet.
   std::vector<task_report> unreported;
-  // The owner was asked to send a start request to an upstream and did not send
-  // it. The home starts no task of the job until the owner sends the job again;
-  // the owner does so or cancels the job.
-  bool owner_gone = false;
   // Nobody waits for the job any more. It is erased once its last run has
   // ended.
   bool cancelled = false;
 
   // True if the task has ended and this has not been reported to the owner yet.
   bool IsUnreported(const home_task& task) const;
-  // False while the owner may be gone, or can't send the starts as it has to.
-  // Such starts would fail at once and be retried in each turn of the event
-  // loop. Either way the owner sends the job again, or it is cancelled.
-  bool OwnerCanStart() const;
   // True if no task has begun and none has been ordered from an upstream.
   bool HasNotStarted() const;
   // The expected run time of the task on a healthy upstream: the caller's
--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -33,12 +33,21 @@
     if (job.owner != owner || job.cancelled)
       continue;
     ++jobs;
-    if (!job.orphaned)
-      job.orphaned = orphaned_job{clock_.now()};
+    MarkOrphaned(job);
   }
   LogOwner("owner_lost", owner, jobs);
 }
 
+void owner_links::OnStartNotSent(home_job& job) const {
+  if (!job.cancelled)
+    MarkOrphaned(job);
+}
+
+void owner_links::MarkOrphaned(home_job& job) const {
+  if (!job.orphaned)
+    job.orphaned = orphaned_job{clock_.now()};
+}
+
 std::vector<home_job*> owner_links::OnUp(const instance_id& owner,
                                          const incarnation_id& incarnation) {
   linked_[owner] = incarnation;
--- a/src/runs/owner_links.h
+++ b/src/runs/owner_links.h
@@ -25,6 +25,9 @@
   // The owner has sent the job over its present link.
   void OnJobSent(const instance_id& owner, home_job& job) const;
   void OnDown(const instance_id& owner);
+  // The owner did not send a start, as there is no link to it or it does not
+  // have the job.
+  void OnStartNotSent(home_job& job) const;
   // Returns the jobs of an earlier process of the instance.
   std::vector<home_job*> OnUp(const instance_id& owner,
                               const incarnation_id& incarnation);
@@ -32,6 +35,8 @@
   std::vector<home_job*> Abandoned() const;
 
  private:
+  void MarkOrphaned(home_job& job) const;
+
   const scheduler& clock_;
   home_job_map& jobs_;
   // The processes that are linked now.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -143,7 +143,6 @@
   job.cancelled = false;
   job.request = request;
   job.request.tasks.clear();
-  job.owner_gone = false;
   job.objective = clock_.now() + request.to_objective;
   // Callers accept an answer that arrives within three times its objective.
   job.useful_until = job.objective + (request.age + request.to_objective) *
@@ -439,8 +438,9 @@
             {"run", run.value()},
             {"upstream", session.info().id.str()},
             {"result", ToString(why)}});
-  if (why == start_result::kOwnerGone)
-    job->owner_gone = true;
+  if (why == start_result::kOwnerGone &&
+      task->submission == job->request.submission)
+    owner_links_.OnStartNotSent(*job);
   if (why == start_result::kNotAccepted) {
     ++task->rejections;
     task->avoided_upstream = session.info().id;
@@ -520,7 +520,7 @@
     start_decision decision = gate_.Decide(!job.HasNotStarted(), clock_.now());
     if (decision == start_decision::kReturnToOwner)
       ReturnToOwner(job, run_refusal::kDrained, kMinRetryAfter);
-    if (decision != start_decision::kStart || !job.OwnerCanStart())
+    if (decision != start_decision::kStart || job.orphaned)
       continue;
     if (const home_task* held = HeldTask(job)) {
       GiveUp(job, *held);
@@ -608,6 +608,7 @@
   if (task.last_run == 0)
     task.first_ordered_at = task.ordered_at;
   task.adopted = false;
+  task.submission = job.request.submission;
   RecordLatency(metrics_.room_wait, job.request.queue,
                 task.ordered_at - task.queued_at, task.ordered_at);
   ++task.last_run;
