Reply only to the process that forwarded a request

A caller could get the answer of another job, perhaps of another team. Each process numbers the requests that it forwards from 1, and a job's owner sent its reply to whatever process of the instance was linked by then: a wait that the process before had forwarded was answered while the new one had a request of the same number at that owner.

The owner now remembers the process that asked and drops the reply if another one is linked; the callers of the earlier process are gone with it. Test "remote_jobs: a reply for an earlier process of the instance": failed before.

--- a/src/cluster/remote_jobs.cc
+++ b/src/cluster/remote_jobs.cc
@@ -78,9 +78,14 @@
 
 void remote_jobs::OnRequest(const instance_id& peer,
                             const remote_job_request& request) {
-  auto answer = [this, peer, number = request.number](const http_reply& reply) {
-    peers_.Send(peer, remote_job_reply{number, reply.status, reply.headers,
-                                       reply.body});
+  auto answer = [this, requester = peers_.Identity(peer),
+                 number = request.number](const http_reply& reply) {
+    // Another process of the instance has requests of its own with the same
+    // numbers.
+    if (requester && peers_.Identity(requester->instance) == requester)
+      peers_.Send(
+          requester->instance,
+          remote_job_reply{number, reply.status, reply.headers, reply.body});
   };
   auto job = job_id::Parse(request.job);
   bool known_operation =
