Count a link that breaks as it comes up as down

A link that came up and broke at once, as a mesh closes a second link of the same process, still gave the owner the time to send its jobs again. The wait of a new test is shortened so that the home has no reason yet to ask a second time for a start that nobody answers in the test.

Test "a link that breaks as it comes up does not prolong runs": failed before.

--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -46,6 +46,7 @@
 void owner_links::MarkOrphaned(home_job& job) const {
   if (!job.orphaned)
     job.orphaned = orphaned_job{clock_.now()};
+  job.orphaned->linked_again = false;
 }
 
 std::vector<home_job*> owner_links::OnUp(const instance_id& owner,
