--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -135,4 +135,38 @@
   CHECK(!called);
 }
 
+// Guards against a stand-in by which homes take healthy runs for stuck ones.
+TEST_CASE("worker_standin: the listed progress of a run follows its time") {
+  constexpr duration kLength = std::chrono::seconds(2);
+  event_loop loop;
+  worker_standin worker(loop, "u1", {});
+  std::string address = worker.Listen({"127.0.0.1", 0}).ToString();
+  run_calls calls(loop, [&](const upstream_id&) { return address; });
+  time_point start_sent = loop.now();
+  std::optional<start_reply> started;
+  calls.Start(kUpstream,
+              {kTask, run_number(1), "2000", fencing_token(1), {9'999'999}},
+              [&](const start_reply& r) { started = r; });
+  REQUIRE(RunUntil(loop, [&] { return started.has_value(); }));
+  REQUIRE(started->result == start_result::kStarted);
+  time_point start_answered = loop.now();
+  for (int wait_ms : {0, 120, 120}) {
+    time_point hold_sent = loop.now();
+    std::optional<hold_reply> listed;
+    calls.Hold(kUpstream,
+               {fencing_token(1), 0, upstream_time{9'999'999},
+                std::chrono::milliseconds(wait_ms)},
+               [&](const hold_reply& r) { listed = r; });
+    REQUIRE(RunUntil(loop, [&] { return listed.has_value(); }));
+    REQUIRE(listed->running.size() == 1);
+    REQUIRE(listed->running[0].percent);
+    // The reply was written at least `wait_ms` after the hold was sent.
+    duration least =
+        hold_sent + std::chrono::milliseconds(wait_ms) - start_answered;
+    duration most = loop.now() - start_sent;
+    CHECK(*listed->running[0].percent >= 100 * least / kLength);
+    CHECK(*listed->running[0].percent <= 100 * most / kLength);
+  }
+}
+
 }  // namespace jasminedyke
