Fakes: the dead call nobody, and a start grants no longer lease than others

Two differences to real upstreams let runs live longer after their home's death than they can:

- Timers of a killed instance still fire in tests.
Its holds and starts reached the upstreams, and prolonged leases after its death.
- A start granted a lease up to its time limit, while upstreams cap every lease at 1 s (standin/worker_standin.cc).
The limit can be 2.5 s away: the upper bound of an upstream's clock counts the whole wait of an idle hold.

--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -27,6 +27,12 @@
   ended.push_back({++last_end_, task, number, how});
 }
 
+void fake_upstream::Lease(upstream_time until) {
+  lease_end =
+      std::max(lease_end,
+               upstream_time{std::min(until.ms, Clock().ms + kLongestLeaseMs)});
+}
+
 void fake_upstream::Settle() {
   bool lapsed = Clock() > lease_end;
   std::vector<std::pair<task_name, run_end>> over;
@@ -54,7 +60,7 @@
   highest_token = order.token;
   if (Clock() > order.not_after)
     return {start_result::kLate, Clock()};
-  lease_end = std::max(lease_end, order.not_after);
+  Lease(order.not_after);
   auto here = running.find(order.task);
   if (here != running.end() && here->second.number == order.run)
     return reply;
@@ -116,11 +122,8 @@
   if (reply.result != call_result::kOk)
     return reply;
   highest_token = order.token;
-  if (order.lease_until) {
-    upstream_time until{
-        std::min(order.lease_until->ms, Clock().ms + kLongestLeaseMs)};
-    lease_end = std::max(lease_end, until);
-  }
+  if (order.lease_until)
+    Lease(*order.lease_until);
   std::erase_if(ended, [&](const listed_end& end) {
     return end.sequence <= order.acknowledged;
   });
@@ -190,6 +193,9 @@
                               std::function<Reply(fake_upstream&)> act,
                               Reply unanswered,
                               std::function<void(const Reply&)> done) {
+  // Timers of a process that is gone still fire in tests.
+  if (dead_)
+    return;
   uint64_t generation = generations_[id];
   auto answer = [this, id, generation, done](const Reply& reply) {
     if (!dead_ && generations_[id] == generation)
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -83,6 +83,8 @@
 
  private:
   void End(const task_name& task, run_end how);
+  // Prolongs the lease, at most by the longest one that upstreams grant.
+  void Lease(upstream_time until);
 
   scheduler& clock_;
   time_point born_ = clock_.now();
@@ -132,7 +134,7 @@
   // While it returns true, orders to stop a run never arrive.
   std::function<bool()> lose_stops = [] { return false; };
 
-  // As when the process is killed: no answer reaches it any more.
+  // As when the process is killed: it calls nobody, and no answer reaches it.
   void Die() { dead_ = true; }
 
  private:
