Test: a job's owner is killed and then its home

Callers see a task run twice, once in each of two failure domains. Their instance is killed, and its home is killed too before it has stopped the runs, which it does 350 to 400 ms later (kOrphanGracePeriod and kSweepInterval in run_home.cc). The leases that it granted last up to 1 s more, and no instance of the domain is left to stop the runs: up to 1.4 s, while callers come back after 1.3 s.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -121,6 +121,28 @@
   d.ReturnInSouth(lost_at);
 }
 
+// Guards against runs whose leases outlive a home that was about to stop them.
+TEST_CASE("two domains: a job's owner is killed and then its home") {
+  for (int i = 0; i < 100; ++i) {
+    // The home dies shortly before and after it stops the runs, each time at
+    // another age of their leases.
+    duration ran = milliseconds(30 * (i % 10));
+    duration between = milliseconds(300 + 10 * (i / 10));
+    CAPTURE(ran.count());
+    CAPTURE(between.count());
+    two_domains d;
+    run_node& home = d.HomeOf("north");
+    run_node& owner = d.OtherOf("north");
+    d.SubmitFirst(owner);
+    d.Run(ran);
+    time_point lost_at = d.clock.now();
+    d.Kill(owner);
+    d.Run(between);
+    d.Kill(home);
+    d.ReturnInSouth(lost_at);
+  }
+}
+
 // Guards against cancellations that never reach the home, as the link is down.
 TEST_CASE("two domains: a job ends while the link to its home is down") {
   two_domains d;
