Test: random faults in several domains and callers that return

Two or three failure domains of two instances and three upstreams each, and jobs whose runs last 0.1 to 4 s. Links break for 20 to 600 ms, one at a time or all between domains; an instance's links stand still for as long; instances are killed and back after up to 580 ms, or all at once and back after up to 1.6 s; the store is away for up to 1.8 s; 2 % of the calls to upstreams are lost, late or unanswered in every other 2 s. A caller whose connection breaks sends the job again 1.3 s later through any instance. If its owner isn't told, it returns to the same process then, or 1.3 s after the job's limit: till then nobody could keep another domain from a second run.

Checks that no task runs twice at one time and that jobs refused as not run did not run.

No job was refused falsely.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -2,12 +2,17 @@
 // its connection sends its job again, and the second submission runs in another
 // failure domain than the first.
 
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
 
+#include "fakes/random_faults.h"
 #include "fakes/run_nodes.h"
 
 namespace jasminedyke {
@@ -93,6 +98,254 @@
   }
 };
 
+// A caller that sends its job until it is done, through any instance.
+struct returning_caller {
+  std::string key;
+  uint32_t tasks = 0;
+  duration limit = duration::zero();
+  int submissions_left = 6;
+  // These are of the newest submission.
+  run_node* owner = nullptr;
+  submission_id submission;
+  time_point deadline;
+  std::shared_ptr<std::optional<run_answer>> answer;
+  // The connection broke and the owner hasn't noticed.
+  bool left_unnoticed = false;
+  // When the caller sends the job again; empty while it waits for an answer.
+  std::optional<time_point> returns_at;
+  // If set, the caller returns to this process.
+  run_node* returns_to = nullptr;
+};
+
+// Several domains whose instances are killed and come back, whose links break
+// or stand still for a moment, and whose callers lose connections.
+//
+// Callers return 1.3 s after their owner could notice the loss. An owner that
+// can't notice it has the job until the job's limit; till then only a return to
+// the same process is safe.
+class domain_faults {
+ public:
+  domain_faults(uint64_t seed, int domains, const run_home::settings& home)
+      : faults_(nodes_, seed) {
+    nodes_.home_settings = home;
+    for (int domain = 0; domain < domains; ++domain) {
+      std::string name = "domain" + std::to_string(domain);
+      for (int i = 0; i < 3; ++i)
+        nodes_.fleet.Add(name + "-u" + std::to_string(i), name).plan =
+            [this](const task_name& task) {
+              return std::pair(run_times_.at(task.job.str()), run_end::kDone);
+            };
+      for (int i = 1; i <= 2; ++i)
+        nodes_.Add(name, i);
+    }
+    nodes_.Run(milliseconds(600));
+  }
+
+  // Returns the time at which a task ran twice, if one did.
+  std::optional<duration> Play(duration length) {
+    time_point began = nodes_.clock.now();
+    while (nodes_.clock.now() - began < length) {
+      bool faulty_calls =
+          (nodes_.clock.now() - began) % seconds(4) < seconds(2);
+      faults_.call_fault_probability = faulty_calls ? 0.02 : 0;
+      PlayFaults();
+      if (faults_.Chance(0.04))
+        AddCaller();
+      for (returning_caller& caller : callers_)
+        PlayCaller(caller);
+      nodes_.Run(kStep);
+      if (nodes_.ran_twice)
+        return nodes_.clock.now() - began;
+    }
+    return std::nullopt;
+  }
+
+  std::vector<std::string> FalselyRefused() { return faults_.FalselyRefused(); }
+
+ private:
+  static constexpr duration kStep = milliseconds(10);
+
+  struct broken_link {
+    time_point heals_at;
+    run_node* a;
+    run_node* b;
+  };
+  struct killed_instance {
+    time_point back_at;
+    run_node* node;
+  };
+
+  duration Moment() {
+    return faults_.Between(milliseconds(20), milliseconds(600));
+  }
+  run_node& AnyInstance() {
+    std::vector<run_node*> live = nodes_.Live();
+    return *live[faults_.Pick(live.size())];
+  }
+
+  void PlayFaults() {
+    time_point now = nodes_.clock.now();
+    std::erase_if(broken_, [&](const broken_link& link) {
+      if (now < link.heals_at)
+        return false;
+      // Links to an instance that stands still can't be opened.
+      nodes_.Heal(*link.a, *link.b);
+      return link.a->dead || link.b->dead ||
+             link.a->peers.links.contains(link.b->self.instance);
+    });
+    std::erase_if(killed_, [&](const killed_instance& instance) {
+      if (now < instance.back_at)
+        return false;
+      nodes_.Restart(*instance.node);
+      return true;
+    });
+    nodes_.store.outage = now < store_back_at_;
+    if (frozen_ && now >= thaws_at_)
+      std::exchange(frozen_, nullptr)->peers.Thaw();
+    bool any = !nodes_.Live().empty();
+    if (any && faults_.Chance(0.008))
+      Kill(AnyInstance(), Moment() - milliseconds(20));
+    if (faults_.Chance(0.0008)) {
+      for (run_node* node : nodes_.Live())
+        Kill(*node, faults_.Between(milliseconds(0), milliseconds(1600)));
+    }
+    if (nodes_.Live().empty())
+      return;
+    if (faults_.Chance(0.015))
+      Break(AnyInstance(), AnyInstance(), Moment());
+    if (faults_.Chance(0.003))
+      BreakDomain(AnyInstance().self.domain, Moment());
+    if (faults_.Chance(0.002))
+      store_back_at_ = now + 3 * Moment();
+    // A cancellation and the end of the link may each be read late, so only
+    // one instance at a time stands still.
+    if (!frozen_ && now - thaws_at_ > seconds(2) && faults_.Chance(0.005)) {
+      frozen_ = &AnyInstance();
+      frozen_->peers.Freeze();
+      thaws_at_ = now + Moment();
+    }
+  }
+
+  void Kill(run_node& node, duration away) {
+    time_point now = nodes_.clock.now();
+    nodes_.Kill(node);
+    killed_.push_back({now + away, &node});
+    for (returning_caller& caller : callers_) {
+      bool connected = !caller.returns_at || caller.left_unnoticed;
+      if (caller.owner != &node || !connected || *caller.answer)
+        continue;
+      caller.left_unnoticed = false;
+      caller.returns_to = nullptr;
+      caller.returns_at = now + kReturnAfter;
+    }
+  }
+
+  void Break(run_node& a, run_node& b, duration length) {
+    if (&a == &b)
+      return;
+    nodes_.Cut(a, b);
+    broken_.push_back({nodes_.clock.now() + length, &a, &b});
+  }
+
+  // Breaks the links between the domain and the others.
+  void BreakDomain(const failure_domain_id& domain, duration length) {
+    for (run_node* a : nodes_.Live()) {
+      for (run_node* b : nodes_.Live()) {
+        if (a->self.domain == domain && b->self.domain != domain)
+          Break(*a, *b, length);
+      }
+    }
+  }
+
+  void AddCaller() {
+    if (nodes_.Live().empty())
+      return;
+    returning_caller caller;
+    caller.key = "job" + std::to_string(callers_.size());
+    caller.tasks = 1 + faults_.Pick(4);
+    duration run_time = faults_.Between(milliseconds(100), seconds(4));
+    run_times_[caller.key] = run_time;
+    caller.limit = run_time + faults_.Between(milliseconds(0), seconds(4));
+    Submit(caller, AnyInstance());
+    callers_.push_back(std::move(caller));
+  }
+
+  void Submit(returning_caller& caller, run_node& to) {
+    --caller.submissions_left;
+    caller.owner = &to;
+    caller.deadline = nodes_.clock.now() + caller.limit;
+    caller.answer = std::make_shared<std::optional<run_answer>>();
+    caller.left_unnoticed = false;
+    caller.returns_at.reset();
+    caller.returns_to = nullptr;
+    nodes_.estimate = run_times_.at(caller.key);
+    caller.submission = nodes_.Submit(
+        to, caller.key, caller.tasks, caller.limit,
+        [answer = caller.answer](const run_answer& a) { *answer = a; });
+  }
+
+  void PlayCaller(returning_caller& caller) {
+    time_point now = nodes_.clock.now();
+    if (caller.submissions_left == 0)
+      return;
+    if (caller.returns_at) {
+      if (now >= *caller.returns_at && !nodes_.Live().empty())
+        Submit(caller, caller.returns_to ? *caller.returns_to : AnyInstance());
+    } else if (*caller.answer) {
+      OnAnswer(caller, **caller.answer);
+    } else if (faults_.Chance(0.004)) {
+      LoseConnection(caller);
+    }
+  }
+
+  void OnAnswer(returning_caller& caller, const run_answer& answer) {
+    time_point now = nodes_.clock.now();
+    if (answer.outcome == run_outcome::kNotRun)
+      caller.returns_at = now + answer.retry_after;
+    else if (answer.outcome == run_outcome::kUnknown)
+      caller.returns_at = now + kReturnAfter;
+    else
+      caller.submissions_left = 0;
+  }
+
+  void LoseConnection(returning_caller& caller) {
+    time_point now = nodes_.clock.now();
+    if (faults_.Chance(0.7)) {
+      caller.owner->cluster->owner().OnCallerLeft(job_key(caller.key),
+                                                  caller.submission);
+      caller.returns_at = now + kReturnAfter;
+      return;
+    }
+    caller.left_unnoticed = true;
+    bool returns_to_owner = faults_.Chance(0.5);
+    caller.returns_to = returns_to_owner ? caller.owner : nullptr;
+    caller.returns_at =
+        (returns_to_owner ? now : caller.deadline) + kReturnAfter;
+  }
+
+  run_nodes nodes_;
+  random_faults faults_;
+  std::map<std::string, duration> run_times_;
+  std::vector<returning_caller> callers_;
+  std::vector<broken_link> broken_;
+  std::vector<killed_instance> killed_;
+  time_point store_back_at_;
+  run_node* frozen_ = nullptr;
+  time_point thaws_at_;
+};
+
+void PlayDomainFaults(uint64_t seed,
+                      int domains,
+                      const run_home::settings& home = {}) {
+  CAPTURE(seed);
+  CAPTURE(domains);
+  domain_faults play(seed, domains, home);
+  std::optional<duration> ran_twice_after = play.Play(seconds(10));
+  CAPTURE(ran_twice_after.value_or(duration::zero()).count());
+  CHECK(!ran_twice_after.has_value());
+  CHECK(play.FalselyRefused() == std::vector<std::string>());
+}
+
 }  // namespace
 
 // Guards against runs that outlive the process of their job's owner.
@@ -244,4 +497,30 @@
   d.ReturnInSouth(lost_at);
 }
 
+// Guards against a task that runs twice at one time under overlapping faults.
+TEST_CASE("two domains: random faults and callers that return") {
+  for (uint64_t seed = 1; seed <= 40; ++seed)
+    PlayDomainFaults(seed, 2);
+}
+
+// Guards against the same where a task may run in either of two other domains.
+TEST_CASE("three domains: random faults and callers that return") {
+  for (uint64_t seed = 15; seed <= 44; ++seed)
+    PlayDomainFaults(seed, 3);
+}
+
+// Guards against the same with starts that are under way from owners.
+TEST_CASE("two domains: random faults while owners send the starts") {
+  run_home::settings thin_link;
+  thin_link.link_bytes_per_second = 1;
+  for (uint64_t seed = 1; seed <= 30; ++seed)
+    PlayDomainFaults(seed, 2, thin_link);
+}
+
+// Guards against runs whose leases outlive a home that was about to stop them.
+TEST_CASE("three domains: random faults end a job's owner and then its home") {
+  for (uint64_t seed : {14, 199})
+    PlayDomainFaults(seed, 3);
+}
+
 }  // namespace jasminedyke
