Soak: break links between instances, kill at once, jobs of seconds

The soak's links broke only by an instance's death, its tasks took 60 ms, and its callers never left. Instances' registered addresses now lead to proxies, which hold, reset and delay what passes; instances are killed in groups and back at once; some jobs run for 0.5 to 3.5 s, and callers who break their connection send them again.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,12 +2,14 @@
 """A randomized fault soak of the real programs on loopback.
 
 Runs entry instances and a stand-in of the platform as processes, sends jobs,
-and injects faults from outside: a proxy in front of the store and of each
-upstream delays, resets, silences or cuts connections one way; instances are
-paused, killed, stopped and started by signals; upstreams crash and are back under
-their ids; operators drain failure domains and take them back, and change a
-configuration of thousands of routes. Faults overlap. It checks, from what callers
-and upstreams see, that
+and injects faults from outside: a proxy in front of the store, of each upstream
+and of each instance's port for its peers delays, resets, silences or cuts
+connections one way; instances are paused, killed, stopped and started by signals,
+some at once and several together; upstreams crash and are back under their ids;
+operators drain failure domains and take them back, and change a configuration of
+thousands of routes. Faults overlap. Some jobs run for seconds, and callers send
+jobs again after no answer or a broken connection, which some break themselves. It
+checks, from what callers and upstreams see, that
 
 - no task has two runs at one time;
 - a job whose every attempt was refused as not run never began;
@@ -26,6 +28,7 @@
 import asyncio
 import base64
 import collections
+import functools
 import json
 import os
 import random
@@ -39,7 +42,7 @@
 # Of the stand-in's routes.
 MAX_ATTEMPTS = 2
 RESEND_S = 1.3
-DOMAINS = ("domain-0", "domain-1")
+WORKERS = 4  # In each failure domain.
 # From the order to drain a domain until nothing starts there, with room.
 DRAIN_S = 1.0
 # From a change of the configuration until it is in force everywhere.
@@ -48,6 +51,8 @@
 ROUTES = 2000
 ADVERTISE_OFFSET = 1000
 PROXY_MODES = ["pass", "delay", "reset", "silent", "one_way"]
+# Between instances bytes are late but never lost, as with TCP across a cut.
+LINK_MODES = ["reset", "reset", "held", "held", "held_in", "held_out", "delay"]
 
 
 class Proxy:
@@ -55,9 +60,16 @@
 
     def __init__(self, port, target):
         self.port, self.target, self.mode, self.writers = port, target, "pass", set()
+        self.server = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = self.server or await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    def refuse(self):
+        """Connections that are open stay."""
+        if self.server:
+            self.server.close()
+        self.server = None
 
     def set_mode(self, mode):
         self.mode = mode
@@ -76,16 +88,20 @@
             return
         self.writers |= {writer, up_writer}
         await asyncio.gather(
-            self.pump(reader, up_writer, ["silent"]),
-            self.pump(up_reader, writer, ["silent", "one_way"]),
+            self.pump(reader, up_writer, ["silent"], ["held", "held_in"]),
+            self.pump(up_reader, writer, ["silent", "one_way"], ["held", "held_out"]),
         )
         self.writers -= {writer, up_writer}
 
-    async def pump(self, reader, writer, dropping):
+    async def pump(self, reader, writer, dropping, holding):
         try:
-            while data := await reader.read(65536):
+            data = b"begin"
+            while data:
+                data = await reader.read(65536)
                 if self.mode == "delay":
                     await asyncio.sleep(0.2)
+                while self.mode in holding:
+                    await asyncio.sleep(0.01)
                 if self.mode not in dropping:
                     writer.write(data)
                     await writer.drain()
@@ -139,9 +155,10 @@
     def __init__(self, args, seed, folder):
         self.args, self.seed, self.folder = args, seed, folder
         self.random = random.Random(seed)
+        self.domains = [f"domain-{i}" for i in range(args.domains)]
         self.promises, self.answers = Promises(), {}
-        self.instances, self.paused, self.stops = {}, set(), []
-        self.jobs, self.finished = 0, []
+        self.instances, self.replaced = {}, set()
+        self.jobs, self.tasks, self.finished = 0, set(), []
         # Of the configuration; the stand-in begins with version 1.
         self.version = 1
 
@@ -153,7 +170,7 @@
         with open(path, "w") as file:
             file.write(
                 f'[instance]\nid = "entry-{number}"\n'
-                f'failure_domain = "{DOMAINS[number % 2]}"\ncores = 1\n'
+                f'failure_domain = "{self.domains[number % len(self.domains)]}"\ncores = 1\n'
                 f'[listen]\ncallers = "127.0.0.1:{self.port(number, 0)}"\n'
                 f'balancer = "127.0.0.1:{self.port(number, 1)}"\n'
                 f'peers = "127.0.0.1:{self.port(number, 2)}"\n'
@@ -168,19 +185,21 @@
         self.instances[number] = await asyncio.create_subprocess_exec(
             f"{self.folder}/jasminedyked", "--platform", stdout=log, stderr=log,
             env=dict(os.environ, JASMINEDYKE_BOOT=self.settings(number)))
+        await self.links[number].start()
 
     async def start(self):
         # Copies: a build meanwhile would leave nothing to start again.
         for program in ("jasminedyked", "fleet_standin"):
             shutil.copy(f"{self.args.build}/{program}", self.folder)
-        workers = 4
         self.platform = await asyncio.create_subprocess_exec(
             f"{self.folder}/fleet_standin", "--store-port", str(self.args.port),
-            "--first-worker-port", str(self.args.port + 1), "--workers", str(workers),
-            "--advertise-offset", str(ADVERTISE_OFFSET), "--zones", *DOMAINS,
+            "--first-worker-port", str(self.args.port + 1), "--workers", str(WORKERS),
+            "--advertise-offset", str(ADVERTISE_OFFSET), "--zones", *self.domains,
             stdout=asyncio.subprocess.PIPE)
         self.proxies = [Proxy(self.args.port + ADVERTISE_OFFSET + i, self.args.port + i)
-                        for i in range(1 + 2 * workers)]
+                        for i in range(1 + WORKERS * len(self.domains))]
+        self.links = [Proxy(self.port(number, 2) + ADVERTISE_OFFSET, self.port(number, 2))
+                      for number in range(self.args.instances)]
         for proxy in self.proxies:
             await proxy.start()
         self.watcher = asyncio.create_task(self.watch())
@@ -191,14 +210,17 @@
         while line := await self.platform.stdout.readline():
             self.promises.take(line.decode())
 
-    async def post(self, number, job):
-        body = json.dumps({"spec": "60", "best_effort": True, "steps": [
-            {"task_count": TASKS, "cpu": 10000, "mem_mb": 64, "estimated_ms": 60}]})
+    async def post(self, number, job, run_ms=60, deadline_ms=1500, leave_s=None):
+        """The caller breaks the connection after leave_s."""
+        body = json.dumps({"spec": f"{run_ms}", "best_effort": True, "steps": [
+            {"task_count": TASKS, "cpu": 10000, "mem_mb": 64, "estimated_ms": run_ms}]})
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port(number, 0))
-        writer.write((f"POST /parts/{job} HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 1500\r\n"
+        writer.write((f"POST /parts/{job} HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: {deadline_ms}\r\n"
                       f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode())
-        reply = (await asyncio.wait_for(reader.read(), 2.5)).decode()
-        writer.close()
+        try:
+            reply = (await asyncio.wait_for(reader.read(), leave_s or deadline_ms / 1000 + 1)).decode()
+        finally:
+            writer.transport.abort() if leave_s else writer.close()
         status = int(reply.split()[1])
         if status == 200:
             return json.loads(reply.split("\r\n\r\n", 1)[1])["state"]
@@ -207,10 +229,13 @@
     async def caller(self):
         job = f"{self.seed % 2**32:08x}{self.jobs:08x}"
         self.jobs += 1
+        await self.submit(job, self.random, lambda: ())
+
+    async def submit(self, job, luck, details):
         outcomes = self.answers.setdefault(job, [])
         for _ in range(3):
             try:
-                outcome = await self.post(self.random.randrange(self.args.instances), job)
+                outcome = await self.post(luck.randrange(self.args.instances), job, *details())
             except (OSError, asyncio.TimeoutError, IndexError):
                 outcome = "unknown"
             outcomes.append(outcome)
@@ -303,22 +328,65 @@
             await self.crash(self.random.randrange(1, len(self.proxies)))
         elif kind == "hup":
             self.signal(number, signal.SIGHUP)
-        elif number not in self.paused:
-            self.paused.add(number)
+        else:
             await self.replace(number, signal.SIGKILL if kind == "kill" else signal.SIGTERM)
-            self.paused.discard(number)
 
     async def drains(self):
         """With luck of its own: what a seed plays besides stays the same."""
         luck = random.Random(f"drains {self.seed}")
         while True:
             await asyncio.sleep(luck.uniform(0.2, 3.0))
-            domain = luck.choice(DOMAINS)
+            domain = luck.choice(self.domains)
             await self.drain(domain, True)
             await asyncio.sleep(luck.uniform(0.1, 2.0))
             await self.drain(domain, False)
 
-    async def replace(self, number, which):
+    async def long_jobs(self):
+        """With luck of its own, and each job with its own."""
+        def details(luck, run_ms, deadline_ms):
+            leave_s = luck.uniform(0.1, deadline_ms / 1000) if luck.random() < 0.3 else None
+            return run_ms, deadline_ms, leave_s
+
+        luck = random.Random(f"long jobs {self.seed}")
+        for i in range(2**28):
+            await asyncio.sleep(luck.uniform(0.3, 1.2))
+            run_ms = luck.randint(500, 3500)
+            of_job = random.Random(f"long job {i} {self.seed}")
+            deadline_ms = run_ms + of_job.randint(300, 2500)
+            self.begin(self.submit(f"{self.seed % 2**32:08x}c{i:07x}", of_job,
+                                   functools.partial(details, of_job, run_ms, deadline_ms)))
+
+    async def break_links(self, proxies, mode, seconds):
+        for proxy in proxies:
+            proxy.set_mode(mode)
+        await asyncio.sleep(seconds)
+        for proxy in proxies:
+            proxy.set_mode("pass")
+
+    async def link_faults(self):
+        """With luck of its own."""
+        luck = random.Random(f"links {self.seed}")
+        while True:
+            await asyncio.sleep(luck.choice([0.1, 0.3, 1.0, 2.0]))
+            mode = luck.choice(LINK_MODES)
+            seconds = luck.choice([0, 0.05, 0.3]) if mode == "reset" else luck.uniform(0.1, 2.5)
+            some = luck.sample(self.links, luck.randint(1, len(self.links)))
+            self.begin(self.break_links(some, mode, seconds))
+
+    async def kills(self):
+        """With luck of its own; sometimes several together."""
+        luck = random.Random(f"kills {self.seed}")
+        while True:
+            await asyncio.sleep(luck.uniform(0.3, 4.0))
+            count = luck.choice([1, 1, 1, 2, self.args.instances])
+            for number in luck.sample(range(self.args.instances), count):
+                away = luck.choice([0, 0, luck.uniform(0, 0.6)])
+                self.begin(self.replace(number, signal.SIGKILL, away))
+
+    async def replace(self, number, which, away=0):
+        if number in self.replaced:
+            return
+        self.replaced.add(number)
         process = self.instances[number]
         self.signal(number, signal.SIGCONT)
         self.signal(number, which)
@@ -330,26 +398,35 @@
             self.promises.broken.append(f"entry-{number} did not end after SIGTERM")
             process.kill()
             await process.wait()
+        # Connections to a process that is gone are refused.
+        self.links[number].refuse()
+        await asyncio.sleep(away)
         await self.start_instance(number)
+        self.replaced.discard(number)
+
+    def begin(self, work):
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        self.finished.append(task)
 
     async def run(self):
         await self.start()
         await asyncio.sleep(2)
-        tasks, loop = set(), asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
         end = loop.time() + self.args.seconds
-        drains = asyncio.create_task(self.drains())
-        changes = asyncio.create_task(self.changes())
+        operators = [asyncio.create_task(each()) for each in (self.drains, self.changes)]
+        others = [asyncio.create_task(each()) for each in (self.long_jobs, self.link_faults, self.kills)]
         while loop.time() < end and not self.promises.broken:
             make = self.fault if self.random.random() < 0.06 else self.caller
-            task = asyncio.create_task(make())
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            self.finished.append(task)
+            self.begin(make())
             await asyncio.sleep(0.05)
-        await asyncio.gather(*tasks)
-        drains.cancel()
-        changes.cancel()
-        for domain in DOMAINS:
+        for each in others:
+            each.cancel()
+        await asyncio.gather(*self.tasks)
+        for each in operators:
+            each.cancel()
+        for domain in self.domains:
             await self.drain(domain, False)
         for task in self.finished:
             task.result()
@@ -391,15 +468,15 @@
 
     async def check_drain(self):
         """Without faults: jobs through all instances go to the other domain."""
-        await self.drain(DOMAINS[0], True)
+        await self.drain(self.domains[0], True)
         await asyncio.sleep(DRAIN_S)
-        self.promises.drained = DOMAINS[0]
+        self.promises.drained = self.domains[0]
         for number in range(self.args.instances):
             job = f"{self.seed % 2**32:08x}d{number:07x}"
             if (outcome := await self.post(number, job)) != "succeeded":
                 self.promises.broken.append(f"entry-{number} answers {outcome} beside a drain")
         self.promises.drained = None
-        await self.drain(DOMAINS[0], False)
+        await self.drain(self.domains[0], False)
 
     async def stop(self):
         for process in [*self.instances.values(), self.platform]:
@@ -407,15 +484,15 @@
                 process.kill()
                 await process.wait()
         self.watcher.cancel()
-        for proxy in self.proxies:
-            proxy.server.close()
+        for proxy in self.proxies + self.links:
+            proxy.refuse()
 
 
-def free_base(instances):
+def free_base(instances, domains=2):
     """A base whose ports are all free now."""
     for base in random.sample(range(20000, 60000, 200), 100):
-        wanted = [base + i for i in range(10)] + [base + ADVERTISE_OFFSET + i for i in range(10)]
-        wanted += [base + 100 + i for i in range(4 * instances)]
+        used = [*range(1 + WORKERS * domains), *range(100, 100 + 4 * instances)]
+        wanted = [base + i + offset for i in used for offset in (0, ADVERTISE_OFFSET)]
         try:
             for port in wanted:
                 with socket.socket() as probe:
@@ -447,10 +524,11 @@
     parser.add_argument("--seeds", default="1", help="N, or FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--domains", type=int, default=2, help="failure domains")
     parser.add_argument("--port", type=int, default=0, help="0: any free ones")
     parser.add_argument("--build", default="build")
     args = parser.parse_args()
-    args.port = args.port or free_base(args.instances)
+    args.port = args.port or free_base(args.instances, args.domains)
     first, _, last = args.seeds.partition("-")
     good = [asyncio.run(soak(args, seed)) for seed in range(int(first), int(last or first) + 1)]
     print(f"{sum(good)} passed, {len(good) - sum(good)} failed")
