--- a/bench/soak.py
+++ b/bench/soak.py
@@ -28,6 +28,7 @@
 import asyncio
 import base64
 import collections
+import datetime
 import functools
 import json
 import os
@@ -159,9 +160,15 @@
         self.promises, self.answers = Promises(), {}
         self.instances, self.replaced = {}, set()
         self.jobs, self.tasks, self.finished = 0, set(), []
+        # What callers and upstreams see, and each fault, as the instances' logs.
+        self.seen = open(os.path.join(folder, "seen.log"), "w", buffering=1)
         # Of the configuration; the stand-in begins with version 1.
         self.version = 1
 
+    def note(self, *what):
+        now = datetime.datetime.now(datetime.timezone.utc).isoformat(timespec="milliseconds")
+        print(f"time={now}", *what, file=self.seen)
+
     def port(self, number, offset):
         return self.args.port + 100 + number * 4 + offset
 
@@ -208,6 +215,7 @@
 
     async def watch(self):
         while line := await self.platform.stdout.readline():
+            self.note(line.decode().strip())
             self.promises.take(line.decode())
 
     async def post(self, number, job, run_ms=60, deadline_ms=1500, leave_s=None):
@@ -234,10 +242,13 @@
     async def submit(self, job, luck, details):
         outcomes = self.answers.setdefault(job, [])
         for _ in range(3):
+            number = luck.randrange(self.args.instances)
+            self.note(f"send {job} entry-{number}")
             try:
-                outcome = await self.post(luck.randrange(self.args.instances), job, *details())
-            except (OSError, asyncio.TimeoutError, IndexError):
+                outcome = await self.post(number, job, *details())
+            except (OSError, asyncio.TimeoutError, IndexError) as error:
                 outcome = "unknown"
+                self.note(f"unanswered {job} {error!r}")
             outcomes.append(outcome)
             if outcome != "unknown":
                 return
@@ -306,6 +317,7 @@
         writer.close()
 
     def signal(self, number, which):
+        self.note(which.name, f"entry-{number}")
         try:
             self.instances[number].send_signal(which)
         except ProcessLookupError:
@@ -357,6 +369,7 @@
                                    functools.partial(details, of_job, run_ms, deadline_ms)))
 
     async def break_links(self, proxies, mode, seconds):
+        self.note(mode, *(f"entry-{self.links.index(proxy)}" for proxy in proxies), f"{seconds:.3f} s")
         for proxy in proxies:
             proxy.set_mode(mode)
         await asyncio.sleep(seconds)
