Soak: ports that nothing else takes

What a killed instance leaves may go to an outgoing connection before it is back, and two soaks that begin together may choose the same ports: one of two begun 0.4 s apart could not listen on 27000.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -50,7 +50,9 @@
 CONFIGURE_S = 7.0
 # Beside the one for jobs.
 ROUTES = 2000
-ADVERTISE_OFFSET = 1000
+ADVERTISE_OFFSET = 200
+# Below those of outgoing connections, which would take what an instance leaves.
+PORTS = range(10000, 32000, 2 * ADVERTISE_OFFSET)
 PROXY_MODES = ["pass", "delay", "reset", "silent", "one_way"]
 # Between instances bytes are late but never lost, as with TCP across a cut.
 LINK_MODES = ["reset", "reset", "held", "held", "held_in", "held_out", "delay"]
@@ -503,14 +505,17 @@
 
 def free_base(instances, domains=2):
     """A base whose ports are all free now."""
-    for base in random.sample(range(20000, 60000, 200), 100):
+    for base in random.sample(PORTS, len(PORTS)):
         used = [*range(1 + WORKERS * domains), *range(100, 100 + 4 * instances)]
         wanted = [base + i + offset for i in used for offset in (0, ADVERTISE_OFFSET)]
+        guard = socket.socket()
         try:
+            guard.bind(("127.0.0.1", base + 99))
             for port in wanted:
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     probe.bind(("127.0.0.1", port))
+            guard.detach()  # Open until the end: other soaks skip this base.
             return base
         except OSError:
             continue
