--- a/bench/soak.py
+++ b/bench/soak.py
@@ -220,26 +220,39 @@
             self.note(line.decode().strip())
             self.promises.take(line.decode())
 
-    async def post(self, number, job, run_ms=60, deadline_ms=1500, leave_s=None):
-        """The caller breaks the connection after leave_s."""
+    async def post(self, number, job, run_ms=60, deadline_ms=1500, leave_s=None, idle=None):
+        """Over one of the idle connections, if any, and kept there then; the caller breaks it after leave_s."""
         body = json.dumps({"spec": f"{run_ms}", "best_effort": True, "steps": [
             {"task_count": TASKS, "cpu": 10000, "mem_mb": 64, "estimated_ms": run_ms}]})
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port(number, 0))
+        while idle and idle[-1][0].at_eof():
+            idle.pop()
+        reader, writer = idle.pop() if idle else await asyncio.open_connection("127.0.0.1", self.port(number, 0))
+        connection = "close" if idle is None else "keep-alive"
         writer.write((f"POST /parts/{job} HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: {deadline_ms}\r\n"
-                      f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode())
+                      f"Connection: {connection}\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode())
+
+        async def read():
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            return head, await reader.readexactly(int(head.split("content-length:")[1].split()[0]))
+
         try:
-            reply = (await asyncio.wait_for(reader.read(), leave_s or deadline_ms / 1000 + 1)).decode()
-        finally:
-            writer.transport.abort() if leave_s else writer.close()
-        status = int(reply.split()[1])
+            head, reply = await asyncio.wait_for(read(), leave_s or deadline_ms / 1000 + 1)
+        except BaseException:
+            writer.transport.abort()
+            raise
+        if idle is None or "connection: close" in head:
+            writer.close()
+        else:
+            idle.append((reader, writer))
+        status = int(head.split()[1])
         if status == 200:
-            return json.loads(reply.split("\r\n\r\n", 1)[1])["state"]
+            return json.loads(reply)["state"]
         return {503: "not_run", 429: "not_run", 404: "not_run"}.get(status, "unknown")
 
     async def caller(self):
         job = f"{self.seed % 2**32:08x}{self.jobs:08x}"
         self.jobs += 1
-        await self.submit(job, self.random, lambda: ())
+        await self.submit(job, self.random, lambda number: {})
 
     async def submit(self, job, luck, details):
         outcomes = self.answers.setdefault(job, [])
@@ -247,8 +260,8 @@
             number = luck.randrange(self.args.instances)
             self.note(f"send {job} entry-{number}")
             try:
-                outcome = await self.post(number, job, *details())
-            except (OSError, asyncio.TimeoutError, IndexError) as error:
+                outcome = await self.post(number, job, **details(number))
+            except (OSError, asyncio.TimeoutError, EOFError) as error:
                 outcome = "unknown"
                 self.note(f"unanswered {job} {error!r}")
             outcomes.append(outcome)
@@ -356,10 +369,12 @@
             await self.drain(domain, False)
 
     async def long_jobs(self):
-        """With luck of its own, and each job with its own."""
-        def details(luck, run_ms, deadline_ms):
+        """With luck of its own, and each job with its own; callers keep connections."""
+        idle = collections.defaultdict(list)
+
+        def details(luck, run_ms, deadline_ms, number):
             leave_s = luck.uniform(0.1, deadline_ms / 1000) if luck.random() < 0.3 else None
-            return run_ms, deadline_ms, leave_s
+            return {"run_ms": run_ms, "deadline_ms": deadline_ms, "leave_s": leave_s, "idle": idle[number]}
 
         luck = random.Random(f"long jobs {self.seed}")
         for i in range(2**28):
@@ -461,7 +476,7 @@
                 try:
                     if await self.post(number, job) == "succeeded":
                         break
-                except (OSError, asyncio.TimeoutError, IndexError):
+                except (OSError, asyncio.TimeoutError, EOFError):
                     pass
                 await asyncio.sleep(0.5)
             else:
