Stop the runs of a lost owner before its home can die beside it

Callers could see a task run in two failure domains at once if the home was killed shortly after the owner: the home kept an owner's jobs for 350 ms and looked every 50 ms, and the leases that it had granted last for another second, 1.4 s together, while callers come back after 1.3 s.

An owner now has 200 ms to connect again and, once linked, 200 ms to send its jobs. Connecting takes three round trips, 6 ms between the users' domains. Test "two domains: a job's owner is killed and then its home": 20 of 100 combinations left runs 1.3 s after the loss before.

--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -6,9 +6,10 @@
 
 // How long a living owner may take to connect again, and then to send its jobs
 // again. If the owner died, its caller comes back through another instance
-// after a second or more; by then the runs must have been stopped.
-constexpr duration kReconnectTime = std::chrono::milliseconds(350);
-constexpr duration kResendTime = std::chrono::milliseconds(350);
+// after a second or more; by then the runs must have been stopped. If this home
+// dies too just before it stops them, their leases last for another second.
+constexpr duration kReconnectTime = std::chrono::milliseconds(200);
+constexpr duration kResendTime = std::chrono::milliseconds(200);
 
 void LogOwner(const char* event, const instance_id& owner, size_t jobs) {
   if (jobs > 0)
