Test: a job comes again to the owner that just gave it up

Callers see a task run twice, once in each of two failure domains. The owner hasn't noticed that the caller's connection broke and gives the job up at its limit. The caller sends the job again to the same instance just then. The owner has forgotten the job; its runs live on until the cancellation has reached the home and the upstreams, or, with the link to the home down, until the home's period is over. The new submission is better placed in another domain.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -98,6 +98,14 @@
   }
 };
 
+// Settings of a home whose link is overloaded by a single specification, so
+// that owners send the starts.
+run_home::settings ThinLink() {
+  run_home::settings home;
+  home.link_bytes_per_second = 1;
+  return home;
+}
+
 // A caller that sends its job until it is done, through any instance.
 struct returning_caller {
   std::string key;
@@ -468,6 +476,39 @@
   CHECK(d.answers[kJob][0].outcome == run_outcome::kUnknown);
 }
 
+// Guards against an owner that forgets a job before its runs are over.
+TEST_CASE("two domains: a job comes again to the owner that just gave it up") {
+  // The caller lost its connection unnoticed 1.3 s ago.
+  constexpr duration kLimit = seconds(2);
+  two_domains d;
+  run_node& home = d.HomeOf("north");
+  run_node& owner = d.OtherOf("north");
+  d.SubmitFirst(owner, kLimit);
+  d.Run(kLimit - milliseconds(200));
+  duration pause = duration::zero();
+  SUBCASE("at once") {}
+  SUBCASE("at once, with the link to its home down") {
+    d.Cut(owner, home);
+  }
+  SUBCASE("after 100 ms") {
+    pause = milliseconds(100);
+  }
+  SUBCASE("after 100 ms, with the link to its home down") {
+    d.Cut(owner, home);
+    pause = milliseconds(100);
+  }
+  for (int i = 0; i < 300 && d.answers[kJob].empty(); ++i)
+    d.Run(milliseconds(1));
+  REQUIRE(d.answers[kJob].size() == 1);
+  d.Run(pause);
+  d.Submit(owner, kJob, kTasks, kCallerLimit);
+  d.Run(milliseconds(50));
+  d.Heal(owner, home);
+  d.Run(2 * kRunTime);
+  CHECK(!d.ran_twice);
+  CHECK(d.answers[kJob].size() == 2);
+}
+
 // Guards against runs for a request whose sender has closed the link since.
 TEST_CASE("two domains: a home reads a request after its owner gave it up") {
   two_domains d;
@@ -511,16 +552,20 @@
 
 // Guards against the same with starts that are under way from owners.
 TEST_CASE("two domains: random faults while owners send the starts") {
-  run_home::settings thin_link;
-  thin_link.link_bytes_per_second = 1;
   for (uint64_t seed = 1; seed <= 30; ++seed)
-    PlayDomainFaults(seed, 2, thin_link);
+    PlayDomainFaults(seed, 2, ThinLink());
 }
 
 // Guards against runs whose leases outlive a home that was about to stop them.
 TEST_CASE("three domains: random faults end a job's owner and then its home") {
   for (uint64_t seed : {14, 199})
     PlayDomainFaults(seed, 3);
+  PlayDomainFaults(353, 3, ThinLink());
+}
+
+// Guards against an owner that forgets a job before its runs are over.
+TEST_CASE("two domains: random faults as an owner gives a job up") {
+  PlayDomainFaults(1081, 2);
 }
 
 }  // namespace jasminedyke
