Test: a start arrives after its home and owner are killed

Callers see a task run twice, once in each of two failure domains. A home sends a start to an upstream that has been idle for more than 2 s, and the order is held up on its way. The home and the job's owner are killed, and the caller sends the job again after 1.3 s. The upstream accepts the late order and grants a lease of 1 s.

An order is meant to be refused after 500 ms (kStartTimeLimit), but its limit is counted from the upper bound of the upstream's clock. That bound takes a reading to be as old as the call that brought it (upstream_clock::UpperBound), and an idle hold waits for 2 s: the limit is up to 2.5 s away. A start grants a lease up to its limit, at most 1 s.

--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -404,6 +404,37 @@
   }
 }
 
+// Guards against start orders that are carried out long after they were sent.
+TEST_CASE("two domains: a start arrives after its home and owner are killed") {
+  duration late = milliseconds(600);
+  SUBCASE("by 600 ms") {}
+  SUBCASE("by 1400 ms") {
+    late = milliseconds(1400);
+  }
+  two_domains d;
+  run_node& home = d.HomeOf("north");
+  run_node& owner = d.OtherOf("north");
+  // The home's upstreams have been idle for longer than a hold waits.
+  d.Run(milliseconds(2500));
+  d.fleet.late = late;
+  bool slow = true;
+  d.fleet.fate = [&](const upstream_id&, const std::string&) {
+    return slow ? call_fate::kDelayed : call_fate::kAnswered;
+  };
+  d.Submit(owner, kJob, kTasks, kCallerLimit);
+  d.Run(milliseconds(5));
+  slow = false;
+  time_point lost_at = d.clock.now();
+  d.Kill(owner);
+  d.Kill(home);
+  d.Run(late + milliseconds(5));
+  CHECK(d.RunsIn("north") == 0);
+  d.Run(lost_at + kReturnAfter - d.clock.now());
+  d.Submit(d.OtherOf("south"), kJob, kTasks, kCallerLimit);
+  d.Run(seconds(2));
+  CHECK(!d.ran_twice);
+}
+
 // Guards against cancellations that never reach the home, as the link is down.
 TEST_CASE("two domains: a job ends while the link to its home is down") {
   two_domains d;
