Test long runs in queues of short ones

After 100 jobs of 100 ms a run of 3.6 s goes through whatever its caller expects: the first test passes on this code.

It stands at each per cent for 100 ms, a tenth of the longest expected time is 40 ms, and a stop by progress leaves that time as it is for the next run.

--- a/tests/stuck_runs/stuck_runs_test.cc
+++ b/tests/stuck_runs/stuck_runs_test.cc
@@ -372,4 +372,45 @@
   CHECK(f.home.metrics().done == static_cast<uint64_t>(f.submitted_tasks));
 }
 
+// Guards against long runs being stopped because their queue was fast so far.
+TEST_CASE("stuck_runs: a long run in a queue of short ones goes on") {
+  stuck_home f;
+  f.Begin(6, {1.0});
+  duration guess;
+  SUBCASE("the caller expects it to be long") {
+    guess = milliseconds(3600);
+  }
+  SUBCASE("the caller expects a short one") {
+    guess = milliseconds(100);
+  }
+  SUBCASE("callers give no estimates") {
+    guess = duration::zero();
+  }
+  for (int i = 0; i < 100; ++i) {
+    f.Submit(2, milliseconds(100),
+             std::min(guess, duration(milliseconds(100))));
+    f.Run(milliseconds(60));
+  }
+  f.Run(std::chrono::seconds(1));
+  f.Submit(1, milliseconds(3600), guess, std::chrono::seconds(30));
+  f.Run(std::chrono::seconds(5));
+  CHECK(f.Stuck() == 0);
+  CHECK(f.Count(task_verdict::kDone) == f.submitted_tasks);
+}
+
+// Guards against a task whose every run is stopped because it advances slowly.
+TEST_CASE("stuck_runs: a task of a hundred times the usual length is done") {
+  stuck_home f;
+  f.Begin(6, {1.0});
+  for (int i = 0; i < 100; ++i) {
+    f.Submit(2, milliseconds(100), milliseconds(100));
+    f.Run(milliseconds(60));
+  }
+  f.Run(std::chrono::seconds(1));
+  f.Submit(1, std::chrono::seconds(10), milliseconds(100),
+           std::chrono::seconds(30));
+  f.Run(std::chrono::seconds(29));
+  CHECK(f.Count(task_verdict::kDone) == f.submitted_tasks);
+}
+
 }  // namespace jasminedyke
