--- a/bench/soak.py
+++ b/bench/soak.py
@@ -405,10 +405,13 @@
 
     async def kills(self):
         """With luck of its own; sometimes several together."""
-        luck = random.Random(f"kills {self.seed}")
+        luck, of_machines = random.Random(f"kills {self.seed}"), random.Random(f"machines {self.seed}")
         while True:
             await asyncio.sleep(luck.uniform(0.3, 4.0))
             count = luck.choice([1, 1, 1, 2, self.args.instances])
+            # Machines that vanish close no connections.
+            if of_machines.random() < 0.25:
+                self.begin(self.break_links(self.links, "held", of_machines.uniform(0.1, 2.5)))
             for number in luck.sample(range(self.args.instances), count):
                 away = luck.choice([0, 0, luck.uniform(0, 0.6)])
                 self.begin(self.replace(number, signal.SIGKILL, away))
