--- a/bench/soak.py
+++ b/bench/soak.py
@@ -265,6 +265,7 @@
                 outcome = "unknown"
                 self.note(f"unanswered {job} {error!r}")
             outcomes.append(outcome)
+            self.note(f"{outcome} {job}")
             if outcome != "unknown":
                 return
             await asyncio.sleep(RESEND_S)
