Remember a job that ended while its home may have runs of it

Callers saw a task run in two failure domains at once. An owner that gave a job up at its limit, not knowing that the caller was gone, forgot it at once; its runs lived on until the cancellation had reached home and upstreams, or, with the link down, until the home noticed. The caller came back to the same instance just then, and another home was better.

An owner now remembers such jobs for 0.7 s, longer than a home takes to stop their runs, and sends a submission that comes meanwhile to the same home, by the way that one takes which supersedes an open job. Tasks of all steps go there as perhaps started.

Tests "two domains: a job comes again to the owner that just gave it up" and "two domains: random faults as an owner gives a job up": failed before. Whole unit tests: 391 passed.

--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -22,6 +22,10 @@
 // maintenance.
 constexpr duration kRetryAfterDrained = std::chrono::seconds(5);
 
+// How long a home may take to stop the runs of a job that ended here, also if
+// the link to it is down and the home has to notice that itself.
+constexpr duration kMaxStopTime = std::chrono::milliseconds(700);
+
 // Returns the length of the longest chain of steps by the caller's estimates.
 duration CriticalPath(const std::vector<job_step>& steps) {
   std::vector<duration> ends;
@@ -71,11 +75,8 @@
 
 submission_id job_owner::Submit(run_job submission, answer_callback done) {
   job_key key = submission.key;
-  std::optional<open_job> earlier;
-  if (auto found = jobs_.find(key); found != jobs_.end()) {
-    earlier = found->second;
+  if (jobs_.contains(key))
     Answer(key, {run_outcome::kUnknown, run_refusal::kSuperseded, {}});
-  }
   ++metrics_.accepted;
   open_job job;
   job.submission = submission_id(++last_submission_);
@@ -91,8 +92,9 @@
   job.submitted = std::move(submission);
   submission_id id = job.submission;
   open_job& open = jobs_.emplace(key, std::move(job)).first->second;
-  if (earlier && !earlier->sent.empty())
-    TakeOver(open, *earlier);
+  auto earlier = ended_jobs_.extract(key);
+  if (earlier)
+    TakeOver(open, earlier.mapped());
   else
     ChooseHome(open, kRetryAfterNoHome, run_refusal::kNotHome);
   return id;
@@ -100,15 +102,23 @@
 
 // Sends the job to the home that has the runs of the earlier submission, or
 // waits for that home: any other would start the tasks beside those runs.
-void job_owner::TakeOver(open_job& job, const open_job& earlier) {
+void job_owner::TakeOver(open_job& job, const ended_job& earlier) {
   job.group = earlier.group;
-  job.home = earlier.home;
-  job.owner_sends_starts = earlier.owner_sends_starts;
+  job.has_earlier_runs = true;
   job.without_home_since = clock_.now();
-  job.sent = earlier.sent;
-  job.maybe_started = true;
-  if (!job.home.empty())
-    SendTasks(job, true);
+  const known_home* home = homes_.Find(job.group);
+  if (!home)
+    return;
+  job.home = home->instance;
+  job.owner_sends_starts = home->status.owners_start;
+  SendTasks(job, true);
+}
+
+void job_owner::Forget(job_map::iterator found) {
+  const open_job& job = found->second;
+  if (!job.sent.empty() || job.has_earlier_runs)
+    ended_jobs_[found->first] = {clock_.now(), job.group};
+  jobs_.erase(found);
 }
 
 void job_owner::ChooseHome(open_job& job,
@@ -207,10 +217,10 @@
       bool was_sent = job.sent.contains(position);
       if (job.finished.contains(position) || (was_sent && !resend))
         continue;
-      request.tasks.push_back({position, submitted.need, submitted.estimate,
-                               submitted.rack, submitted.required_label,
-                               submitted.max_per_upstream,
-                               was_sent && job.maybe_started});
+      request.tasks.push_back(
+          {position, submitted.need, submitted.estimate, submitted.rack,
+           submitted.required_label, submitted.max_per_upstream,
+           (was_sent && job.maybe_started) || job.has_earlier_runs});
       job.sent.insert(position);
     }
     if (request.tasks.empty())
@@ -235,7 +245,7 @@
             {"ms", ToMilliseconds(clock_.now() - found->second.accepted)},
             {"home", found->second.home.str()}});
   CancelAtHome(found->second);
-  jobs_.erase(found);
+  Forget(found);
 }
 
 const std::string* job_owner::Spec(const job_key& key,
@@ -392,7 +402,12 @@
   RecordLatency(metrics_.answer_time, found->second.submitted.queue,
                 clock_.now() - found->second.accepted, clock_.now());
   answer_callback done = std::move(found->second.done);
-  jobs_.erase(found);
+  bool may_have_runs = answer.outcome == run_outcome::kFailed ||
+                       answer.outcome == run_outcome::kUnknown;
+  if (may_have_runs)
+    Forget(found);
+  else
+    jobs_.erase(found);
   ++metrics_.outcomes[answer.outcome];
   if (answer.reason != run_refusal::kNone)
     ++metrics_.refusals[answer.reason];
@@ -441,6 +456,9 @@
 }
 
 void job_owner::ExpireJobs() {
+  std::erase_if(ended_jobs_, [this](const auto& entry) {
+    return clock_.now() - entry.second.ended_at > kMaxStopTime;
+  });
   // Polls, as a known home may have no upstreams at first.
   RetryAwaitingFirstHome();
   std::vector<job_key> given_up;
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -154,6 +154,8 @@
     std::vector<uint32_t> left;
     std::set<task_position> finished;
     bool maybe_started = false;
+    // The home may have runs of an earlier submission, of any task.
+    bool has_earlier_runs = false;
     // True while no home is known but one is likely to begin soon; nothing was
     // sent yet.
     bool awaits_first_home = false;
@@ -162,6 +164,11 @@
     bool answer_due = false;
   };
   using job_map = std::map<job_key, open_job>;
+  // A job that ended here although its home may have runs of it.
+  struct ended_job {
+    time_point ended_at;
+    home_group group;
+  };
 
   // Returns the CPU need of all tasks that are ready and not done.
   int64_t ReadyCpuMillis(const open_job& job) const;
@@ -174,7 +181,9 @@
   // answered with `reason` and `retry_after`.
   void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
   void RetryAwaitingFirstHome();
-  void TakeOver(open_job& job, const open_job& earlier);
+  void TakeOver(open_job& job, const ended_job& earlier);
+  // Ends the job here; remembers it while its home may have runs of it.
+  void Forget(job_map::iterator found);
   void ClearHome(open_job& job);
   void OnRefused(open_job& job, const run_report& report);
   void Answer(const job_key& key, const run_answer& answer);
@@ -194,6 +203,7 @@
   send_request request_;
   send_cancel cancel_;
   job_map jobs_;
+  std::map<job_key, ended_job> ended_jobs_;
   uint64_t last_submission_;
   job_owner_metrics metrics_;
   // When a home with upstreams was last known; initially when this instance
