Count an owner's time to send its jobs again from its new link

An owner that stood still for a second and was back had 400 ms from the break on; with the second after which its silence is noticed that is more than the 1.3 s after which callers come again.

The owner now has 150 ms from the moment at which it is linked, and the first break still bounds the sum. Test "owner_links: an owner that is back soon has little time".

--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -81,8 +81,9 @@
 // it had sent the job, or the owner did not send a start that it was asked for.
 struct orphaned_job {
   time_point since;
-  // There is a link to the owner's instance again.
-  bool linked_again = false;
+  // When there was a link to the owner's instance again; empty if there is
+  // none.
+  std::optional<time_point> linked_at;
 };
 
 struct home_job {
--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -1,5 +1,7 @@
 #include "runs/owner_links.h"
 
+#include <algorithm>
+
 namespace jasminedyke {
 
 namespace {
@@ -9,7 +11,7 @@
 // after a second or more; by then the runs must have been stopped. If this home
 // dies too just before it stops them, their leases last for another second.
 constexpr duration kReconnectTime = std::chrono::milliseconds(200);
-constexpr duration kResendTime = std::chrono::milliseconds(200);
+constexpr duration kResendTime = std::chrono::milliseconds(150);
 
 void LogOwner(const char* event, const instance_id& owner, size_t jobs) {
   if (jobs > 0)
@@ -46,8 +48,8 @@
 
 void owner_links::MarkOrphaned(home_job& job) const {
   if (!job.orphaned)
-    job.orphaned = orphaned_job{clock_.now()};
-  job.orphaned->linked_again = false;
+    job.orphaned = orphaned_job{clock_.now(), std::nullopt};
+  job.orphaned->linked_at.reset();
 }
 
 std::vector<home_job*> owner_links::OnUp(const instance_id& owner,
@@ -58,7 +60,7 @@
   for (auto& [key, job] : jobs_) {
     if (job.owner != owner || job.cancelled || !job.orphaned)
       continue;
-    job.orphaned->linked_again = true;
+    job.orphaned->linked_at = clock_.now();
     if (job.owner_incarnation == incarnation)
       ++jobs;
     else
@@ -73,12 +75,12 @@
   for (auto& [key, job] : jobs_) {
     if (!job.orphaned || job.cancelled)
       continue;
-    // Counted from the first break, as a link that breaks again and again must
+    // Bounded by the first break, as a link that breaks again and again must
     // not keep the job for ever.
-    duration allowed = kReconnectTime;
-    if (job.orphaned->linked_again)
-      allowed += kResendTime;
-    if (clock_.now() - job.orphaned->since >= allowed)
+    time_point until = job.orphaned->since + kReconnectTime;
+    if (job.orphaned->linked_at)
+      until = std::min(until, *job.orphaned->linked_at) + kResendTime;
+    if (clock_.now() >= until)
       abandoned.push_back(&job);
   }
   return abandoned;
--- a/tests/owner_links/owner_links_test.cc
+++ b/tests/owner_links/owner_links_test.cc
@@ -46,7 +46,7 @@
   f.links.OnDown(kOwner);
   f.clock.Advance(milliseconds(150));
   CHECK(f.links.OnUp(kOwner, kProcess).empty());
-  f.clock.Advance(milliseconds(150));
+  f.clock.Advance(milliseconds(140));
   CHECK(f.links.Abandoned().empty());
   f.links.OnJobSent(kOwner, f.job);
   CHECK(!f.job.orphaned);
@@ -60,7 +60,20 @@
   f.links.OnDown(kOwner);
   f.clock.Advance(milliseconds(10));
   CHECK(f.links.OnUp(kOwner, kProcess).empty());
-  f.clock.Advance(milliseconds(750));
+  f.clock.Advance(milliseconds(160));
+  CHECK(f.links.Abandoned().size() == 1);
+}
+
+// Guards against runs that outlive their caller's absence: an owner that stood
+// still for a second is linked again and has lost its job meanwhile.
+TEST_CASE("owner_links: an owner that is back soon has little time") {
+  owner_links_fixture f;
+  f.links.OnDown(kOwner);
+  f.clock.Advance(milliseconds(50));
+  CHECK(f.links.OnUp(kOwner, kProcess).empty());
+  f.clock.Advance(milliseconds(100));
+  CHECK(f.links.Abandoned().empty());
+  f.clock.Advance(milliseconds(60));
   CHECK(f.links.Abandoned().size() == 1);
 }
 
