--- a/tests/run_cluster/two_domains_test.cc
+++ b/tests/run_cluster/two_domains_test.cc
@@ -435,6 +435,35 @@
   CHECK(!d.ran_twice);
 }
 
+// Guards against runs whose leases outlive a home that waited for the owner to
+// send a job again that the owner no longer had.
+TEST_CASE("two domains: a cancellation is lost and then the home is killed") {
+  for (int i = 0; i < 40; ++i) {
+    duration ran = milliseconds(30 * (i % 10));
+    duration between = milliseconds(340 + 30 * (i / 10));
+    CAPTURE(ran.count());
+    CAPTURE(between.count());
+    two_domains d;
+    d.Kill(d.OtherOf("north"));
+    d.Run(milliseconds(500));
+    run_node& home = d.HomeOf("north");
+    run_node& owner = d.OtherOf("south");
+    d.Drain({failure_domain_id("south")});
+    d.Run(milliseconds(20));
+    submission_id submission = d.SubmitFirst(owner);
+    d.Drain({});
+    d.Run(ran);
+    time_point lost_at = d.clock.now();
+    owner.cluster->owner().OnCallerLeft(job_key(kJob), submission);
+    d.Cut(owner, home);
+    d.Run(milliseconds(150));
+    d.Heal(owner, home);
+    d.Run(between - milliseconds(150));
+    d.Kill(home);
+    d.ReturnInSouth(lost_at);
+  }
+}
+
 // Guards against cancellations that never reach the home, as the link is down.
 TEST_CASE("two domains: a job ends while the link to its home is down") {
   two_domains d;
