--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -91,7 +91,7 @@
   instance_id owner;
   // The process of the owner that sent the job; empty if that is this one.
   incarnation_id owner_incarnation;
-  // Set until the owner sends the job again. No task of the job starts
+  // Set while the owner may no longer have the job. No task of the job starts
   // meanwhile.
   std::optional<orphaned_job> orphaned;
   run_request request;
--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -117,7 +117,7 @@
 void job_owner::Forget(job_map::iterator found) {
   const open_job& job = found->second;
   if (!job.sent.empty() || job.has_earlier_runs)
-    ended_jobs_[found->first] = {clock_.now(), job.group};
+    ended_jobs_[found->first] = {clock_.now(), job.submission, job.group};
   jobs_.erase(found);
 }
 
@@ -306,13 +306,14 @@
 
 void job_owner::LogStrayReport(const instance_id& from,
                                const run_report& report) {
+  if (report.tasks.empty())
+    return;
   ++metrics_.stray_reports;
   LogEvent(log_level::kInfo, "report_without_job",
            {{"job", report.job.str()},
             {"submission", report.submission.value()},
             {"home", from.str()},
-            {"tasks", report.tasks.size()},
-            {"refusal", ToString(report.refusal)}});
+            {"tasks", report.tasks.size()}});
 }
 
 void job_owner::OnRefused(open_job& job, const run_report& report) {
@@ -390,7 +391,10 @@
   }
 }
 
-void job_owner::OnPeerUp(const instance_id&) {
+void job_owner::OnPeerUp(const instance_id& peer) {
+  // The cancellations may have been lost with the link.
+  for (const auto& [key, job] : ended_jobs_)
+    cancel_(peer, {key, job.submission});
   OnHomesChanged();
 }
 
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -73,7 +73,7 @@
   uint64_t moved = 0;
   // Jobs that ended here while their home could not be told so.
   uint64_t cancels_unsent = 0;
-  // Reports for submissions that are not open here (any more).
+  // Reports of tasks' ends for submissions that are not open here.
   uint64_t stray_reports = 0;
   // The time from acceptance to answer.
   latency_by_queue answer_time;
@@ -167,6 +167,7 @@
   // A job that ended here although its home may have runs of it.
   struct ended_job {
     time_point ended_at;
+    submission_id submission;
     home_group group;
   };
 
@@ -192,8 +193,8 @@
   bool AnyHomeHasPlaces(const open_job& job) const;
   void LogAnswer(const open_job& job, const run_answer& answer) const;
   void CancelAtHome(const open_job& job);
-  // Logs a report for a submission that is not open here. Its home runs tasks
-  // for which nobody waits, unless it crossed with the job's cancellation.
+  // Logs ends of tasks of a submission that is not open here. They crossed with
+  // the end of the job, or their home runs tasks for which nobody waits.
   void LogStrayReport(const instance_id& from, const run_report& report);
   void ExpireJobs();
 
--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-void owner_links::OnJobSent(const instance_id& owner, home_job& job) const {
+void owner_links::OnJobSent(const instance_id& owner, home_job& job) {
   job.owner = owner;
   auto link = linked_.find(owner);
   // An instance that is home to its own jobs has no link to itself.
@@ -41,12 +41,12 @@
   LogOwner("owner_lost", owner, jobs);
 }
 
-void owner_links::OnStartNotSent(home_job& job) const {
+void owner_links::OnStartNotSent(home_job& job) {
   if (!job.cancelled)
     MarkOrphaned(job);
 }
 
-void owner_links::MarkOrphaned(home_job& job) const {
+void owner_links::MarkOrphaned(home_job& job) {
   if (!job.orphaned)
     job.orphaned = orphaned_job{clock_.now(), std::nullopt};
   job.orphaned->linked_at.reset();
--- a/src/runs/owner_links.h
+++ b/src/runs/owner_links.h
@@ -23,11 +23,11 @@
       : clock_(clock), jobs_(jobs) {}
 
   // The owner has sent the job over its present link.
-  void OnJobSent(const instance_id& owner, home_job& job) const;
+  void OnJobSent(const instance_id& owner, home_job& job);
   void OnDown(const instance_id& owner);
   // The owner did not send a start, as there is no link to it or it does not
   // have the job.
-  void OnStartNotSent(home_job& job) const;
+  void OnStartNotSent(home_job& job);
   // Returns the jobs of an earlier process of the instance.
   std::vector<home_job*> OnUp(const instance_id& owner,
                               const incarnation_id& incarnation);
@@ -35,7 +35,7 @@
   std::vector<home_job*> Abandoned() const;
 
  private:
-  void MarkOrphaned(home_job& job) const;
+  void MarkOrphaned(home_job& job);
 
   const scheduler& clock_;
   home_job_map& jobs_;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -129,7 +129,10 @@
   if (other_submission && !job.cancelled) {
     // The owner of an earlier submission sends it again if its link was down
     // when that submission was superseded.
-    if (submitted_at < job.submitted_at) {
+    bool is_earlier = job.owner == from
+                          ? request.submission < job.request.submission
+                          : submitted_at < job.submitted_at;
+    if (is_earlier) {
       reports_.SendSuperseded(from, request);
       return;
     }
@@ -520,7 +523,7 @@
     start_decision decision = gate_.Decide(!job.HasNotStarted(), clock_.now());
     if (decision == start_decision::kReturnToOwner)
       ReturnToOwner(job, run_refusal::kDrained, kMinRetryAfter);
-    if (decision != start_decision::kStart || job.orphaned)
+    if (decision != start_decision::kStart)
       continue;
     if (const home_task* held = HeldTask(job)) {
       GiveUp(job, *held);
@@ -553,10 +556,12 @@
   CancelJob(job);
 }
 
+// Leaves out orphaned jobs: none of their tasks may start, and a refusal would
+// be lost as the owner's link is down.
 std::vector<waiting_job> run_home::RankWaitingJobs() {
   std::vector<waiting_job> waiting;
   for (auto& [key, job] : jobs_) {
-    double work = job.cancelled ? 0 : job.QueuedWork();
+    double work = job.cancelled || job.orphaned ? 0 : job.QueuedWork();
     if (work <= 0)
       continue;
     scheduling_criteria criteria = job.SchedulingCriteria();
