--- a/tests/run_home/delegated_start_test.cc
+++ b/tests/run_home/delegated_start_test.cc
@@ -53,9 +53,7 @@
 }
 
 TEST_CASE("run_home: a job that its owner no longer has is dropped") {
-  // Guards against keeping a job forever. The caller submitted the job again
-  // through the same owner, which sent the new submission to another home
-  // without telling this one.
+  // Guards against keeping a job forever whose owner sends none of its starts.
   manual_scheduler clock;
   fake_fleet fleet{clock};
   fleet.Add("u1", "north");
