--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -182,6 +182,7 @@
   // answered with `reason` and `retry_after`.
   void ChooseHome(open_job& job, duration retry_after, run_refusal reason);
   void RetryAwaitingFirstHome();
+  // Sends the job to the home that may have runs of its earlier submission.
   void TakeOver(open_job& job, const ended_job& earlier);
   // Ends the job here; remembers it while its home may have runs of it.
   void Forget(job_map::iterator found);
--- a/src/runs/owner_links.h
+++ b/src/runs/owner_links.h
@@ -24,11 +24,13 @@
 
   // The owner has sent the job over its present link.
   void OnJobSent(const instance_id& owner, home_job& job);
+  // The link to the owner broke.
   void OnDown(const instance_id& owner);
   // The owner did not send a start, as there is no link to it or it does not
   // have the job.
   void OnStartNotSent(home_job& job);
-  // Returns the jobs of an earlier process of the instance.
+  // There is a new link to the owner. Returns the jobs of earlier processes of
+  // that instance.
   std::vector<home_job*> OnUp(const instance_id& owner,
                               const incarnation_id& incarnation);
   // Returns the jobs whose owners have not sent them again in time.
