Log why a failure domain stays without a home

A domain whose home is lost while the store is silent may have none for seconds, and the logs did not tell which of the conditions for beginning without the store kept each instance from it. home_awaited names it, once for each change. No change of behaviour.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -263,6 +263,7 @@
                !leaving_peers_.contains(home->instance) &&
                !(home->status.yielding && IsMuchStrongerThan(home->instance));
   if (alive || leaving_) {
+    logged_obstacle_ = nullptr;
     without_home_since_.reset();
     store_unavailable_since_.reset();
     return;
@@ -350,20 +351,45 @@
 // probably cut off itself, and must not take the upstreams from a home that is
 // alive, which would stop the whole group.
 void home_election::TakeOverWithoutStore() {
-  fencing_token highest = homes_.HighestToken(group_);
+  const char* obstacle = ObstacleWithoutStore();
+  LogObstacle(obstacle);
+  if (obstacle)
+    return;
+  row_version_unknown_ = true;
+  row_version_ = 0;
+  Begin(TokenWithoutStore(homes_.HighestToken(group_)), "without_store", true);
+}
+
+const char* home_election::ObstacleWithoutStore() const {
+  if (homes_.HighestToken(group_).value() == 0)
+    return "no_token";
+  if (!IsConnectedToHalf())
+    return "few_links";
+  if (OwnRank() > 0)
+    return "outranked";
   bool known_ended = std::ranges::any_of(refused_, [&](const auto& id) {
     auto member = members_.find(id);
     return member != members_.end() && member->second.domain == group_.domain;
   });
   duration wait =
       known_ended ? kStorelessWaitAfterEnd : kStorelessWaitAfterSilence;
-  bool may = IsConnectedToHalf() && highest.value() > 0 && OwnRank() == 0 &&
-             clock_.now() - *store_unavailable_since_ >= wait;
-  if (!may)
+  if (clock_.now() - *store_unavailable_since_ < wait)
+    return "short_silence";
+  return nullptr;
+}
+
+void home_election::LogObstacle(const char* obstacle) {
+  if (obstacle == logged_obstacle_)
     return;
-  row_version_unknown_ = true;
-  row_version_ = 0;
-  Begin(TokenWithoutStore(highest), "without_store", true);
+  logged_obstacle_ = obstacle;
+  if (!obstacle)
+    return;
+  duration missing = clock_.now() - without_home_since_.value_or(clock_.now());
+  LogEvent(log_level::kInfo, "home_awaited",
+           {{"group", group_.ToString()},
+            {"why", obstacle},
+            {"rank", OwnRank()},
+            {"missing_ms", WholeMilliseconds(missing)}});
 }
 
 // Two candidates that are disconnected from each other may both begin. If they
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -101,6 +101,11 @@
   // since this one began.
   void TakeOver(uint64_t expected_version, bool other_may_have_served);
   void TakeOverWithoutStore();
+  // Returns why this instance may not begin without the store, or null if it
+  // may.
+  const char* ObstacleWithoutStore() const;
+  // Logs the obstacle when it changes while the group has no home.
+  void LogObstacle(const char* obstacle);
   fencing_token TokenWithoutStore(fencing_token highest) const;
   void Renew();
   void OnRenewed(const outcome<std::vector<uint64_t>, store_error>& result);
@@ -139,6 +144,8 @@
   time_point watched_since_;
   std::optional<time_point> without_home_since_;
   std::optional<time_point> store_unavailable_since_;
+  // The last obstacle that was logged; null if there was none.
+  const char* logged_obstacle_ = nullptr;
   time_point last_renewal_;
   scoped_timer tick_timer_;
 };
