Keep upstreams that a home's short list lacks

Callers saw nothing yet; tests show a task that runs twice. When a cut heals, the store's list lacks upstreams whose registrations lapsed. A home that began with it told it as the full list, its peers dropped what they knew beyond it, and the next home counted as one that knew its upstreams.

Cause: a list could not say whether it was whole.

A list is whole once it was followed from the store for 2.5 s without interruption, or was added to a whole one. Only a home's whole list replaces another. A home that began without one waits for its predecessors' leases.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -157,6 +157,7 @@
 }
 
 void run_cluster::OnHomeBegins(fencing_token token) {
+  began_with_whole_list_ = upstreams_whole_;
   home_->Begin(token);
   SendHomeStatus();
   if (home_handler_)
@@ -164,6 +165,7 @@
 }
 
 void run_cluster::OnHomeEnds() {
+  listed_since_.reset();
   home_->End();
   SendHomeStatus();
   if (home_handler_)
@@ -176,7 +178,31 @@
     if (info.failure_domain == self_.domain)
       listed_upstreams_.emplace(id, info);
   }
+  if (!listed_since_)
+    listed_since_ = clock_.now();
   UseListedUpstreams();
+  ReviewWholeList();
+}
+
+// Upstreams whose registrations lapsed while the store was unreachable get the
+// whole retention time to register again.
+void run_cluster::SetUpstreamListReachable(bool reachable) {
+  if (reachable)
+    missing_since_.clear();
+  else
+    listed_since_.reset();
+}
+
+// Upstreams that are alive have registered again by the time for which missing
+// ones are kept, so from then on the store's list lacks none.
+void run_cluster::ReviewWholeList() {
+  bool is_whole = listed_since_ &&
+                  clock_.now() - *listed_since_ >= kMissingUpstreamRetention;
+  if (upstreams_whole_ || !is_whole)
+    return;
+  upstreams_whole_ = true;
+  if (home_->serving())
+    SendToOwnDomain(FullNews(upstreams_, true));
 }
 
 void run_cluster::UseListedUpstreams() {
@@ -187,7 +213,7 @@
   KeepRecentlyMissing(&own);
   upstream_news news = Difference(upstreams_, own);
   upstreams_ = std::move(own);
-  home_->SetUpstreams(upstreams_, true);
+  home_->SetUpstreams(upstreams_, began_with_whole_list_);
   if (news.empty())
     return;
   SendToOwnDomain(news);
@@ -227,6 +253,7 @@
   for (upstream_info& info : news.rows)
     info.failure_domain = self_.domain;
   Apply(news, &upstreams_);
+  upstreams_whole_ = upstreams_whole_ || news.whole;
   home_->SetUpstreams(upstreams_, false);
 }
 
@@ -357,7 +384,7 @@
   if (home_->serving()) {
     Send(peer.instance, home_->Status());
     if (peer.failure_domain == self_.domain) {
-      Send(peer.instance, FullNews(upstreams_));
+      Send(peer.instance, FullNews(upstreams_, upstreams_whole_));
       Send(peer.instance, home_->speeds().All());
     }
   }
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -72,6 +72,9 @@
   // Sets the upstreams that are registered in the store, and sends the changes
   // to the peers of this instance's failure domain.
   void SetUpstreams(const upstream_registry& upstreams);
+  // Sets whether the store answers this instance's requests for the list of
+  // upstreams. Registrations may have lapsed before it answered again.
+  void SetUpstreamListReachable(bool reachable);
   // Applies a document from the store or from a peer of an older release,
   // unless a newer one is in force. `from` names the source in the log.
   void OnConfigDocument(const std::string& document, const char* from);
@@ -142,6 +145,9 @@
   bool IsKnownService(const service_id& service) const;
   // Replaces the known upstreams by those listed in the store.
   void UseListedUpstreams();
+  // Sends the known upstreams to the other instances of the failure domain once
+  // they are whole.
+  void ReviewWholeList();
   // Adds known upstreams that have been missing from the list for a short time
   // only.
   void KeepRecentlyMissing(upstream_registry* listed);
@@ -162,6 +168,12 @@
   // services.
   upstream_registry listed_upstreams_;
   upstream_registry upstreams_;
+  // `upstreams_` contains all upstreams on which tasks may run.
+  bool upstreams_whole_ = false;
+  // `upstreams_` was whole when this instance became home.
+  bool began_with_whole_list_ = false;
+  // Since when the store has listed upstreams without interruption.
+  std::optional<time_point> listed_since_;
   // Since when the store has not listed an upstream that is in `upstreams_`.
   std::map<upstream_id, time_point> missing_since_;
   peer_addresses addresses_;
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -4843,6 +4843,11 @@
   this->gone = val;
 __isset.gone = true;
 }
+
+void upstream_news::__set_whole(const bool val) {
+  this->whole = val;
+__isset.whole = true;
+}
 std::ostream& operator<<(std::ostream& out, const upstream_news& obj)
 {
   obj.printTo(out);
@@ -4919,6 +4924,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4965,6 +4978,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.whole) {
+    xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->whole);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4975,6 +4993,7 @@
   swap(a.full, b.full);
   swap(a.rows, b.rows);
   swap(a.gone, b.gone);
+  swap(a.whole, b.whole);
   swap(a.__isset, b.__isset);
 }
 
@@ -4982,12 +5001,14 @@
   full = other156.full;
   rows = other156.rows;
   gone = other156.gone;
+  whole = other156.whole;
   __isset = other156.__isset;
 }
 upstream_news& upstream_news::operator=(const upstream_news& other157) {
   full = other157.full;
   rows = other157.rows;
   gone = other157.gone;
+  whole = other157.whole;
   __isset = other157.__isset;
   return *this;
 }
@@ -4997,6 +5018,7 @@
   out << "full=" << to_string(full);
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
+  out << ", " << "whole="; (__isset.whole ? (out << to_string(whole)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -2010,10 +2010,11 @@
 std::ostream& operator<<(std::ostream& out, const upstream_row& obj);
 
 typedef struct _upstream_news__isset {
-  _upstream_news__isset() : full(false), rows(false), gone(false) {}
+  _upstream_news__isset() : full(false), rows(false), gone(false), whole(false) {}
   bool full :1;
   bool rows :1;
   bool gone :1;
+  bool whole :1;
 } _upstream_news__isset;
 
 class upstream_news : public virtual ::apache::thrift::TBase {
@@ -2022,13 +2023,15 @@
   upstream_news(const upstream_news&);
   upstream_news& operator=(const upstream_news&);
   upstream_news() noexcept
-                : full(0) {
+                : full(0),
+                  whole(0) {
   }
 
   virtual ~upstream_news() noexcept;
   bool full;
   std::vector<upstream_row>  rows;
   std::vector<std::string>  gone;
+  bool whole;
 
   _upstream_news__isset __isset;
 
@@ -2038,6 +2041,8 @@
 
   void __set_gone(const std::vector<std::string> & val);
 
+  void __set_whole(const bool val);
+
   bool operator == (const upstream_news & rhs) const
   {
     if (!(full == rhs.full))
@@ -2048,6 +2053,10 @@
       return false;
     else if (__isset.gone && !(gone == rhs.gone))
       return false;
+    if (__isset.whole != rhs.__isset.whole)
+      return false;
+    else if (__isset.whole && !(whole == rhs.whole))
+      return false;
     return true;
   }
   bool operator != (const upstream_news &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -237,11 +237,12 @@
 }
 
 // Upstreams of the sender's failure domain that are new or changed, and those
-// that are gone. A full one replaces all that is known.
+// that are gone. A full and whole one replaces all that is known.
 struct upstream_news {
   1: bool full
   2: list<upstream_row> rows
   3: optional list<string> gone
+  4: optional bool whole
 }
 
 // All failure domains that operators have drained, as of that version of the
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -228,6 +228,8 @@
 wire::upstream_news ToWire(const upstream_news& news) {
   wire::upstream_news wire;
   wire.full = news.full;
+  if (news.whole)
+    wire.__set_whole(true);
   for (const upstream_info& info : news.rows) {
     wire::upstream_row row;
     row.id = info.id.str();
@@ -255,6 +257,7 @@
 upstream_news FromWire(const wire::upstream_news& wire) {
   upstream_news news;
   news.full = wire.full;
+  news.whole = wire.whole;
   for (const wire::upstream_row& row : wire.rows) {
     upstream_info info;
     info.id = upstream_id(row.id);
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -98,7 +98,7 @@
   bool serving() const { return serving_; }
 
   // Sets the group's upstreams. `confirmed` is true if the list comes from the
-  // store and not from an earlier home.
+  // store and this home knew all upstreams when it began.
   void SetUpstreams(const upstream_registry& upstreams, bool confirmed);
 
   // Sets the state that operators have requested for the failure domain.
@@ -211,8 +211,8 @@
   owner_links owner_links_;
   run_home_metrics metrics_;
   time_point begun_at_;
-  // True once the list of upstreams includes those known before this home began
-  // and those that the store has listed since.
+  // True once the list of upstreams includes those that earlier homes used and
+  // those that the store has listed since this home began.
   bool upstreams_confirmed_ = false;
   bool began_with_upstreams_ = false;
   bool dispatch_scheduled_ = false;
--- a/src/runs/upstream_registry.cc
+++ b/src/runs/upstream_registry.cc
@@ -17,16 +17,17 @@
   return news;
 }
 
-upstream_news FullNews(const upstream_registry& registry) {
+upstream_news FullNews(const upstream_registry& registry, bool whole) {
   upstream_news news;
   news.full = true;
+  news.whole = whole;
   for (const auto& [id, info] : registry)
     news.rows.push_back(info);
   return news;
 }
 
 void Apply(const upstream_news& news, upstream_registry* registry) {
-  if (news.full)
+  if (news.full && news.whole)
     registry->clear();
   for (const upstream_info& info : news.rows)
     (*registry)[info.id] = info;
--- a/src/runs/upstream_registry.h
+++ b/src/runs/upstream_registry.h
@@ -37,9 +37,12 @@
 // failure domain, so that one of them can take over while the store is
 // unavailable.
 struct upstream_news {
-  // If true, `rows` is the whole registry and replaces the previous one; if
-  // false, `rows` contains the registrations that are new or have changed.
+  // If true, `rows` is all that the sender knows; if false, `rows` contains the
+  // registrations that are new or have changed.
   bool full = false;
+  // The sender's registry contains all upstreams on which tasks may run. A home
+  // that began when registrations had lapsed knows only some of them.
+  bool whole = false;
   std::vector<upstream_info> rows;
   // Upstreams that were removed from the registry.
   std::vector<upstream_id> gone;
@@ -51,9 +54,11 @@
 // Returns the changes that turn `before` into `after`.
 upstream_news Difference(const upstream_registry& before,
                          const upstream_registry& after);
-// Returns news that contain the whole registry.
-upstream_news FullNews(const upstream_registry& registry);
-// Updates `registry` with the changes in `news`.
+// Returns news with all of the registry.
+upstream_news FullNews(const upstream_registry& registry, bool whole);
+// Updates `registry` with the changes in `news`. A full list replaces the
+// registry only if it is whole: a successor that drops upstreams would start
+// the tasks that run there a second time.
 void Apply(const upstream_news& news, upstream_registry* registry);
 
 }  // namespace jasminedyke
--- a/tests/run_codec/run_codec_test.cc
+++ b/tests/run_codec/run_codec_test.cc
@@ -85,6 +85,7 @@
   CHECK(ThroughTheWire(status) == status);
   upstream_news news;
   news.full = true;
+  news.whole = true;
   upstream_info info;
   info.id = upstream_id("u1");
   info.address = "10.0.0.1:80";
