Bound an upstream's clock by the best of its readings

What callers saw: a task ran beside their second submission after home and owner had been killed, where a start order to an idle upstream was carried out 0.6 or 1.4 s late.

Cause: limits of orders count from the upper bound of the upstream's clock, which came from the newest reading alone. The reply to an idle hold was sent for 2 s before, so orders to upstreams that had been idle stayed valid for up to 2.5 s. Ruled out: the limit itself (0.5 s on upstreams that were busy).

The least bound of all readings counts; a reading above it replaces it. An old bound of a slow clock becomes loose, so a limit exceeds the lower bound by 100 ms at most.

--- a/src/runs/upstream_clock.cc
+++ b/src/runs/upstream_clock.cc
@@ -1,5 +1,7 @@
 #include "runs/upstream_clock.h"
 
+#include <algorithm>
+
 namespace jasminedyke {
 
 namespace {
@@ -8,6 +10,10 @@
 constexpr double kMinClockRate = 0.98;
 // Safety margin before a time on the upstream's clock counts as past.
 constexpr int64_t kDeadlineMarginMs = 30;
+// Largest part of an order's validity that makes up for the uncertainty of the
+// clock. Two seconds without a call to an upstream whose clock is slow take
+// 40 ms of it, a round trip the rest.
+constexpr int64_t kMaxClockSlackMs = 100;
 
 }  // namespace
 
@@ -18,20 +24,40 @@
 void upstream_clock::AddReading(upstream_time reading, time_point sent_at) {
   if (known_ && reading < last_reading_)
     return;
+  bound upper{reading, sent_at};
+  bound lower{reading, clock_.now()};
+  // A reading above the upper bound shows that this instance's own clock stood
+  // still or that the upstream's clock was set anew.
+  if (!known_ || Upper(upper) < Upper(upper_) || reading > Upper(upper_))
+    upper_ = upper;
+  if (!known_ || Lower(lower) > Lower(lower_))
+    lower_ = lower;
   known_ = true;
   last_reading_ = reading;
-  sent_at_ = sent_at;
   received_at_ = clock_.now();
 }
 
-upstream_time upstream_clock::LowerBound() const {
+upstream_time upstream_clock::Lower(const bound& lower) const {
   auto elapsed =
-      static_cast<double>(WholeMilliseconds(clock_.now() - received_at_));
-  return {last_reading_.ms + static_cast<int64_t>(elapsed * kMinClockRate)};
+      static_cast<double>(WholeMilliseconds(clock_.now() - lower.at));
+  return {lower.reading.ms + static_cast<int64_t>(elapsed * kMinClockRate)};
+}
+
+upstream_time upstream_clock::Upper(const bound& upper) const {
+  return {upper.reading.ms + WholeMilliseconds(clock_.now() - upper.at) + 1};
+}
+
+upstream_time upstream_clock::LowerBound() const {
+  return Lower(lower_);
 }
 
 upstream_time upstream_clock::UpperBound() const {
-  return {last_reading_.ms + WholeMilliseconds(clock_.now() - sent_at_) + 1};
+  return Upper(upper_);
+}
+
+upstream_time upstream_clock::OrderLimit(duration limit) const {
+  int64_t now = std::min(UpperBound().ms, LowerBound().ms + kMaxClockSlackMs);
+  return {now + WholeMilliseconds(limit)};
 }
 
 }  // namespace jasminedyke
--- a/src/runs/upstream_clock.h
+++ b/src/runs/upstream_clock.h
@@ -16,6 +16,10 @@
 // limits of orders are times on that clock, but its readings arrive only in
 // replies, which take an unknown time to travel. Expiry must be checked against
 // the lower bound; new leases and limits must be computed from the upper bound.
+//
+// A clock may be slow but is never fast, so each reading bounds all later ones
+// from above by the time since its call was sent. The best of these bounds
+// counts: the reply to a call that waited at the upstream gives a poor one.
 class upstream_clock {
  public:
   explicit upstream_clock(const scheduler& clock) : clock_(clock) {}
@@ -41,14 +45,26 @@
   // Bounds of the clock's current reading. Must be called only if `known()`.
   upstream_time LowerBound() const;
   upstream_time UpperBound() const;
+  // Returns the time until which an order that is sent now is valid, so that it
+  // can be carried out for at least `limit`, unless replies were delayed, and
+  // for hardly longer.
+  upstream_time OrderLimit(duration limit) const;
 
  private:
+  // The clock showed `reading` or less at `at`, or `reading` or more.
+  struct bound {
+    upstream_time reading;
+    time_point at;
+  };
+
+  upstream_time Upper(const bound& upper) const;
+  upstream_time Lower(const bound& lower) const;
+
   const scheduler& clock_;
-  // The upstream's clock showed `last_reading_` at some moment between
-  // `sent_at_` and `received_at_`.
   upstream_time last_reading_;
-  time_point sent_at_;
   time_point received_at_;
+  bound upper_;
+  bound lower_;
   bool known_ = false;
 };
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -157,8 +157,7 @@
   order.spec = spec;
   order.token = token_;
   order.delegate = delegate;
-  order.not_after = incarnation_->clock.UpperBound();
-  order.not_after.ms += WholeMilliseconds(kStartTimeLimit);
+  order.not_after = incarnation_->clock.OrderLimit(kStartTimeLimit);
   run_record record;
   record.run = run;
   record.need = need;
--- a/tests/upstream_clock/upstream_clock_test.cc
+++ b/tests/upstream_clock/upstream_clock_test.cc
@@ -1,5 +1,8 @@
 // Tests of the bounds of an upstream's clock between its replies.
 
+#include <algorithm>
+#include <random>
+
 #include <doctest/doctest.h>
 
 #include "runs/runs.h"
@@ -36,4 +39,84 @@
   CHECK(!upstream.HasReadingSince(clock.now() - milliseconds(1)));
 }
 
+TEST_CASE("upstream_clock: a call that waited does not loosen the bounds") {
+  manual_scheduler clock;
+  upstream_clock upstream(clock);
+  upstream.AddReading({5000}, clock.now());
+  time_point sent_at = clock.now();
+  clock.Advance(milliseconds(2000));
+  upstream.AddReading({7000}, sent_at);
+  CHECK(upstream.UpperBound().ms == 7001);
+}
+
+TEST_CASE("upstream_clock: this instance's own clock stood still") {
+  manual_scheduler clock;
+  upstream_clock upstream(clock);
+  upstream.AddReading({5000}, clock.now());
+  clock.Advance(milliseconds(10));
+  upstream.AddReading({9000}, clock.now());
+  CHECK(upstream.UpperBound().ms == 9001);
+}
+
+// Guards against orders that stay valid for seconds: an upstream that has been
+// idle for long, whose clock is slow, gave only readings of calls that waited.
+TEST_CASE("upstream_clock: an order to an upstream that was idle for long") {
+  manual_scheduler clock;
+  upstream_clock upstream(clock);
+  constexpr double kRate = 0.98;
+  double shown = 5000;
+  for (int i = 0; i < 100; ++i) {
+    time_point sent_at = clock.now();
+    clock.Advance(milliseconds(2000));
+    shown += 2000 * kRate;
+    upstream.AddReading({static_cast<int64_t>(shown)}, sent_at);
+  }
+  int64_t limit = upstream.OrderLimit(milliseconds(500)).ms;
+  CHECK(limit >= static_cast<int64_t>(shown) + 500);
+  CHECK(limit <= static_cast<int64_t>(shown) + 601);
+}
+
+TEST_CASE("upstream_clock: bounds hold for random delays and rates") {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    auto pick = [&](int lowest, int highest) {
+      return std::uniform_int_distribution<int>(lowest, highest)(random);
+    };
+    manual_scheduler clock;
+    upstream_clock upstream(clock);
+    double rate = 0.98 + 0.02 * pick(0, 10) / 10;
+    time_point born = clock.now();
+    auto reading = [&] {
+      return static_cast<double>(WholeMilliseconds(clock.now() - born)) * rate;
+    };
+    int shortest = 10'000;
+    duration since_shortest = duration::zero();
+    for (int call = 0; call < 50; ++call) {
+      time_point sent_at = clock.now();
+      int there = pick(0, 50);
+      int wait = pick(0, 3) == 0 ? pick(0, 2000) : 0;
+      int back = pick(0, 50);
+      clock.Advance(milliseconds(there + wait));
+      upstream_time shown{static_cast<int64_t>(reading())};
+      clock.Advance(milliseconds(back));
+      upstream.AddReading(shown, sent_at);
+      if (there + wait + back < shortest) {
+        shortest = there + wait + back;
+        since_shortest = duration::zero();
+      }
+      duration pause = milliseconds(pick(0, 300));
+      clock.Advance(pause);
+      since_shortest += milliseconds(there + wait + back) + pause;
+      int64_t now = static_cast<int64_t>(reading());
+      REQUIRE(upstream.LowerBound().ms <= now + 1);
+      REQUIRE(upstream.UpperBound().ms >= now);
+      double drift =
+          static_cast<double>(WholeMilliseconds(since_shortest)) * (1 - rate);
+      REQUIRE(static_cast<double>(upstream.UpperBound().ms - now) <=
+              shortest + drift + 3);
+    }
+  }
+}
+
 }  // namespace jasminedyke
