Limit the leases that late holds prolong

The same cause as of the start orders: the lease in a hold counted from an upper bound that could be 2 s too high, so that a hold which was carried out late prolonged leases beyond the time after which a caller comes back. It has the same limit now.

--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -346,8 +346,7 @@
   if (incarnation_->settled && incarnation_->clock.known() &&
       !incarnation_->runs.HasFound() && !incarnation_->runs.empty() &&
       (incarnation_->HasRecentReply() || incarnation_->failed_holds == 0)) {
-    order.lease_until = incarnation_->clock.UpperBound();
-    order.lease_until->ms += WholeMilliseconds(limits_.longest_lease);
+    order.lease_until = incarnation_->clock.OrderLimit(limits_.longest_lease);
     RecordRequestedLease(*order.lease_until);
   }
   return order;
