Start nothing beside upstreams that have not answered a new home

What callers saw: a task ran twice where the first owner and the home were gone and the caller came back through another instance, while an upstream with a run of it did not answer the new home.

Cause: only tasks marked as perhaps started waited for all upstreams; the new owner does not know that its tasks were sent before.

For 1.5 s after it began, as long as its predecessors' runs can live, a home starts nothing while an upstream has not answered. Jobs that may go to another group go there at once.

--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -7,11 +7,11 @@
 
 namespace {
 
-// How long a new home waits if its list of upstreams is not confirmed. A
-// predecessor ends as soon as it is notified of its successor, and its leases
+// Time for which runs of earlier homes may live on upstreams that a new home
+// does not know or that have not replied to it. A predecessor ends as soon as it is notified of its successor, and its leases
 // last for another second on a clock that is 2 % slow. The rest is a margin for
 // the notification.
-constexpr duration kUnconfirmedWait = std::chrono::milliseconds(1500);
+constexpr duration kEarlierRunsTime = std::chrono::milliseconds(1500);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // An answer is useful until this multiple of the job's objective, counted from
 // its arrival.
@@ -484,10 +484,17 @@
 // list it waits until the leases of its predecessor have expired.
 bool run_home::AllSettled() const {
   bool all_known =
-      upstreams_confirmed_ || clock_.now() - begun_at_ >= kUnconfirmedWait;
+      upstreams_confirmed_ || clock_.now() - begun_at_ >= kEarlierRunsTime;
   return all_known && upstreams_.AllSettled();
 }
 
+// A task that is new to this home may be part of a job that its caller submitted
+// before: the first owner and the earlier home are gone, and its run goes on.
+bool run_home::MayStartTasks() const {
+  return clock_.now() - begun_at_ >= kEarlierRunsTime ||
+         upstreams_.AllSettled();
+}
+
 void run_home::QueueMaybeStarted() {
   if (!AllSettled())
     return;
@@ -518,6 +525,7 @@
   std::vector<waiting_job> in_order = RankWaitingJobs();
   if (!in_order.empty())
     placer_.Refresh();
+  bool may_start = MayStartTasks();
   for (const waiting_job& waiting : in_order) {
     home_job& job = *waiting.job;
     start_decision decision = gate_.Decide(!job.HasNotStarted(), clock_.now());
@@ -530,8 +538,10 @@
       continue;
     }
     if (job.request.may_pass && job.HasNotStarted() &&
-        !placer_.HasPlacesFor(job))
+        !(may_start && placer_.HasPlacesFor(job)))
       PassToOtherGroup(job);
+    else if (!may_start)
+      continue;
     else if (job.HasRejectedTask(kMaxRejections) ||
              (!PlaceTasks(job) && job.HasRejectedTask(1)))
       ReturnToOwner(job, run_refusal::kNotAccepted, kMinRetryAfter);
