Keep a finished job that was sent again until its caller's limit

What callers saw: a task of a job's second step ran again after it was done, as the link to the owner broke while both steps ran. Cause: the owner sends a request for each step; the home answered the first with all ends and forgot the job.

This try keeps a job that came again over a new link until its caller's limit.

--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -259,17 +259,23 @@
   bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kDone;
   });
-  const home_job& job = found->second;
-  bool owner_waits = job.orphaned && !job.cancelled && !job.unreported.empty();
-  if (over && !owner_waits)
+  if (over && !OwnerMayAsk(found->second))
     jobs_.erase(found);
 }
 
+// A job that is forgotten while its owner has more requests of it to send would
+// be run again.
+bool run_home::OwnerMayAsk(const home_job& job) const {
+  bool owner_waits = job.orphaned && !job.unreported.empty();
+  bool more_may_come = job.sent_again && clock_.now() < job.limit;
+  return !job.cancelled && (owner_waits || more_may_come);
+}
+
 void run_home::OnPeerUp(const instance_id& peer,
                         const incarnation_id& incarnation) {
   for (home_job* job : owner_links_.OnUp(peer, incarnation))
     CancelOrphan(*job);
-  EraseFinishedCancelled();
+  EraseFinished();
 }
 
 home_task* run_home::FindTask(const task_name& task, home_job** job) {
@@ -546,7 +552,7 @@
              (!PlaceTasks(job) && job.HasRejectedTask(1)))
       ReturnToOwner(job, run_refusal::kNotAccepted, kMinRetryAfter);
   }
-  EraseFinishedCancelled();
+  EraseFinished();
 }
 
 // Refuses the job so that its owner sends it to another group. The load of
@@ -705,16 +711,18 @@
       Refuse(job, run_refusal::kNoUpstream, kMinRetryAfter);
     CancelJob(job);
   }
-  EraseFinishedCancelled();
+  EraseFinished();
 }
 
-void run_home::EraseFinishedCancelled() {
-  std::vector<job_key> cancelled;
+// Erases the jobs that were kept only for runs that had to be stopped or for an
+// owner that might ask for them.
+void run_home::EraseFinished() {
+  std::vector<job_key> kept;
   for (const auto& [key, job] : jobs_) {
-    if (job.cancelled)
-      cancelled.push_back(key);
+    if (job.cancelled || job.sent_again)
+      kept.push_back(key);
   }
-  for (const job_key& key : cancelled)
+  for (const job_key& key : kept)
     EraseIfFinished(key);
 }
 
