Say not run of a waiting job that is sent again in a drained domain

What callers saw: 504 instead of 503 with Retry-After, when operators drained the domain while the link to the job's owner was down. Cause: the owner marks what it sends again as perhaps started, and the home took that for news of a task that it had kept, and not started, all the time. The mark counts for tasks that are new here.

--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -8,9 +8,9 @@
 namespace {
 
 // Time for which runs of earlier homes may live on upstreams that a new home
-// does not know or that have not replied to it. A predecessor ends as soon as it is notified of its successor, and its leases
-// last for another second on a clock that is 2 % slow. The rest is a margin for
-// the notification.
+// does not know or that have not replied to it. A predecessor ends as soon as
+// it is notified of its successor, and its leases last for another second on a
+// clock that is 2 % slow. The rest is a margin for the notification.
 constexpr duration kEarlierRunsTime = std::chrono::milliseconds(1500);
 constexpr duration kSweepInterval = std::chrono::milliseconds(50);
 // An answer is useful until this multiple of the job's objective, counted from
@@ -165,6 +165,9 @@
     task.demand = demand;
     if (is_new)
       task.queued_at = clock_.now();
+    // A home that has had a task since it was first sent knows whether it
+    // started it.
+    bool known_queued = !is_new && task.phase == task_phase::kQueued;
     if (auto end = claims_.TakeUnclaimedEnd(name)) {
       if (*end == run_end::kDone && demand.maybe_started) {
         job.may_have_run = true;
@@ -196,7 +199,8 @@
       task.phase = task_phase::kQueued;
       task.rejections = 0;
     }
-    if (task.phase == task_phase::kQueued && demand.maybe_started) {
+    if (task.phase == task_phase::kQueued && demand.maybe_started &&
+        !known_queued) {
       job.may_have_run = true;
       if (!AllSettled())
         task.phase = task_phase::kMaybeStarted;
@@ -494,8 +498,9 @@
   return all_known && upstreams_.AllSettled();
 }
 
-// A task that is new to this home may be part of a job that its caller submitted
-// before: the first owner and the earlier home are gone, and its run goes on.
+// A task that is new to this home may be part of a job that its caller
+// submitted before: the first owner and the earlier home are gone, and its run
+// goes on.
 bool run_home::MayStartTasks() const {
   return clock_.now() - begun_at_ >= kEarlierRunsTime ||
          upstreams_.AllSettled();
