Let homes begin in the dark without waiting for those that can't

What callers saw: with the store silent, a domain whose home lost power had none for 2.6 s and more, until the store was back where the home had restarted: jobs went elsewhere or failed.

Evidence, by the lines of home_awaited on the code before: in two of the three tests all that knew a token were `outranked` by restarted instances that wrote `no_token`; in the third the only candidate wrote `short_silence` at 1.0 s and decided next at 2.0 s, when its second call to the store had failed.

Cause: an order among candidates that left out who is able; knowledge that only a home passes on; a silence that was looked at only in replies.

Rank counts linked instances that say that they could begin and were met before the loss, and costs a wait instead of blocking.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -24,6 +24,8 @@
 // Time in which a new instance learns whether there is a home and which
 // instance is the strongest. Links come up 20 to 40 ms after the start.
 constexpr duration kSettleTime = std::chrono::milliseconds(100);
+// Time in which the first candidate begins and its status arrives here.
+constexpr duration kStorelessWaitPerRank = std::chrono::milliseconds(500);
 // Wait without the store after the process of a home is known to have ended.
 constexpr duration kStorelessWaitAfterEnd = std::chrono::milliseconds(700);
 // Wait without the store after a home became silent, which is detected after a
@@ -57,7 +59,7 @@
 }  // namespace
 
 home_election::home_election(scheduler& clock,
-                             table_service& store,
+                             store_watch& store,
                              const home_directory& homes,
                              const home_group& group,
                              const entry_member& self,
@@ -80,13 +82,17 @@
 
 void home_election::OnPeerUp(const peer_identity& peer) {
   peers_up_.emplace(peer.instance, clock_.now());
-  incarnations_[peer.instance] = peer.incarnation;
+  auto [process, is_new] = processes_.try_emplace(
+      peer.instance, peer_process{peer.incarnation, clock_.now()});
+  if (process->second.incarnation != peer.incarnation)
+    process->second = {peer.incarnation, clock_.now()};
   refused_.erase(peer.instance);
   leaving_peers_.erase(peer.instance);
 }
 
 void home_election::OnPeerDown(const instance_id& peer) {
   peers_up_.erase(peer);
+  able_peers_.erase(peer);
 }
 
 void home_election::OnPeerRefused(const instance_id& peer) {
@@ -99,6 +105,25 @@
   leaving_peers_.insert(peer);
 }
 
+void home_election::OnPeerCanBegin(const instance_id& peer, bool can_begin) {
+  if (can_begin)
+    able_peers_.insert(peer);
+  else
+    able_peers_.erase(peer);
+}
+
+void home_election::OnTokenKnown(fencing_token token) {
+  told_token_ = std::max(told_token_, token);
+}
+
+fencing_token home_election::KnownToken() const {
+  return std::max(told_token_, homes_.HighestToken(group_));
+}
+
+bool home_election::CanBeginWithoutStore() const {
+  return KnownToken().value() > 0 && handlers_.knows_upstreams();
+}
+
 void home_election::OnHomesChanged() {
   const known_home* home = homes_.Find(group_);
   bool is_other = home && home->instance != self_.instance;
@@ -237,7 +262,8 @@
   });
 }
 
-int home_election::OwnRank() const {
+int home_election::OwnRank(
+    const std::function<bool(const instance_id&)>& counts) const {
   auto score = [&](const entry_member& member) {
     return std::pair(member.weight, StableHash(group_.ToString() + "/" +
                                                member.instance.str()));
@@ -246,13 +272,28 @@
   int rank = 0;
   for (const auto& [id, member] : members_) {
     bool candidate = member.domain == group_.domain && peers_up_.contains(id) &&
-                     !leaving_peers_.contains(id);
+                     !leaving_peers_.contains(id) && counts(id);
     if (candidate && score(member) > own)
       ++rank;
   }
   return rank;
 }
 
+int home_election::OwnRank() const {
+  return OwnRank([](const instance_id&) { return true; });
+}
+
+// Leaves out processes that were first met after the loss: they would count
+// their own wait from their start.
+int home_election::StorelessRank() const {
+  return OwnRank([this](const instance_id& id) {
+    auto process = processes_.find(id);
+    bool met_before = process != processes_.end() && without_home_since_ &&
+                      process->second.met_at <= *without_home_since_;
+    return met_before && able_peers_.contains(id);
+  });
+}
+
 bool home_election::IsConnectedToHalf() const {
   return (peers_up_.size() + 1) * 2 >= members_.size();
 }
@@ -263,13 +304,17 @@
                !leaving_peers_.contains(home->instance) &&
                !(home->status.yielding && IsMuchStrongerThan(home->instance));
   if (alive || leaving_) {
+    asked_in_vain_ = false;
     logged_obstacle_ = nullptr;
     without_home_since_.reset();
-    store_unavailable_since_.reset();
     return;
   }
   if (!without_home_since_)
     without_home_since_ = clock_.now();
+  if (asked_in_vain_ && store_.silent_since())
+    TakeOverWithoutStore();
+  if (holding_)
+    return;
   duration wait = kWaitPerRank * OwnRank();
   if (!home && homes_.HighestToken(group_).value() == 0)
     wait += kSettleTime;
@@ -277,26 +322,16 @@
     return;
   call_in_flight_ = true;
   store_.Read(kTable, group_.ToString(),
-              [this, requested_at = clock_.now()](const auto& row) {
-                OnRowRead(requested_at, row);
-              });
+              [this](const auto& row) { OnRowRead(row); });
 }
 
-void home_election::OnRowRead(time_point requested_at,
-                              const outcome<table_row, store_error>& result) {
+void home_election::OnRowRead(const outcome<table_row, store_error>& result) {
   call_in_flight_ = false;
-  if (holding_ || leaving_)
-    return;
-  if (!result.ok() && result.error() != store_error::kNotFound) {
-    // A store that did not reply has been unavailable since the request was
-    // sent.
-    if (!store_unavailable_since_)
-      store_unavailable_since_ = requested_at;
-    TakeOverWithoutStore();
+  bool is_missing = !result.ok() && result.error() == store_error::kNotFound;
+  asked_in_vain_ = !result.ok() && !is_missing;
+  if (holding_ || leaving_ || (!result.ok() && !is_missing))
     return;
-  }
-  store_unavailable_since_.reset();
-  if (!result.ok()) {
+  if (is_missing) {
     TakeOver(0, true);
     return;
   }
@@ -321,9 +356,9 @@
 // of the holder only. A row with an unknown incarnation was written by another
 // process, about which neither says anything.
 bool home_election::HasEnded(const home_row& row) const {
-  auto known = incarnations_.find(row.holder);
+  auto known = processes_.find(row.holder);
   bool is_known =
-      known == incarnations_.end() || known->second == row.incarnation;
+      known == processes_.end() || known->second.incarnation == row.incarnation;
   if (!is_known)
     return peers_up_.contains(row.holder);
   // A home that is leaving keeps serving until its successor's status arrives.
@@ -357,24 +392,28 @@
     return;
   row_version_unknown_ = true;
   row_version_ = 0;
-  Begin(TokenWithoutStore(homes_.HighestToken(group_)), "without_store", true);
+  Begin(TokenWithoutStore(KnownToken()), "without_store", true);
 }
 
 const char* home_election::ObstacleWithoutStore() const {
-  if (homes_.HighestToken(group_).value() == 0)
+  if (KnownToken().value() == 0)
     return "no_token";
+  if (!handlers_.knows_upstreams())
+    return "no_upstreams";
   if (!IsConnectedToHalf())
     return "few_links";
-  if (OwnRank() > 0)
-    return "outranked";
   bool known_ended = std::ranges::any_of(refused_, [&](const auto& id) {
     auto member = members_.find(id);
     return member != members_.end() && member->second.domain == group_.domain;
   });
   duration wait =
       known_ended ? kStorelessWaitAfterEnd : kStorelessWaitAfterSilence;
-  if (clock_.now() - *store_unavailable_since_ < wait)
+  duration silent =
+      clock_.now() - std::max(*store_.silent_since(), *without_home_since_);
+  if (silent < wait)
     return "short_silence";
+  if (silent < wait + kStorelessWaitPerRank * StorelessRank())
+    return "outranked";
   return nullptr;
 }
 
@@ -388,7 +427,7 @@
   LogEvent(log_level::kInfo, "home_awaited",
            {{"group", group_.ToString()},
             {"why", obstacle},
-            {"rank", OwnRank()},
+            {"rank", StorelessRank()},
             {"missing_ms", WholeMilliseconds(missing)}});
 }
 
@@ -417,7 +456,6 @@
   yielding_ = false;
   token_ = token;
   without_home_since_.reset();
-  store_unavailable_since_.reset();
   LogEvent(
       log_level::kInfo, renewed ? "home_token" : "home_begins",
       {{"group", group_.ToString()}, {"token", token.value()}, {"how", how}});
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -39,17 +39,20 @@
 // much higher weight, as all requests to the group's upstreams pass through
 // it. It is replaced at once if it released the row or its process is known to
 // have ended, and otherwise when the row has not been renewed in time. While
-// the store is unavailable, the first candidate that is connected to at least
-// half of the instances takes over with the next token.
+// the store is silent, the first candidate that knows the latest token and the
+// upstreams and is connected to at least half of the instances takes over with
+// the next token. Instances that can't do so yet keep no other one waiting.
 class home_election {
  public:
   struct event_handlers {
     std::function<void(fencing_token)> on_begin;
     std::function<void()> on_end;
+    // Returns whether this instance knows upstreams of the group.
+    std::function<bool()> knows_upstreams;
   };
 
   home_election(scheduler& clock,
-                table_service& store,
+                store_watch& store,
                 const home_directory& homes,
                 const home_group& group,
                 const entry_member& self,
@@ -62,12 +65,20 @@
   // The peer refused the connection: its process is not running.
   void OnPeerRefused(const instance_id& peer);
   void OnPeerLeaving(const instance_id& peer);
+  // The peer has told whether it could begin without the store.
+  void OnPeerCanBegin(const instance_id& peer, bool can_begin);
+  // A peer has told the latest token of the group that it knows.
+  void OnTokenKnown(fencing_token token);
   void OnHomesChanged();
   // An upstream rejected this home's token because it has a higher one.
   void OnFenced();
   // Releases the row and never takes it again, as this instance is stopping.
   void Leave();
 
+  // Whether this instance knows what a home needs to begin without the store.
+  bool CanBeginWithoutStore() const;
+  // The latest token of the group that this instance knows; 0 if there is none.
+  fencing_token KnownToken() const;
   bool holding() const { return holding_; }
   // Whether this home is waiting for a stronger instance to take over.
   bool yielding() const { return holding_ && yielding_; }
@@ -79,14 +90,27 @@
     bool released = false;
   };
 
+  // A process of another instance.
+  struct peer_process {
+    incarnation_id incarnation;
+    // When the first link to it came up.
+    time_point met_at;
+  };
+
   static std::optional<home_row> ParseRow(const nlohmann::json& value);
   nlohmann::json OwnRow(bool released) const;
 
   void Tick();
   void Watch();
   void MaintainRow();
-  // The position of this instance among the candidates; 0 is the best one.
+  // The position of this instance among the linked instances of its failure
+  // domain for which `counts` is true; 0 is the best one.
+  int OwnRank(const std::function<bool(const instance_id&)>& counts) const;
+  // The position among all candidates, which may begin with the store.
   int OwnRank() const;
+  // The position among those that could have begun without the store when the
+  // home was lost.
+  int StorelessRank() const;
   bool IsConnectedToHalf() const;
   bool HasStrongerPeer() const;
   bool IsMuchStrongerThan(const instance_id& other) const;
@@ -95,14 +119,13 @@
   // refused a connection, it announced that it is leaving, or another process
   // has replaced it.
   bool HasEnded(const home_row& row) const;
-  void OnRowRead(time_point requested_at,
-                 const outcome<table_row, store_error>& row);
+  void OnRowRead(const outcome<table_row, store_error>& row);
   // `other_may_have_served` is true if another home may have served the group
   // since this one began.
   void TakeOver(uint64_t expected_version, bool other_may_have_served);
   void TakeOverWithoutStore();
-  // Returns why this instance may not begin without the store, or null if it
-  // may.
+  // Returns why this instance may not begin while the store is silent, or null
+  // if it may.
   const char* ObstacleWithoutStore() const;
   // Logs the obstacle when it changes while the group has no home.
   void LogObstacle(const char* obstacle);
@@ -114,7 +137,7 @@
   void End(const char* why);
 
   scheduler& clock_;
-  table_service& store_;
+  store_watch& store_;
   const home_directory& homes_;
   home_group group_;
   entry_member self_;
@@ -122,10 +145,15 @@
   std::map<instance_id, entry_member> members_;
   // The connected peers, with the time when the link came up.
   std::map<instance_id, time_point> peers_up_;
-  // The latest known incarnation of each peer that was ever connected.
-  std::map<instance_id, incarnation_id> incarnations_;
+  // The latest known process of each peer that was ever connected.
+  std::map<instance_id, peer_process> processes_;
   std::set<instance_id> refused_;
   std::set<instance_id> leaving_peers_;
+  // Linked peers that could begin without the store.
+  std::set<instance_id> able_peers_;
+  // The latest token that peers have told, besides those of homes that this
+  // instance has heard of.
+  fencing_token told_token_;
   bool holding_ = false;
   bool leaving_ = false;
   // This instance has marked the row as released.
@@ -143,7 +171,8 @@
   uint64_t watched_version_ = 0;
   time_point watched_since_;
   std::optional<time_point> without_home_since_;
-  std::optional<time_point> store_unavailable_since_;
+  // The store was asked for the row in vain since the group lost its home.
+  bool asked_in_vain_ = false;
   // The last obstacle that was logged; null if there was none.
   const char* logged_obstacle_ = nullptr;
   time_point last_renewal_;
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -65,6 +65,7 @@
           }),
       addresses_(clock),
       homes_(clock),
+      store_(clock, store),
       heartbeat_timer_(clock),
       home_status_timer_(clock) {
   home_group group{self.domain, 0};
@@ -99,11 +100,11 @@
         Send(to, result);
       });
   election_ = std::make_unique<home_election>(
-      clock, store, homes_, group, self,
+      clock, store_, homes_, group, self,
       home_election::event_handlers{
           [this](fencing_token token) { OnHomeBegins(token); },
-          [this] { OnHomeEnds(); }});
-  members_ = std::make_unique<member_registry>(clock, store, self);
+          [this] { OnHomeEnds(); }, [this] { return !upstreams_.empty(); }});
+  members_ = std::make_unique<member_registry>(clock, store_, self);
   home_->SetCrashHandler([this](const crash_news& news) { SendToAll(news); });
   home_->SetDomainState(domain_drains_.StateOf(self_.domain));
   peers_.SetListener(this);
@@ -180,8 +181,11 @@
   }
   if (!listed_since_)
     listed_since_ = clock_.now();
+  // Upstreams that are alive have registered again by the time for which
+  // missing ones are kept, so from then on the store's list lacks none.
+  upstreams_whole_ = upstreams_whole_ ||
+                     clock_.now() - *listed_since_ >= kMissingUpstreamRetention;
   UseListedUpstreams();
-  ReviewWholeList();
 }
 
 // Upstreams whose registrations lapsed while the store was unreachable get the
@@ -193,18 +197,6 @@
     listed_since_.reset();
 }
 
-// Upstreams that are alive have registered again by the time for which missing
-// ones are kept, so from then on the store's list lacks none.
-void run_cluster::ReviewWholeList() {
-  bool is_whole = listed_since_ &&
-                  clock_.now() - *listed_since_ >= kMissingUpstreamRetention;
-  if (upstreams_whole_ || !is_whole)
-    return;
-  upstreams_whole_ = true;
-  if (home_->serving())
-    SendToOwnDomain(FullNews(upstreams_, true));
-}
-
 void run_cluster::UseListedUpstreams() {
   upstream_registry own = listed_upstreams_;
   std::erase_if(own, [this](const auto& entry) {
@@ -246,17 +238,55 @@
 }
 
 // Applies the home's changes to the list of upstreams. After the home has
-// ended, its last list remains valid until the store's list arrives.
+// ended, its last list remains valid until the store's list arrives. Other
+// instances only add what is not known here, also to the list of a home that
+// began with a short one.
 void run_cluster::OnUpstreamNews(const instance_id& from, upstream_news news) {
-  if (!IsOfOwnDomain(from) || home_->serving())
+  if (!IsOfOwnDomain(from))
     return;
+  bool from_home = IsHome(from) && !home_->serving();
+  if (!from_home) {
+    std::erase_if(news.rows, [this](const upstream_info& info) {
+      return upstreams_.contains(info.id);
+    });
+    news.full = false;
+    news.gone.clear();
+  }
   for (upstream_info& info : news.rows)
     info.failure_domain = self_.domain;
+  election_->OnTokenKnown(news.token);
   Apply(news, &upstreams_);
   upstreams_whole_ = upstreams_whole_ || news.whole;
   home_->SetUpstreams(upstreams_, false);
 }
 
+group_knowledge run_cluster::OwnGroupKnowledge() const {
+  if (!election_->CanBeginWithoutStore())
+    return group_knowledge::kNone;
+  return upstreams_whole_ ? group_knowledge::kWhole : group_knowledge::kSome;
+}
+
+void run_cluster::SendGroupKnowledge(const instance_id& peer) {
+  shared_[peer] = OwnGroupKnowledge();
+  upstream_news news = FullNews(upstreams_, upstreams_whole_);
+  news.token = election_->KnownToken();
+  Send(peer, news);
+}
+
+// Without a home, an instance that restarts would know nothing of the group
+// until the store answers, and once all others have restarted none could become
+// home.
+void run_cluster::ShareGroupKnowledge(const instance_id& peer,
+                                      group_knowledge known) {
+  const known_home* home = homes_.Find({self_.domain, 0});
+  bool told_by_home = home && home->instance != peer && !home_->serving();
+  group_knowledge own = OwnGroupKnowledge();
+  auto shared = shared_.find(peer);
+  bool is_news = shared == shared_.end() || shared->second < own;
+  if (IsOfOwnDomain(peer) && !told_by_home && known < own && is_news)
+    SendGroupKnowledge(peer);
+}
+
 void run_cluster::SendSpeeds() {
   if (!home_->serving())
     return;
@@ -384,7 +414,7 @@
   if (home_->serving()) {
     Send(peer.instance, home_->Status());
     if (peer.failure_domain == self_.domain) {
-      Send(peer.instance, FullNews(upstreams_, upstreams_whole_));
+      SendGroupKnowledge(peer.instance);
       Send(peer.instance, home_->speeds().All());
     }
   }
@@ -392,6 +422,7 @@
 }
 
 void run_cluster::OnPeerDown(const instance_id& peer) {
+  shared_.erase(peer);
   election_->OnPeerDown(peer);
   home_->OnPeerDown(peer);
   delegator_->OnPeerDown(peer);
@@ -467,6 +498,8 @@
   reader_choice_.OnStatus(
       from, status.leaving ? store_reading::kNone : status.reading);
   routing_sync_.OnStatus(from, status.config);
+  election_->OnPeerCanBegin(from, status.group != group_knowledge::kNone);
+  ShareGroupKnowledge(from, status.group);
 }
 
 std::string run_cluster::AddressOf(const upstream_id& id) const {
@@ -506,6 +539,7 @@
   status.config = routes_.version();
   status.leaving = leaving_;
   status.reading = OwnReading();
+  status.group = OwnGroupKnowledge();
   return status;
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -133,6 +133,11 @@
   // Sends the speeds measured since the last call to the instances that may
   // succeed this home.
   void SendSpeeds();
+  group_knowledge OwnGroupKnowledge() const;
+  // Sends the peer what this instance knows of its group.
+  void SendGroupKnowledge(const instance_id& peer);
+  // Does so if the peer, which knows `known`, knows less and no home tells it.
+  void ShareGroupKnowledge(const instance_id& peer, group_knowledge known);
   void OnSpeedNews(const instance_id& from, const speed_news& news);
   void OnHomeBegins(fencing_token token);
   void OnHomeEnds();
@@ -145,9 +150,6 @@
   bool IsKnownService(const service_id& service) const;
   // Replaces the known upstreams by those listed in the store.
   void UseListedUpstreams();
-  // Sends the known upstreams to the other instances of the failure domain once
-  // they are whole.
-  void ReviewWholeList();
   // Adds known upstreams that have been missing from the list for a short time
   // only.
   void KeepRecentlyMissing(upstream_registry* listed);
@@ -178,6 +180,9 @@
   std::map<upstream_id, time_point> missing_since_;
   peer_addresses addresses_;
   home_directory homes_;
+  // What this instance has told each linked peer of the group.
+  std::map<instance_id, group_knowledge> shared_;
+  store_watch store_;
   std::unique_ptr<start_delegator> delegator_;
   std::unique_ptr<run_home> home_;
   std::unique_ptr<job_owner> owner_;
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -160,6 +160,8 @@
   }
   if (status.reading != store_reading::kNone)
     wire.__set_reading(static_cast<int8_t>(status.reading));
+  if (status.group != group_knowledge::kNone)
+    wire.__set_group(static_cast<int8_t>(status.group));
   return wire;
 }
 
@@ -368,6 +370,10 @@
       wire.reading <= static_cast<int8_t>(store_reading::kFollowing);
   if (known_reading)
     status.reading = static_cast<store_reading>(wire.reading);
+  bool known_group = wire.group >= 0 &&
+                     wire.group <= static_cast<int8_t>(group_knowledge::kWhole);
+  if (known_group)
+    status.group = static_cast<group_knowledge>(wire.group);
   return status;
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1660,6 +1660,11 @@
   this->reading = val;
 __isset.reading = true;
 }
+
+void status::__set_group(const int8_t val) {
+  this->group = val;
+__isset.group = true;
+}
 std::ostream& operator<<(std::ostream& out, const status& obj)
 {
   obj.printTo(out);
@@ -1760,6 +1765,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1821,6 +1834,11 @@
     xfer += oprot->writeByte(this->reading);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.group) {
+    xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_BYTE, 7);
+    xfer += oprot->writeByte(this->group);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1834,6 +1852,7 @@
   swap(a.in_force, b.in_force);
   swap(a.rooms, b.rooms);
   swap(a.reading, b.reading);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
@@ -1844,6 +1863,7 @@
   in_force = other80.in_force;
   rooms = other80.rooms;
   reading = other80.reading;
+  group = other80.group;
   __isset = other80.__isset;
 }
 status& status::operator=(const status& other81) {
@@ -1853,6 +1873,7 @@
   in_force = other81.in_force;
   rooms = other81.rooms;
   reading = other81.reading;
+  group = other81.group;
   __isset = other81.__isset;
   return *this;
 }
@@ -1865,6 +1886,7 @@
   out << ", " << "in_force="; (__isset.in_force ? (out << to_string(in_force)) : (out << "<null>"));
   out << ", " << "rooms="; (__isset.rooms ? (out << to_string(rooms)) : (out << "<null>"));
   out << ", " << "reading="; (__isset.reading ? (out << to_string(reading)) : (out << "<null>"));
+  out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4848,6 +4870,11 @@
   this->whole = val;
 __isset.whole = true;
 }
+
+void upstream_news::__set_token(const int64_t val) {
+  this->token = val;
+__isset.token = true;
+}
 std::ostream& operator<<(std::ostream& out, const upstream_news& obj)
 {
   obj.printTo(out);
@@ -4932,6 +4959,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4983,6 +5018,11 @@
     xfer += oprot->writeBool(this->whole);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.token) {
+    xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->token);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4994,6 +5034,7 @@
   swap(a.rows, b.rows);
   swap(a.gone, b.gone);
   swap(a.whole, b.whole);
+  swap(a.token, b.token);
   swap(a.__isset, b.__isset);
 }
 
@@ -5002,6 +5043,7 @@
   rows = other156.rows;
   gone = other156.gone;
   whole = other156.whole;
+  token = other156.token;
   __isset = other156.__isset;
 }
 upstream_news& upstream_news::operator=(const upstream_news& other157) {
@@ -5009,6 +5051,7 @@
   rows = other157.rows;
   gone = other157.gone;
   whole = other157.whole;
+  token = other157.token;
   __isset = other157.__isset;
   return *this;
 }
@@ -5019,6 +5062,7 @@
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
   out << ", " << "whole="; (__isset.whole ? (out << to_string(whole)) : (out << "<null>"));
+  out << ", " << "token="; (__isset.token ? (out << to_string(token)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -729,13 +729,14 @@
 std::ostream& operator<<(std::ostream& out, const domain_room& obj);
 
 typedef struct _status__isset {
-  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false), reading(false) {}
+  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false), reading(false), group(false) {}
   bool config_version :1;
   bool membership_version :1;
   bool leaving :1;
   bool in_force :1;
   bool rooms :1;
   bool reading :1;
+  bool group :1;
 } _status__isset;
 
 class status : public virtual ::apache::thrift::TBase {
@@ -747,7 +748,8 @@
          : config_version(0),
            membership_version(0),
            leaving(0),
-           reading(0) {
+           reading(0),
+           group(0) {
   }
 
   virtual ~status() noexcept;
@@ -757,6 +759,7 @@
   std::vector<instance_version>  in_force;
   std::vector<domain_room>  rooms;
   int8_t reading;
+  int8_t group;
 
   _status__isset __isset;
 
@@ -772,6 +775,8 @@
 
   void __set_reading(const int8_t val);
 
+  void __set_group(const int8_t val);
+
   bool operator == (const status & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -794,6 +799,10 @@
       return false;
     else if (__isset.reading && !(reading == rhs.reading))
       return false;
+    if (__isset.group != rhs.__isset.group)
+      return false;
+    else if (__isset.group && !(group == rhs.group))
+      return false;
     return true;
   }
   bool operator != (const status &rhs) const {
@@ -2010,11 +2019,12 @@
 std::ostream& operator<<(std::ostream& out, const upstream_row& obj);
 
 typedef struct _upstream_news__isset {
-  _upstream_news__isset() : full(false), rows(false), gone(false), whole(false) {}
+  _upstream_news__isset() : full(false), rows(false), gone(false), whole(false), token(false) {}
   bool full :1;
   bool rows :1;
   bool gone :1;
   bool whole :1;
+  bool token :1;
 } _upstream_news__isset;
 
 class upstream_news : public virtual ::apache::thrift::TBase {
@@ -2024,7 +2034,8 @@
   upstream_news& operator=(const upstream_news&);
   upstream_news() noexcept
                 : full(0),
-                  whole(0) {
+                  whole(0),
+                  token(0) {
   }
 
   virtual ~upstream_news() noexcept;
@@ -2032,6 +2043,7 @@
   std::vector<upstream_row>  rows;
   std::vector<std::string>  gone;
   bool whole;
+  int64_t token;
 
   _upstream_news__isset __isset;
 
@@ -2043,6 +2055,8 @@
 
   void __set_whole(const bool val);
 
+  void __set_token(const int64_t val);
+
   bool operator == (const upstream_news & rhs) const
   {
     if (!(full == rhs.full))
@@ -2057,6 +2071,10 @@
       return false;
     else if (__isset.whole && !(whole == rhs.whole))
       return false;
+    if (__isset.token != rhs.__isset.token)
+      return false;
+    else if (__isset.token && !(token == rhs.token))
+      return false;
     return true;
   }
   bool operator != (const upstream_news &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -85,6 +85,8 @@
   5: optional list<domain_room> rooms
   // The number is that of `store_reading`.
   6: optional i8 reading
+  // The number is that of `group_knowledge`.
+  7: optional i8 group
 }
 
 enum document_kind {
@@ -243,6 +245,8 @@
   2: list<upstream_row> rows
   3: optional list<string> gone
   4: optional bool whole
+  // With a full one: the latest fencing token of the group that is known.
+  5: optional i64 token
 }
 
 // All failure domains that operators have drained, as of that version of the
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -40,6 +40,14 @@
   kFollowing,
 };
 
+// What an instance knows of its group of upstreams. One that knows the group
+// can become its home while the store is silent.
+enum class group_knowledge {
+  kNone,   // no token of an earlier home, or no upstreams
+  kSome,   // upstreams, perhaps not all
+  kWhole,  // all upstreams on which tasks may run
+};
+
 // A heartbeat with the sender's versions, and what it heard newly of others.
 struct peer_status {
   config_version config;
@@ -50,6 +58,7 @@
   // Failure domains that can take others' tasks.
   std::vector<domain_room> rooms;
   store_reading reading = store_reading::kNone;
+  group_knowledge group = group_knowledge::kNone;
 
   bool operator==(const peer_status&) const = default;
 };
--- a/src/protocol/run_codec.cc
+++ b/src/protocol/run_codec.cc
@@ -230,6 +230,8 @@
   wire.full = news.full;
   if (news.whole)
     wire.__set_whole(true);
+  if (news.token.value() > 0)
+    wire.__set_token(static_cast<int64_t>(news.token.value()));
   for (const upstream_info& info : news.rows) {
     wire::upstream_row row;
     row.id = info.id.str();
@@ -258,6 +260,7 @@
   upstream_news news;
   news.full = wire.full;
   news.whole = wire.whole;
+  news.token = fencing_token(static_cast<uint64_t>(wire.token));
   for (const wire::upstream_row& row : wire.rows) {
     upstream_info info;
     info.id = upstream_id(row.id);
--- a/src/runs/upstream_registry.h
+++ b/src/runs/upstream_registry.h
@@ -43,6 +43,9 @@
   // The sender's registry contains all upstreams on which tasks may run. A home
   // that began when registrations had lapsed knows only some of them.
   bool whole = false;
+  // With a full list: the latest fencing token of the group that the sender
+  // knows.
+  fencing_token token;
   std::vector<upstream_info> rows;
   // Upstreams that were removed from the registry.
   std::vector<upstream_id> gone;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -11,6 +11,7 @@
 #include "store/json_reader.h"
 #include "store/membership_json.h"
 #include "store/membership_poller.h"
+#include "store/store_watch.h"
 #include "store/table_feed.h"
 #include "store/table_service.h"
 #include "store/usage_ledger.h"
