Judge a slow run by its own pace

What callers saw: a task of 10 s whose caller expects 100 ms was stopped as stuck and started again as long as its job was of use. Cause: a run stood still if it reached no next per cent within a tenth of the longest expected time, whatever its own pace.

After the first per cent three times the run's own pace counts. Within the first one nothing tells a slow run from a hung one, so a task that was stopped there gets three times as long.

--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -64,6 +64,8 @@
   time_point progress_asked_at;
   // The number of runs that were stopped only because they took too long.
   int overlong_stops = 0;
+  // The number of runs that were stopped because their progress stood still.
+  int stalls = 0;
   // Excluded from the next placement, as the task has just failed, got stuck or
   // been rejected there.
   upstream_id avoided_upstream;
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -30,17 +30,34 @@
 constexpr double kStallShare = 0.1;
 constexpr duration kMinStallTime = std::chrono::milliseconds(40);
 constexpr duration kStallTimeUnknown = std::chrono::seconds(1);
+// A run stands still at most this many times as long as it needed for each per
+// cent so far: listings are coarse, and its work may be uneven.
+constexpr int kStallPaceFactor = 3;
 // Multiplies the longest expected time each time the task was stopped for its
-// length: a task that took too long on another upstream is probably long
+// length, and the longest time without progress each time that it was stopped
+// for that: a task that was too slow on another upstream is probably long
 // itself.
 constexpr double kRestartAllowance = 3;
 constexpr int kMaxRestartAllowances = 4;
 constexpr int kCompletePercent = 100;
 
+double RestartAllowance(int stops) {
+  return std::pow(kRestartAllowance, std::min(stops, kMaxRestartAllowances));
+}
+
+// The time that the run has taken for each per cent; zero during the first one.
+duration TimePerCent(const run_observation& run) {
+  return *run.percent == 0 ? duration::zero()
+                           : (run.reached - run.began) / *run.percent;
+}
+
 duration StallTime(const run_observation& run) {
-  if (run.expected.longest <= duration::zero())
-    return kStallTimeUnknown;
-  return std::max(kMinStallTime, Times(run.expected.longest, kStallShare));
+  duration usual =
+      run.expected.longest > duration::zero()
+          ? std::max(kMinStallTime, Times(run.expected.longest, kStallShare))
+          : kStallTimeUnknown;
+  return std::max(Times(usual, RestartAllowance(run.stalls)),
+                  TimePerCent(run) * kStallPaceFactor);
 }
 
 bool IsOverdue(const run_observation& run) {
@@ -164,9 +181,8 @@
       clock_.now() - task.ordered_at - answers_.Timeout(duration::zero());
   run.expected = times_.ExpectOnUpstream(job, task);
   run.expected.longest =
-      Times(run.expected.longest,
-            std::pow(kRestartAllowance,
-                     std::min(task.overlong_stops, kMaxRestartAllowances)));
+      Times(run.expected.longest, RestartAllowance(task.overlong_stops));
+  run.stalls = task.stalls;
   run.pace_known = job.MedianPaceExcluding(task.upstream) > 0;
   run.adopted = task.adopted;
   run.asked =
@@ -213,8 +229,7 @@
   time_point restarted_end = now + times_.Expect(job, task).usual;
   if (restarted_end >= std::min(job.useful_until, job.limit))
     return;
-  if (evidence != stuck_evidence::kProgress)
-    ++task.overlong_stops;
+  ++(evidence == stuck_evidence::kProgress ? task.stalls : task.overlong_stops);
   Stop(job, task, session, evidence);
 }
 
--- a/src/runs/stuck_runs.h
+++ b/src/runs/stuck_runs.h
@@ -50,6 +50,9 @@
   duration listed = duration::zero();
   // Age of the last listing.
   duration since_listed = duration::zero();
+  // The number of earlier runs of the task that were stopped because they stood
+  // still.
+  int stalls = 0;
   // Whether the upstream was asked for the run's progress long enough ago to
   // have answered.
   bool asked = false;
