Forget grants of slots that were lost with a link

Cause: the home added grants that a holder had not acknowledged to its full report, also when the link on which they were sent was gone. It forgets them now when the link breaks; the slots stay reserved until the next full report.

--- a/src/cluster/home_selector.cc
+++ b/src/cluster/home_selector.cc
@@ -40,6 +40,7 @@
 }
 
 void home_selector::OnPeerDown(const instance_id& peer) {
+  home_side_.OnLinkDown(peer);
   grace_until_[peer] = clock_.now() + kLinkGrace;
   grace_timer_.StartAfter(kLinkGrace, [this] { Choose(); });
   if (peer == home_)
--- a/src/policy/slot_home.cc
+++ b/src/policy/slot_home.cc
@@ -152,6 +152,15 @@
   ScheduleIssue();
 }
 
+// Grants that a holder did receive are in its next report.
+void slot_home::OnLinkDown(const instance_id& id) {
+  auto found = holders_.find(id);
+  if (found == holders_.end())
+    return;
+  found->second.unacknowledged.clear();
+  found->second.outgoing.clear();
+}
+
 int slot_home::held(const upstream_id& upstream) const {
   auto found = upstreams_.find(upstream);
   return found == upstreams_.end() ? 0 : found->second.held;
--- a/src/policy/slot_home.h
+++ b/src/policy/slot_home.h
@@ -52,6 +52,9 @@
 
   void OnDemand(const instance_id& from, const slot_demand& demand);
   void OnRelease(const instance_id& from, const slot_release& release);
+  // The link to a holder broke, and with it the grants that it has not
+  // acknowledged are lost. Its slots stay reserved until its next full report.
+  void OnLinkDown(const instance_id& holder);
 
   // Number of slots that are granted and not yet released.
   int held(const upstream_id& upstream) const;
