Remember which tasks were reported as done

What callers saw: a task that was done ran again when the link to its owner broke. Looked for as the class of the two steps: a report that was sent into a silent link is lost, and the home had forgotten the job. The new test of this runs both tasks again on the code before.

--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -110,9 +110,6 @@
   bool may_have_run = false;
   // Ends of tasks that have not been reported to the owner yet.
   std::vector<task_report> unreported;
-  // The job was sent again over a new link, and the owner, which sends a
-  // request for each step, may send more of it.
-  bool sent_again = false;
   // Nobody waits for the job any more. It is erased once its last run has
   // ended.
   bool cancelled = false;
--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -38,7 +38,11 @@
 home_reports::home_reports(scheduler& clock,
                            home_job_map& jobs,
                            send_report send)
-    : clock_(clock), jobs_(jobs), send_(std::move(send)), timer_(clock) {}
+    : clock_(clock),
+      jobs_(jobs),
+      send_(std::move(send)),
+      reported_(clock),
+      timer_(clock) {}
 
 void home_reports::Report(home_job& job,
                           const home_task& task,
@@ -124,9 +128,18 @@
     return;
   run_report report{job.key, job.request.submission, {}};
   report.tasks = std::exchange(job.unreported, {});
+  for (const task_report& task : report.tasks) {
+    if (task.verdict == task_verdict::kDone)
+      reported_.Add({job.key, 0, task.position});
+  }
   send_(job.owner, report);
 }
 
+void home_reports::Clear() {
+  timer_.Stop();
+  reported_.Clear();
+}
+
 void home_reports::SendAll() {
   for (auto& [key, job] : jobs_) {
     if (!job.cancelled)
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -11,6 +11,7 @@
 #include "base/base.h"
 #include "runs/crash_record.h"
 #include "runs/home_job.h"
+#include "runs/reported_ends.h"
 #include "runs/run_messages.h"
 
 namespace jasminedyke {
@@ -30,6 +31,9 @@
   void Report(home_job& job, const home_task& task, task_verdict verdict);
   // Sends the ends that wait.
   void SendPending(home_job& job);
+  // Returns true if the task was reported as done so recently that its owner
+  // may not know.
+  bool WasDone(const task_name& task) const { return reported_.Contains(task); }
   // If the job has missed its objective, logs how its time was spent. Called
   // once its last task has ended or no caller waits for it any more.
   void LogLate(const home_job& job) const;
@@ -52,8 +56,8 @@
   void SendNotHome(const instance_id& to, const run_request& request);
   // Refuses a request for a job that runs for a later submission by its caller.
   void SendSuperseded(const instance_id& to, const run_request& request);
-  // Cancels the pending batch of reports.
-  void Stop() { timer_.Stop(); }
+  // Cancels the pending batch of reports and forgets the earlier ones.
+  void Clear();
 
   const std::map<run_refusal, uint64_t>& refused() const { return refused_; }
 
@@ -63,6 +67,7 @@
   scheduler& clock_;
   home_job_map& jobs_;
   send_report send_;
+  reported_ends reported_;
   std::map<run_refusal, uint64_t> refused_;
   scoped_timer timer_;
 };
--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -21,7 +21,6 @@
 }  // namespace
 
 void owner_links::OnJobSent(const instance_id& owner, home_job& job) {
-  job.sent_again = job.sent_again || job.orphaned.has_value();
   job.owner = owner;
   auto link = linked_.find(owner);
   // An instance that is home to its own jobs has no link to itself.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -80,7 +80,7 @@
   claims_.Clear();
   sweep_timer_.Stop();
   dispatch_timer_.Stop();
-  reports_.Stop();
+  reports_.Clear();
   dispatch_scheduled_ = false;
 }
 
@@ -175,6 +175,11 @@
         continue;
       }
     }
+    if (is_new && demand.maybe_started && reports_.WasDone(name)) {
+      job.may_have_run = true;
+      OnTaskDone(job, task);
+      continue;
+    }
     bool waits = task.phase == task_phase::kQueued ||
                  task.phase == task_phase::kMaybeStarted;
     if (auto found_run = waits ? claims_.Claim(name) : std::nullopt) {
@@ -263,23 +268,17 @@
   bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
     return entry.second.phase == task_phase::kDone;
   });
-  if (over && !OwnerMayAsk(found->second))
+  const home_job& job = found->second;
+  bool owner_waits = job.orphaned && !job.cancelled && !job.unreported.empty();
+  if (over && !owner_waits)
     jobs_.erase(found);
 }
 
-// A job that is forgotten while its owner has more requests of it to send would
-// be run again.
-bool run_home::OwnerMayAsk(const home_job& job) const {
-  bool owner_waits = job.orphaned && !job.unreported.empty();
-  bool more_may_come = job.sent_again && clock_.now() < job.limit;
-  return !job.cancelled && (owner_waits || more_may_come);
-}
-
 void run_home::OnPeerUp(const instance_id& peer,
                         const incarnation_id& incarnation) {
   for (home_job* job : owner_links_.OnUp(peer, incarnation))
     CancelOrphan(*job);
-  EraseFinished();
+  EraseFinishedCancelled();
 }
 
 home_task* run_home::FindTask(const task_name& task, home_job** job) {
@@ -557,7 +556,7 @@
              (!PlaceTasks(job) && job.HasRejectedTask(1)))
       ReturnToOwner(job, run_refusal::kNotAccepted, kMinRetryAfter);
   }
-  EraseFinished();
+  EraseFinishedCancelled();
 }
 
 // Refuses the job so that its owner sends it to another group. The load of
@@ -716,18 +715,16 @@
       Refuse(job, run_refusal::kNoUpstream, kMinRetryAfter);
     CancelJob(job);
   }
-  EraseFinished();
+  EraseFinishedCancelled();
 }
 
-// Erases the jobs that were kept only for runs that had to be stopped or for an
-// owner that might ask for them.
-void run_home::EraseFinished() {
-  std::vector<job_key> kept;
+void run_home::EraseFinishedCancelled() {
+  std::vector<job_key> cancelled;
   for (const auto& [key, job] : jobs_) {
-    if (job.cancelled || job.sent_again)
-      kept.push_back(key);
+    if (job.cancelled)
+      cancelled.push_back(key);
   }
-  for (const job_key& key : kept)
+  for (const job_key& key : cancelled)
     EraseIfFinished(key);
 }
 
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -160,8 +160,6 @@
   // Cancels a job whose owner is gone.
   void CancelOrphan(home_job& job);
   void EraseIfFinished(const job_key& key);
-  // Returns true if the owner may ask for the ends of the job's tasks again.
-  bool OwnerMayAsk(const home_job& job) const;
   void OnTaskDone(home_job& job, home_task& task);
   void OnTaskFailed(home_job& job, home_task& task);
   void PublishCrashNews();
@@ -193,7 +191,7 @@
   const home_task* HeldTask(const home_job& job) const;
   void Sweep();
   void RefuseLateJobs();
-  void EraseFinished();
+  void EraseFinishedCancelled();
   void RecordRunEnd(home_job& job, const home_task& task, run_end how);
   // Decides whether owners send the starts of their jobs themselves.
   void UpdateOwnersStart();
--- a/tests/run_home/parallel_steps_test.cc
+++ b/tests/run_home/parallel_steps_test.cc
@@ -47,4 +47,33 @@
     CHECK(starts == 1);
 }
 
+// Guards against running a task again that is done: its report was lost with
+// the link, and the home had forgotten the job.
+TEST_CASE("run_home: the report of a task is lost with the owner's link") {
+  home_fixture f;
+  f.fleet.Add("u1", "north");
+  f.Begin();
+  f.clock.Advance(milliseconds(3000));
+  incarnation_id process("1");
+  f.home.OnPeerUp(kOwner, process);
+  run_request request = f.Request(2, Demand());
+  request.to_limit = milliseconds(5000);
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(200));
+  REQUIRE(f.Count(task_verdict::kDone) == 2);
+  f.reports.clear();
+  // A silent link is noticed after a second.
+  f.clock.Advance(milliseconds(1000));
+  f.home.OnPeerDown(kOwner);
+  f.home.OnPeerUp(kOwner, process);
+  request.sending = 2;
+  for (task_demand& task : request.tasks)
+    task.maybe_started = true;
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(200));
+  CHECK(f.Count(task_verdict::kDone) == 2);
+  for (const auto& [task, starts] : f.At("u1").starts)
+    CHECK(starts == 1);
+}
+
 }  // namespace jasminedyke
