Stop only hung runs where tasks can't start again

What callers saw: 504 for a job in a drained domain whose run took longer than its caller expected: the run was stopped as stuck by a guess, and could not start again. Where tasks may not start, only runs whose listed progress stands still are stopped.

--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -685,7 +685,8 @@
   upstreams_.ForgetUnregistered(registry_);
   crashes_.Forget(now);
   RefuseLateJobs();
-  stuck_runs_.Check(jobs_, [this] { return EstimateRoomWait(); });
+  bool may_restart = gate_.Decide(true, now) == start_decision::kStart;
+  stuck_runs_.Check(jobs_, may_restart, [this] { return EstimateRoomWait(); });
   UpdateOwnersStart();
   QueueMaybeStarted();
   ScheduleDispatch();
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -134,7 +134,9 @@
 }
 
 void stuck_runs::Check(home_job_map& jobs,
+                       bool may_restart,
                        const std::function<duration()>& room_wait) {
+  may_restart_ = may_restart;
   for (auto& [key, job] : jobs) {
     if (job.cancelled)
       continue;
@@ -210,7 +212,7 @@
                              const std::function<duration()>& room_wait) {
   time_point now = clock_.now();
   times_.OnPredictedTime(job, task, predicted_length, now);
-  if (!upstreams_.Standing(task.upstream).slow())
+  if (!may_restart_ || !upstreams_.Standing(task.upstream).slow())
     return;
   time_point predicted_end = task.ordered_at + predicted_length;
   time_point restarted_end = now + room_wait() + times_.Expect(job, task).usual;
@@ -229,6 +231,8 @@
   time_point restarted_end = now + times_.Expect(job, task).usual;
   if (restarted_end >= std::min(job.useful_until, job.limit))
     return;
+  if (!may_restart_ && evidence != stuck_evidence::kProgress)
+    return;
   ++(evidence == stuck_evidence::kProgress ? task.stalls : task.overlong_stops);
   Stop(job, task, session, evidence);
 }
--- a/src/runs/stuck_runs.h
+++ b/src/runs/stuck_runs.h
@@ -105,10 +105,14 @@
         answers_(answers),
         stopped_(stopped) {}
 
-  // Checks all runs of the jobs. `room_wait` returns how long a restarted task
-  // would wait for room on an upstream. Each stopped run is counted in the
-  // `stopped` counts by its evidence.
-  void Check(home_job_map& jobs, const std::function<duration()>& room_wait);
+  // Checks all runs of the jobs. `may_restart` tells whether their tasks may
+  // start again in this failure domain: if not, only runs that stand still are
+  // stopped, as others may yet end well. `room_wait` returns how long a
+  // restarted task would wait for room on an upstream. Each stopped run is
+  // counted in the `stopped` counts by its evidence.
+  void Check(home_job_map& jobs,
+             bool may_restart,
+             const std::function<duration()>& room_wait);
 
  private:
   void CheckRun(home_job& job,
@@ -136,6 +140,7 @@
   run_times& times_;
   const answer_times& answers_;
   counts& stopped_;
+  bool may_restart_ = true;
 };
 
 }  // namespace jasminedyke
--- a/tests/stuck_runs/stuck_runs_test.cc
+++ b/tests/stuck_runs/stuck_runs_test.cc
@@ -413,4 +413,48 @@
   CHECK(f.Count(task_verdict::kDone) == f.submitted_tasks);
 }
 
+// Guards against jobs that fail in a drained failure domain: a run that took
+// longer than its caller expected was stopped and could not start again.
+TEST_CASE("stuck_runs: a long run in a drained failure domain goes on") {
+  home_fixture f;
+  f.fleet.Add("u1", "north").plan = [](const task_name&) {
+    return std::pair<duration, run_end>(milliseconds(400), run_end::kDone);
+  };
+  f.Begin();
+  f.home.OnRequest(kOwner, f.Request(1, Demand()));
+  f.clock.Advance(milliseconds(10));
+  f.home.SetDomainState(domain_state::kDrained);
+  f.clock.Advance(milliseconds(600));
+  REQUIRE(f.reports.size() == 1);
+  CHECK(f.Count(task_verdict::kDone) == 1);
+}
+
+// Guards against waiting for a hung run by the longer bounds of slow ones.
+TEST_CASE("stuck_runs: a run that hangs after an even start is stopped") {
+  run_observation run = Observation(2000, 100, 360);
+  run.began = milliseconds(10);
+  SUBCASE("at its usual pace") {
+    List(run, 50, 60, 110);
+    run.since_listed = duration::zero();
+    CHECK(JudgeRun(run).condition == run_condition::kStuck);
+  }
+  SUBCASE("at a hundredth of it") {
+    List(run, 4, 410, 420);
+    run.since_listed = duration::zero();
+    CHECK(JudgeRun(run).condition != run_condition::kStuck);
+    List(run, 4, 410, 720);
+    run.since_listed = duration::zero();
+    CHECK(JudgeRun(run).condition == run_condition::kStuck);
+  }
+  SUBCASE("from its start, after another run of the task stood still") {
+    run.stalls = 1;
+    List(run, 0, 10, 100);
+    run.since_listed = duration::zero();
+    CHECK(JudgeRun(run).condition != run_condition::kStuck);
+    List(run, 0, 10, 130);
+    run.since_listed = duration::zero();
+    CHECK(JudgeRun(run).condition == run_condition::kStuck);
+  }
+}
+
 }  // namespace jasminedyke
