--- a/src/daemon/daemon_run.h
+++ b/src/daemon/daemon_run.h
@@ -17,6 +17,10 @@
   std::function<void()> reload;
 };
 
+// Keeps the signals that `RunDaemon` acts on pending until it does. Called
+// first of all, as reading the settings takes a while on a busy machine.
+void HoldSignals();
+
 // Makes the daemon and runs the loop until it has stopped. What `make` throws
 // passes through.
 //
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -58,6 +58,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  HoldSignals();
   CLI::App app{
       "jasminedyked dispatches short tasks of many teams to upstreams.\n"
       "Exit status: 0 stopped as asked, 1 failed to start, 2 bad settings."};
--- a/tests/daemon_run/daemon_run_test.cc
+++ b/tests/daemon_run/daemon_run_test.cc
@@ -36,5 +36,24 @@
   CHECK(std::count(seen.begin(), seen.end(), "stop") == 1);
 }
 
+// Guards against an instance that ends as if it had crashed: it was told to
+// stop while it was still reading its settings.
+TEST_CASE("a signal that comes before the daemon is made") {
+  HoldSignals();
+  std::raise(SIGTERM);
+  event_loop loop;
+  int stops = 0;
+  RunDaemon(loop, [&] {
+    signal_actions actions;
+    actions.reload = [] {};
+    actions.stop = [&](const std::function<void()>& done) {
+      ++stops;
+      done();
+    };
+    return actions;
+  });
+  CHECK(stops == 1);
+}
+
 }  // namespace
 }  // namespace jasminedyke
