Judge leases by the newest reading of an upstream's clock

Found when the diff was read: with the best of all readings as lower bound, an upstream that was suspended, whose clock stood still, would show leases as expired that go on, and their tasks would start a second time. The lower bound counts from the newest reading again, as before; only the limit of orders uses the best one, until a reading contradicts it.

--- a/src/runs/upstream_clock.cc
+++ b/src/runs/upstream_clock.cc
@@ -30,7 +30,8 @@
   // still or that the upstream's clock was set anew.
   if (!known_ || Upper(upper) < Upper(upper_) || reading > Upper(upper_))
     upper_ = upper;
-  if (!known_ || Lower(lower) > Lower(lower_))
+  bool stood_still = known_ && Upper(upper) < Lower(lower_);
+  if (!known_ || Lower(lower) > Lower(lower_) || stood_still)
     lower_ = lower;
   known_ = true;
   last_reading_ = reading;
@@ -47,8 +48,10 @@
   return {upper.reading.ms + WholeMilliseconds(clock_.now() - upper.at) + 1};
 }
 
+// Only the newest reading counts: an upstream that is suspended stands still,
+// and an earlier reading would show a lease as expired that goes on.
 upstream_time upstream_clock::LowerBound() const {
-  return Lower(lower_);
+  return Lower({last_reading_, received_at_});
 }
 
 upstream_time upstream_clock::UpperBound() const {
@@ -56,7 +59,7 @@
 }
 
 upstream_time upstream_clock::OrderLimit(duration limit) const {
-  int64_t now = std::min(UpperBound().ms, LowerBound().ms + kMaxClockSlackMs);
+  int64_t now = std::min(UpperBound().ms, Lower(lower_).ms + kMaxClockSlackMs);
   return {now + WholeMilliseconds(limit)};
 }
 
--- a/tests/upstream_clock/upstream_clock_test.cc
+++ b/tests/upstream_clock/upstream_clock_test.cc
@@ -58,6 +58,17 @@
   CHECK(upstream.UpperBound().ms == 9001);
 }
 
+// Guards against a lease that is taken for expired while it goes on.
+TEST_CASE("upstream_clock: an upstream that was suspended") {
+  manual_scheduler clock;
+  upstream_clock upstream(clock);
+  upstream.AddReading({5000}, clock.now());
+  clock.Advance(milliseconds(1000));
+  upstream.AddReading({5100}, clock.now());
+  CHECK(upstream.LowerBound().ms == 5100);
+  CHECK(upstream.OrderLimit(milliseconds(500)).ms == 5601);
+}
+
 // Guards against orders that stay valid for seconds: an upstream that has been
 // idle for long, whose clock is slow, gave only readings of calls that waited.
 TEST_CASE("upstream_clock: an order to an upstream that was idle for long") {
