--- a/src/runs/upstream_clock.h
+++ b/src/runs/upstream_clock.h
@@ -51,7 +51,7 @@
   upstream_time OrderLimit(duration limit) const;
 
  private:
-  // The clock showed `reading` or less at `at`, or `reading` or more.
+  // A reading of the upstream's clock and a time of this instance's clock.
   struct bound {
     upstream_time reading;
     time_point at;
@@ -63,7 +63,10 @@
   const scheduler& clock_;
   upstream_time last_reading_;
   time_point received_at_;
+  // The upstream's clock showed at most the reading at that time.
   bound upper_;
+  // The upstream's clock showed at least the reading at that time. Unlike
+  // `LowerBound`, this bound may be of an earlier reading.
   bound lower_;
   bool known_ = false;
 };
--- a/tests/home_election/random_losses_test.cc
+++ b/tests/home_election/random_losses_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kInstances = 5;
-// The others know the group.
+// Two instances that know the group are always left.
 constexpr int kMaxLost = 3;
 constexpr duration kRunTime = milliseconds(200);
 // Longer than an instance that lost its home waits for the store.
--- a/tests/upstream_clock/upstream_clock_test.cc
+++ b/tests/upstream_clock/upstream_clock_test.cc
@@ -39,6 +39,7 @@
   CHECK(!upstream.HasReadingSince(clock.now() - milliseconds(1)));
 }
 
+// Guards against orders that stay valid for as long as an idle hold waited.
 TEST_CASE("upstream_clock: a call that waited does not loosen the bounds") {
   manual_scheduler clock;
   upstream_clock upstream(clock);
@@ -49,6 +50,7 @@
   CHECK(upstream.UpperBound().ms == 7001);
 }
 
+// Guards against refusing all orders as late after this instance was suspended.
 TEST_CASE("upstream_clock: this instance's own clock stood still") {
   manual_scheduler clock;
   upstream_clock upstream(clock);
