--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -31,6 +31,8 @@
 GRACE_S = 6
 PING_S = 1.5
 
+# A case that takes longer ends its processes and has failed to run.
+LIMIT_S = 110
 # Runs that overlap for less may do so by the stand-ins' own timing.
 LEAST_OVERLAP_S = 0.01
 
@@ -560,7 +562,7 @@
     """Plays a case and exits with its status."""
     record = Record(os.path.join(folder, "record.txt"))
     try:
-        code = asyncio.run(play(record))
+        code = asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
     except Exception as error:  # The case could not run.
         record.write("error", what=repr(error))
         code = 2
