Keep a home's token for as long as it serves

What made it harmful was the new token. Every fact that a home has of its upstreams ("heard", "settled", what runs there) proves something against lower tokens only, as upstreams refuse those. Renewing the row after an unknown write gave the home a token above that of the successor of which it knew nothing, with the sessions of before: upstreams that would have refused it obeyed, the owners moved their jobs to it, and all its knowledge counted as current.

Mend: a home's token doesn't change while it serves, whatever it reads from the store or writes there. A successor's token is then always higher and tells: by its status, by any upstream that it reached, or, new, by any instance that knows it (status.higher_token), which covers a successor that reached none of the home's upstreams. Such a home ends and begins anew. As owners follow rising tokens only, a job comes to a home only from homes with lower tokens, and for these "heard" is a proof. A home that lost only the store, or its answers, does nothing at all when it is back; before, its token rose. One that began without the store keeps its token as well when it takes its predecessor's row; before, it ended and began anew. A home that begins by the row takes a token above all that it knows, as the row's version may be behind tokens of homes without the store.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -114,6 +114,8 @@
 
 void home_election::OnTokenKnown(fencing_token token) {
   told_token_ = std::max(told_token_, token);
+  if (holding_ && token > token_)
+    End("newer_token");
 }
 
 fencing_token home_election::KnownToken() const {
@@ -184,7 +186,7 @@
   if (row_version_unknown_)
     CheckRow();
   else
-    Renew();
+    WriteRow(row_version_);
 }
 
 bool home_election::IsMuchStrongerThan(const instance_id& other) const {
@@ -204,23 +206,24 @@
   });
 }
 
-void home_election::Renew() {
+void home_election::WriteRow(uint64_t expected_version) {
   call_in_flight_ = true;
   bool release = leaving_ || yielding_;
-  store_.Write({{kTable, group_.ToString(), row_version_, OwnRow(release)}},
+  store_.Write({{kTable, group_.ToString(), expected_version, OwnRow(release)}},
                [this](const auto& result) {
                  released_ = leaving_ && result.ok();
-                 OnRenewed(result);
+                 OnRowWritten(result);
                });
 }
 
-void home_election::OnRenewed(
+void home_election::OnRowWritten(
     const outcome<std::vector<uint64_t>, store_error>& result) {
   call_in_flight_ = false;
   if (!holding_)
     return;
   if (result.ok()) {
     row_version_ = result.value().front();
+    row_version_unknown_ = false;
     if (leaving_)
       last_renewal_ = time_point();
     return;
@@ -238,30 +241,36 @@
   call_in_flight_ = true;
   store_.Read(kTable, group_.ToString(), [this](const auto& result) {
     call_in_flight_ = false;
-    if (!holding_)
-      return;
-    bool missing = !result.ok() && result.error() == store_error::kNotFound;
-    if (!result.ok() && !missing)
-      return;
-    uint64_t version = missing ? 0 : result.value().version;
-    auto row = missing ? std::nullopt : ParseRow(result.value().value);
-    // A home that began without the store finds the row of the home that it
-    // replaced, and takes it over. If another holder still renews the row, that
-    // holder keeps the role.
-    bool ours = row && row->holder == self_.instance &&
-                row->incarnation == self_.incarnation;
-    bool replaced = missing || (row && MayTakeOver(*row, version));
-    if (ours && leaving_) {
-      row_version_unknown_ = false;
-      row_version_ = version;
-    } else if (ours || replaced) {
-      TakeOver(version, !ours);
-    } else if (row_version_ != 0) {
-      End("row_taken");
-    }
+    if (holding_)
+      OnRowChecked(result);
   });
 }
 
+void home_election::OnRowChecked(
+    const outcome<table_row, store_error>& result) {
+  bool missing = !result.ok() && result.error() == store_error::kNotFound;
+  if (!result.ok() && !missing)
+    return;
+  uint64_t version = missing ? 0 : result.value().version;
+  auto row = missing ? std::nullopt : ParseRow(result.value().value);
+  bool ours = row && row->holder == self_.instance &&
+              row->incarnation == self_.incarnation;
+  if (missing || ours) {
+    WriteRow(version);
+    return;
+  }
+  // Another home has taken the row over from this one.
+  if (row_version_ != 0) {
+    End("row_taken");
+    return;
+  }
+  // A home that began without the store finds the row of the home that it
+  // replaced, and takes it over. If another holder still renews the row, that
+  // holder keeps it until one of the two homes hears of the other.
+  if (row && MayTakeOver(*row, version))
+    WriteRow(version);
+}
+
 int home_election::OwnRank(
     const std::function<bool(const instance_id&)>& counts) const {
   auto score = [&](const entry_member& member) {
@@ -332,12 +341,12 @@
   if (holding_ || leaving_ || (!result.ok() && !is_missing))
     return;
   if (is_missing) {
-    TakeOver(0, true);
+    TakeOver(0);
     return;
   }
   auto row = ParseRow(result.value().value);
   if (!row || MayTakeOver(*row, result.value().version))
-    TakeOver(result.value().version, true);
+    TakeOver(result.value().version);
 }
 
 bool home_election::MayTakeOver(const home_row& row, uint64_t version) {
@@ -365,19 +374,22 @@
   return refused_.contains(row.holder) || leaving_peers_.contains(row.holder);
 }
 
-void home_election::TakeOver(uint64_t expected_version,
-                             bool other_may_have_served) {
+void home_election::TakeOver(uint64_t expected_version) {
   call_in_flight_ = true;
   store_.Write({{kTable, group_.ToString(), expected_version, OwnRow(false)}},
-               [this, other_may_have_served](const auto& result) {
+               [this](const auto& result) {
+                 // This instance has begun without the store meanwhile.
+                 if (holding_) {
+                   OnRowWritten(result);
+                   return;
+                 }
                  call_in_flight_ = false;
                  if (!result.ok() || leaving_)
                    return;
                  row_version_unknown_ = false;
                  row_version_ = result.value().front();
                  last_renewal_ = clock_.now();
-                 Begin(fencing_token(row_version_ * kTokenSpacing), "store",
-                       other_may_have_served);
+                 Begin(TokenOfRow(row_version_), "store");
                });
 }
 
@@ -392,7 +404,7 @@
     return;
   row_version_unknown_ = true;
   row_version_ = 0;
-  Begin(TokenWithoutStore(KnownToken()), "without_store", true);
+  Begin(TokenAbove(KnownToken()), "without_store");
 }
 
 const char* home_election::ObstacleWithoutStore() const {
@@ -436,28 +448,27 @@
 // the same time; so the token depends on the address. The position in the list
 // of members would not do, as an instance that restarts while it is cut off has
 // no such list.
-fencing_token home_election::TokenWithoutStore(fencing_token highest) const {
+fencing_token home_election::TokenAbove(fencing_token highest) const {
   uint64_t next_row = highest.value() / kTokenSpacing + 1;
   return fencing_token(next_row * kTokenSpacing + 1 +
                        AddressNumber(self_.peers) % (kTokenSpacing - 1));
 }
 
-// A home that continues with a new token knows what runs on its upstreams only
-// if no other home has served in between. If one may have, this home would
-// start that home's tasks a second time; so it ends first, and then queries all
-// upstreams again.
-void home_election::Begin(fencing_token token,
-                          const char* how,
-                          bool other_may_have_served) {
-  bool renewed = holding_ && !other_may_have_served;
-  if (holding_ && other_may_have_served)
-    End("another_between");
+// A home that began without the store may have a higher token than the row's
+// version stands for.
+fencing_token home_election::TokenOfRow(uint64_t version) const {
+  fencing_token token(version * kTokenSpacing);
+  fencing_token known = KnownToken();
+  return token > known ? token : TokenAbove(known);
+}
+
+void home_election::Begin(fencing_token token, const char* how) {
   holding_ = true;
   yielding_ = false;
   token_ = token;
   without_home_since_.reset();
   LogEvent(
-      log_level::kInfo, renewed ? "home_token" : "home_begins",
+      log_level::kInfo, "home_begins",
       {{"group", group_.ToString()}, {"token", token.value()}, {"how", how}});
   handlers_.on_begin(token);
 }
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -35,6 +35,15 @@
 // has the highest token, and upstreams reject requests of an earlier home that
 // is still running.
 //
+// A home keeps its token for as long as it serves, whatever it reads from the
+// store or writes there. What an upstream has told it proves that no home with
+// a lower token can act there any more, and says nothing of homes with higher
+// tokens: with a new token a home would overtake those that had replaced it,
+// without knowing what they have started. An unchanged row proves nothing, as
+// homes that begin without the store do not write it. So a home with a higher
+// token always ends this one, by its status, by an upstream that refuses the
+// lower token, or by an instance that knows the higher one.
+//
 // A home keeps its role while it is alive, but yields to an instance with a
 // much higher weight, as all requests to the group's upstreams pass through
 // it. It is replaced at once if it released the row or its process is known to
@@ -67,7 +76,8 @@
   void OnPeerLeaving(const instance_id& peer);
   // The peer has told whether it could begin without the store.
   void OnPeerCanBegin(const instance_id& peer, bool can_begin);
-  // A peer has told the latest token of the group that it knows.
+  // A peer has told the latest token of the group that it knows. A home with a
+  // lower one ends.
   void OnTokenKnown(fencing_token token);
   void OnHomesChanged();
   // An upstream rejected this home's token because it has a higher one.
@@ -120,20 +130,24 @@
   // has replaced it.
   bool HasEnded(const home_row& row) const;
   void OnRowRead(const outcome<table_row, store_error>& row);
-  // `other_may_have_served` is true if another home may have served the group
-  // since this one began.
-  void TakeOver(uint64_t expected_version, bool other_may_have_served);
+  // Takes the row over and begins.
+  void TakeOver(uint64_t expected_version);
   void TakeOverWithoutStore();
   // Returns why this instance may not begin while the store is silent, or null
   // if it may.
   const char* ObstacleWithoutStore() const;
   // Logs the obstacle when it changes while the group has no home.
   void LogObstacle(const char* obstacle);
-  fencing_token TokenWithoutStore(fencing_token highest) const;
-  void Renew();
-  void OnRenewed(const outcome<std::vector<uint64_t>, store_error>& result);
+  // Returns a token above `highest` that no other instance has.
+  fencing_token TokenAbove(fencing_token highest) const;
+  // Returns the token of a home that has taken the row over with this version.
+  fencing_token TokenOfRow(uint64_t version) const;
+  // Writes the own row while this instance is home.
+  void WriteRow(uint64_t expected_version);
+  void OnRowWritten(const outcome<std::vector<uint64_t>, store_error>& result);
   void CheckRow();
-  void Begin(fencing_token token, const char* how, bool other_may_have_served);
+  void OnRowChecked(const outcome<table_row, store_error>& result);
+  void Begin(fencing_token token, const char* how);
   void End(const char* why);
 
   scheduler& clock_;
@@ -163,8 +177,10 @@
   // written.
   bool row_version_unknown_ = false;
   bool call_in_flight_ = false;
+  // Unchanged while holding.
   fencing_token token_;
-  // While holding: the version of the row as last written.
+  // While holding: the version of the row as last written; 0 if this home has
+  // not written it.
   uint64_t row_version_ = 0;
   // While watching: the version of the row as last read, and since when it has
   // been unchanged.
--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -526,6 +526,7 @@
   routing_sync_.OnStatus(from, status.config);
   // An instance of a release that does not confirm lived a moment ago.
   home_->OnConfirmed(from, status.confirmed.value_or(clock_.boot_now()));
+  election_->OnTokenKnown(status.higher_token.value_or(fencing_token()));
   election_->OnPeerCanBegin(from, status.group != group_knowledge::kNone);
   ShareGroupKnowledge(from, status.group);
 }
@@ -560,7 +561,7 @@
     return;
   auto [read, is_first] = read_statuses_.try_emplace(from);
   bool after_gap = clock_.now() - read->second.at > kStatusGap;
-  read->second = {status.group, status.sent_at, clock_.now()};
+  read->second = {status.group, status.token, status.sent_at, clock_.now()};
   // The home starts no tasks of this instance's jobs before.
   if (is_first || changed || after_gap)
     OnceStatusesAreHandled([this, from] { Send(from, OwnStatusFor(from)); });
@@ -608,6 +609,13 @@
   auto handled = handled_statuses_.find(peer);
   status.confirmed =
       handled == handled_statuses_.end() ? time_point() : handled->second;
+  auto read = read_statuses_.find(peer);
+  if (read == read_statuses_.end())
+    return status;
+  // A home that was replaced may reach none of the upstreams that know it.
+  fencing_token highest = homes_.HighestToken(read->second.group);
+  if (highest > read->second.token)
+    status.higher_token = highest;
   return status;
 }
 
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -117,6 +117,7 @@
   // The latest status of a linked home.
   struct read_status {
     home_group group;
+    fencing_token token;
     // By the home's `scheduler::boot_now`.
     time_point sent_at;
     // By the own clock.
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -164,6 +164,8 @@
     wire.__set_group(static_cast<int8_t>(status.group));
   if (status.confirmed)
     wire.__set_confirmed_us(status.confirmed->time_since_epoch().count());
+  if (status.higher_token)
+    wire.__set_higher_token(static_cast<int64_t>(status.higher_token->value()));
   return wire;
 }
 
@@ -378,6 +380,9 @@
     status.group = static_cast<group_knowledge>(wire.group);
   if (wire.__isset.confirmed_us)
     status.confirmed = time_point(duration(wire.confirmed_us));
+  if (wire.__isset.higher_token)
+    status.higher_token =
+        fencing_token(static_cast<uint64_t>(wire.higher_token));
   return status;
 }
 
--- a/src/protocol/gen/peer_types.cpp
+++ b/src/protocol/gen/peer_types.cpp
@@ -1670,6 +1670,11 @@
   this->confirmed_us = val;
 __isset.confirmed_us = true;
 }
+
+void status::__set_higher_token(const int64_t val) {
+  this->higher_token = val;
+__isset.higher_token = true;
+}
 std::ostream& operator<<(std::ostream& out, const status& obj)
 {
   obj.printTo(out);
@@ -1786,6 +1791,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->higher_token);
+          this->__isset.higher_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1857,6 +1870,11 @@
     xfer += oprot->writeI64(this->confirmed_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.higher_token) {
+    xfer += oprot->writeFieldBegin("higher_token", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->higher_token);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1872,6 +1890,7 @@
   swap(a.reading, b.reading);
   swap(a.group, b.group);
   swap(a.confirmed_us, b.confirmed_us);
+  swap(a.higher_token, b.higher_token);
   swap(a.__isset, b.__isset);
 }
 
@@ -1884,6 +1903,7 @@
   reading = other80.reading;
   group = other80.group;
   confirmed_us = other80.confirmed_us;
+  higher_token = other80.higher_token;
   __isset = other80.__isset;
 }
 status& status::operator=(const status& other81) {
@@ -1895,6 +1915,7 @@
   reading = other81.reading;
   group = other81.group;
   confirmed_us = other81.confirmed_us;
+  higher_token = other81.higher_token;
   __isset = other81.__isset;
   return *this;
 }
@@ -1909,6 +1930,7 @@
   out << ", " << "reading="; (__isset.reading ? (out << to_string(reading)) : (out << "<null>"));
   out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
   out << ", " << "confirmed_us="; (__isset.confirmed_us ? (out << to_string(confirmed_us)) : (out << "<null>"));
+  out << ", " << "higher_token="; (__isset.higher_token ? (out << to_string(higher_token)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/protocol/gen/peer_types.h
+++ b/src/protocol/gen/peer_types.h
@@ -729,7 +729,7 @@
 std::ostream& operator<<(std::ostream& out, const domain_room& obj);
 
 typedef struct _status__isset {
-  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false), reading(false), group(false), confirmed_us(false) {}
+  _status__isset() : config_version(false), membership_version(false), leaving(false), in_force(false), rooms(false), reading(false), group(false), confirmed_us(false), higher_token(false) {}
   bool config_version :1;
   bool membership_version :1;
   bool leaving :1;
@@ -738,6 +738,7 @@
   bool reading :1;
   bool group :1;
   bool confirmed_us :1;
+  bool higher_token :1;
 } _status__isset;
 
 class status : public virtual ::apache::thrift::TBase {
@@ -751,7 +752,8 @@
            leaving(0),
            reading(0),
            group(0),
-           confirmed_us(0) {
+           confirmed_us(0),
+           higher_token(0) {
   }
 
   virtual ~status() noexcept;
@@ -763,6 +765,7 @@
   int8_t reading;
   int8_t group;
   int64_t confirmed_us;
+  int64_t higher_token;
 
   _status__isset __isset;
 
@@ -782,6 +785,8 @@
 
   void __set_confirmed_us(const int64_t val);
 
+  void __set_higher_token(const int64_t val);
+
   bool operator == (const status & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -812,6 +817,10 @@
       return false;
     else if (__isset.confirmed_us && !(confirmed_us == rhs.confirmed_us))
       return false;
+    if (__isset.higher_token != rhs.__isset.higher_token)
+      return false;
+    else if (__isset.higher_token && !(higher_token == rhs.higher_token))
+      return false;
     return true;
   }
   bool operator != (const status &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -90,6 +90,9 @@
   // The `sent_at_us` of the receiver's latest home status that the sender has
   // handled; 0: of none.
   8: optional i64 confirmed_us
+  // The highest token of the group to which the receiver is home, if it exceeds
+  // the one in the receiver's latest home status.
+  9: optional i64 higher_token
 }
 
 enum document_kind {
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -63,6 +63,9 @@
   // home, once the sender has handled all that had reached it by then. Empty if
   // the sender is of a release that does not confirm statuses.
   std::optional<time_point> confirmed = std::nullopt;
+  // The highest token that the sender knows of the group to which the receiver
+  // is home, if it exceeds the token in the receiver's latest status.
+  std::optional<fencing_token> higher_token = std::nullopt;
 
   bool operator==(const peer_status&) const = default;
 };
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -66,10 +66,6 @@
 
 void run_home::Begin(fencing_token token) {
   token_ = token;
-  for (const auto& [id, session] : upstreams_.sessions())
-    session->SetToken(token);
-  if (serving_)
-    return;
   serving_ = true;
   begun_at_ = clock_.now();
   claims_.Begin();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -96,7 +96,9 @@
            fenced_handler on_fenced);
   ~run_home() override;
 
-  // Begins to serve as home, or continues under a newer token.
+  // Begins to serve as home. Must not be called while serving: what upstreams
+  // have told this home proves nothing of homes whose tokens are between that
+  // token and a new one.
   void Begin(fencing_token token);
   // Leaves the upstreams to a successor. Runs are not stopped.
   void End();
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -105,7 +105,6 @@
   // The maximum of each resource in all registrations of the incarnation, as
   // capacity that has shrunk may grow again.
   const resource_amount& largest_capacity() const { return largest_capacity_; }
-  void SetToken(fencing_token token) { token_ = token; }
 
   // Must be called only if `usable()` and if `need` fits into `room()`.
   void Start(const task_name& task,
@@ -122,8 +121,8 @@
   // Whether it is known what runs on the upstream, or that nothing can run
   // there any more.
   bool settled() const { return incarnation_->settled; }
-  // Whether the upstream has replied to this session, and so refuses earlier
-  // owners, or is gone.
+  // Whether the upstream has replied to this session, and so refuses owners
+  // with lower tokens, or is gone.
   bool heard() const { return heard_ || incarnation_->gone; }
   // Whether tasks can be started now.
   bool usable() const;
@@ -212,7 +211,7 @@
   upstream_info info_;
   bool registered_ = true;
   resource_amount largest_capacity_;
-  fencing_token token_;
+  const fencing_token token_;
   limits limits_;
   // Reply times of all upstreams of the home.
   answer_times& times_;
--- a/tests/fakes/fake_tables.h
+++ b/tests/fakes/fake_tables.h
@@ -54,13 +54,15 @@
   std::map<std::pair<std::string, std::string>, table_row> rows;
   duration delay = std::chrono::milliseconds(3);
   bool outage = false;
+  // What happens to writes during an outage.
+  write_fate outage_fate = write_fate::kRefusedAtOnce;
   std::function<write_fate()> fate = [] { return write_fate::kAnswered; };
   int writes_in_effect = 0;
 
  private:
   void WriteNow(const std::vector<table_write>& writes,
                 const write_callback& done) {
-    write_fate what = outage ? write_fate::kRefusedAtOnce : fate();
+    write_fate what = outage ? outage_fate : fate();
     switch (what) {
       case write_fate::kRefusedAtOnce:
         done(store_error::kUnavailable);
