Count an upstream as heard only in the incarnation that replied

Callers would have seen a task run twice: a task moves from one home to another, which starts it at once as all upstreams have replied to it. One of them has crashed meanwhile and is back under its id; its new process has not seen the home's token, so the home from which the task moved may have started it there.

The registration tells of the new incarnation before it replies, and the session outlives both.

"run_home: a task that moves here beside an upstream that is reborn" fails on the code before (the task starts beside the silent upstream) and passes now. The comment on when silent upstreams count as settled named the row as the reason; it is the bound of leases.

--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -40,10 +40,10 @@
 // Pause before an unanswered order to stop is repeated. Orders time out after a
 // multiple of it, so this matters only where they fail at once.
 constexpr duration kStopRetryPause = std::chrono::milliseconds(20);
-// Time after which an upstream that has never replied counts as settled. Until
-// then an earlier owner that can reach it may still extend its lease: that
-// owner learns of its successor from the lease row of the home in the store
-// within its renewal interval, and the lease expires after that.
+// Time after which an upstream that has never replied counts as settled. An
+// earlier owner that can reach it may still extend its lease then, but only
+// while the owners of its jobs confirm to it: tasks that move here wait for
+// that (`run_home::EarlierRunsAreKnown`).
 constexpr duration kSettleTimeout = std::chrono::milliseconds(2500);
 
 }  // namespace
@@ -540,7 +540,6 @@
     incarnation_->AddUnknownLease(reply.clock, limits_);
   incarnation_->failed_holds = 0;
   incarnation_->any_hold_answered = true;
-  heard_ = true;
   incarnation_->last_hold_unanswered = false;
   incarnation_->start_overdue = false;
   incarnation_->lapse_timer.Stop();
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -121,9 +121,11 @@
   // Whether it is known what runs on the upstream, or that nothing can run
   // there any more.
   bool settled() const { return incarnation_->settled; }
-  // Whether the upstream has replied to this session, and so refuses owners
-  // with lower tokens, or is gone.
-  bool heard() const { return heard_ || incarnation_->gone; }
+  // Whether the upstream's incarnation has replied to this session, and so
+  // refuses owners with lower tokens, or is gone.
+  bool heard() const {
+    return incarnation_->any_hold_answered || incarnation_->gone;
+  }
   // Whether tasks can be started now.
   bool usable() const;
   // Whether a run may have to end so soon that the lease of a start would be
@@ -220,7 +222,6 @@
   // replies again or is known to have crashed.
   std::optional<upstream_loss> unreachable_loss_;
   time_point created_at_;
-  bool heard_ = false;
   std::unique_ptr<incarnation_state> incarnation_;
   // Number of the current incarnation. Replies to calls of earlier ones are
   // ignored.
--- a/tests/run_home/run_home_test.cc
+++ b/tests/run_home/run_home_test.cc
@@ -242,6 +242,35 @@
   CHECK(f.StartsOn("u1") == 3);
 }
 
+TEST_CASE(
+    "run_home: a task that moves here beside an upstream that is reborn") {
+  // Guards against a second run of a task: the upstream's new process has not
+  // seen this home's token, so the home from which the task moved may act
+  // there.
+  home_fixture f;
+  fake_upstream& upstream = f.fleet.Add("u1", "north");
+  f.fleet.Add("u2", "north");
+  upstream.birth = upstream_birth(1'700'000'000'000);
+  f.InfoOf("u1").birth = upstream.birth;
+  f.home.SetUpstreams(f.fleet.registry, false);
+  f.Begin();
+  f.Link(incarnation_id("1"));
+  f.clock.Advance(milliseconds(100));
+  upstream.down = true;
+  upstream.Rebirth(upstream_birth(1'700'000'001'000));
+  f.InfoOf("u1").birth = upstream.birth;
+  f.home.SetUpstreams(f.fleet.registry, true);
+  run_request request = f.Request(1, Demand());
+  request.to_objective = request.to_limit = std::chrono::seconds(10);
+  request.tasks[0].maybe_started = true;
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(300));
+  CHECK(f.StartsOn("u2") == 0);
+  upstream.down = false;
+  f.clock.Advance(milliseconds(1200));
+  CHECK(f.StartsOn("u1") + f.StartsOn("u2") == 1);
+}
+
 TEST_CASE("run_home: runs that are being stopped still take room") {
   // The caller leaves while three tasks run. The upstream has room again only
   // once the end of each run is listed, 20 ms later.
