Take the list of upstreams for whole only after recent contact to a home

Callers would have seen a task run twice: an instance that was cut off from its home, or stood still, becomes home. Meanwhile the last home had used an upstream that the instance has not heard of and whose registration has lapsed since. The successor's list counted as whole, so it took the task for not started and started it again.

Cause: once whole, a list counted as whole for ever. A list from before a cut or a standstill was taken for proof that nobody had used others since.

A home that ends has been replaced and is not whole until the next home tells it; each new home tells all that know less once more.

Tests: "unregistered upstreams: the successor was cut off from the home", by the network or as it stood still, and with or without links to others.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -76,6 +76,7 @@
             if (reader_handler_)
               reader_handler_(reads);
           }),
+      home_contact_(clock),
       addresses_(clock),
       homes_(clock),
       store_(clock, store),
@@ -174,7 +175,10 @@
 }
 
 void run_cluster::OnHomeBegins(fencing_token token) {
+  upstreams_whole_ = KnowsAllUpstreams();
   began_with_whole_list_ = upstreams_whole_;
+  // Tells all that know less once more, as the last home may have missed news.
+  shared_.clear();
   // Nothing shows yet that what reached this instance has been handled.
   home_status_sent_at_ = kLongAgo;
   home_->Begin(token);
@@ -185,6 +189,9 @@
 
 void run_cluster::OnHomeEnds() {
   listed_since_.reset();
+  // Another home has served, and may have used upstreams of which this one has
+  // not heard.
+  upstreams_whole_ = false;
   home_->End();
   SendHomeStatus();
   if (home_handler_)
@@ -281,18 +288,24 @@
   election_->OnTokenKnown(news.token);
   Apply(news, &upstreams_);
   upstreams_whole_ = upstreams_whole_ || news.whole;
+  if (news.full || news.whole)
+    home_contact_.OnList();
   home_->SetUpstreams(upstreams_, false);
 }
 
+bool run_cluster::KnowsAllUpstreams() const {
+  return upstreams_whole_ && (home_->serving() || home_contact_.IsRecent());
+}
+
 group_knowledge run_cluster::OwnGroupKnowledge() const {
   if (!election_->CanBeginWithoutStore())
     return group_knowledge::kNone;
-  return upstreams_whole_ ? group_knowledge::kWhole : group_knowledge::kSome;
+  return KnowsAllUpstreams() ? group_knowledge::kWhole : group_knowledge::kSome;
 }
 
 void run_cluster::SendGroupKnowledge(const instance_id& peer) {
   shared_[peer] = OwnGroupKnowledge();
-  upstream_news news = FullNews(upstreams_, upstreams_whole_);
+  upstream_news news = FullNews(upstreams_, KnowsAllUpstreams());
   news.token = election_->KnownToken();
   Send(peer, news);
 }
@@ -559,6 +572,8 @@
     OnHomesChanged();
   if (from == self_.instance || !status.serving)
     return;
+  if (IsHome(from))
+    home_contact_.OnStatus();
   auto [read, is_first] = read_statuses_.try_emplace(from);
   bool after_gap = clock_.now() - read->second.at > kStatusGap;
   read->second = {status.group, status.token, status.sent_at, clock_.now()};
--- a/src/cluster/run_cluster.h
+++ b/src/cluster/run_cluster.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/base.h"
+#include "cluster/home_contact.h"
 #include "cluster/home_election.h"
 #include "cluster/member_registry.h"
 #include "cluster/peer_addresses.h"
@@ -143,6 +144,8 @@
   // Sends the speeds measured since the last call to the instances that may
   // succeed this home.
   void SendSpeeds();
+  // Whether `upstreams_` lacks none on which tasks may run now.
+  bool KnowsAllUpstreams() const;
   group_knowledge OwnGroupKnowledge() const;
   // Sends the peer what this instance knows of its group.
   void SendGroupKnowledge(const instance_id& peer);
@@ -192,8 +195,10 @@
   // services.
   upstream_registry listed_upstreams_;
   upstream_registry upstreams_;
-  // `upstreams_` contains all upstreams on which tasks may run.
+  // `upstreams_` contains all upstreams on which tasks may run, as of the last
+  // contact to a home.
   bool upstreams_whole_ = false;
+  home_contact home_contact_;
   // `upstreams_` was whole when this instance became home.
   bool began_with_whole_list_ = false;
   // Since when the store has listed upstreams without interruption.
--- a/tests/run_cluster/unregistered_upstream_test.cc
+++ b/tests/run_cluster/unregistered_upstream_test.cc
@@ -141,4 +141,61 @@
   CHECK(d.Starts("00000000000000bb") == 0);
 }
 
+// Guards against a successor that takes its list of upstreams for whole,
+// although it was cut off from the home while that one used others.
+TEST_CASE("unregistered upstreams: the successor was cut off from the home") {
+  run_nodes d;
+  d.estimate = seconds(4);
+  auto add_upstream = [&d](const std::string& id, duration run_time) {
+    d.fleet.Add(id, "north").plan = [run_time](const task_name&) {
+      return std::pair(run_time, run_end::kDone);
+    };
+  };
+  add_upstream("u1", seconds(4));
+  run_node& home = d.Add("north", 1, 1.4);
+  run_node& successor = d.Add("north", 2, 1.2);
+  run_node& owner = d.Add("north", 3, 1);
+  for (int i = 0; i < 2; ++i) {
+    for (run_node* node : d.Live())
+      node->cluster->SetUpstreams(d.fleet.registry);
+    d.Run(kRetention);
+  }
+  REQUIRE(home.cluster->home().serving());
+  upstream_registry without_new = d.fleet.registry;
+  d.Submit(owner, "00000000000000bb", 3, kCallerLimit);
+  d.Run(milliseconds(100));
+
+  bool stood_still = false;
+  SUBCASE("by the network") {}
+  SUBCASE("as it stood still") {
+    stood_still = true;
+    d.StandStill(successor);
+    d.Run(seconds(1));
+  }
+  d.Cut(home, successor);
+  add_upstream("u2", seconds(15));
+  home.cluster->SetUpstreams(d.fleet.registry);
+  d.Run(milliseconds(100));
+  d.Submit(owner, kJob, 1, kCallerLimit);
+  d.Run(seconds(5));
+  REQUIRE(d.Starts(kJob) == 1);
+  REQUIRE(d.fleet.upstreams.at(upstream_id("u2"))->running.size() == 1);
+  if (stood_still)
+    d.GoOn(successor);
+  bool hears_others = true;
+  SUBCASE("and hears of the others") {}
+  SUBCASE("and hears nothing of the others") {
+    hears_others = false;
+    d.Cut(successor, owner);
+  }
+  d.Kill(home);
+  d.Run(milliseconds(50));
+  if (!hears_others)
+    d.Heal(successor, owner);
+  REQUIRE(successor.cluster->home().serving());
+  successor.cluster->SetUpstreams(without_new);
+  d.Run(seconds(4));
+  CHECK(!d.ran_twice);
+}
+
 }  // namespace jasminedyke
