Forget the store's list of upstreams at the end of a time as home

Callers would have seen a task run twice: an instance becomes home for a second time, and the routes change before the store has listed the upstreams anew. The list of its first time was taken for the store's present one. With it the home counted all upstreams as known, also one that the home between had used, and started a task again that ran there.

Same class: a list from before another home served, taken for proof. The list now ends with the time as home. "unregistered upstreams: a home that was home before" fails on the code before and passes now.

--- a/src/cluster/run_cluster.cc
+++ b/src/cluster/run_cluster.cc
@@ -189,6 +189,7 @@
 
 void run_cluster::OnHomeEnds() {
   listed_since_.reset();
+  listed_upstreams_.clear();
   // Another home has served, and may have used upstreams of which this one has
   // not heard.
   upstreams_whole_ = false;
--- a/tests/run_cluster/unregistered_upstream_test.cc
+++ b/tests/run_cluster/unregistered_upstream_test.cc
@@ -198,4 +198,44 @@
   CHECK(!d.ran_twice);
 }
 
+// Guards against a home that takes the store's list of its last time as home
+// for one of this time.
+TEST_CASE("unregistered upstreams: a home that was home before") {
+  run_nodes d;
+  d.estimate = seconds(4);
+  auto add_upstream = [&d](const std::string& id) {
+    d.fleet.Add(id, "north").plan = [](const task_name&) {
+      return std::pair<duration, run_end>(seconds(4), run_end::kDone);
+    };
+  };
+  add_upstream("u1");
+  run_node& first = d.Add("north", 1);
+  run_node& owner = d.Add("south", 1);
+  for (int i = 0; i < 2; ++i) {
+    first.cluster->SetUpstreams(d.fleet.registry);
+    d.Run(kRetention);
+  }
+  run_node& second = d.Add("north", 2, 2);
+  d.Run(seconds(3));
+  REQUIRE(second.cluster->home().serving());
+  second.cluster->SetUpstreams(d.fleet.registry);
+  d.Run(milliseconds(100));
+
+  // The second home dies as it uses a new upstream, before it can tell.
+  d.Cut(first, second);
+  d.fleet.registry.at(upstream_id("u1")).draining = true;
+  add_upstream("u2");
+  second.cluster->SetUpstreams(d.fleet.registry);
+  d.Run(milliseconds(20));
+  d.Submit(owner, kJob, 1, kCallerLimit);
+  d.Run(milliseconds(50));
+  REQUIRE(d.fleet.upstreams.at(upstream_id("u2"))->running.size() == 1);
+  d.Kill(second);
+  d.Run(milliseconds(50));
+  REQUIRE(first.cluster->home().serving());
+  first.cluster->OnConfigDocument("parts", "test");
+  d.Run(seconds(3));
+  CHECK(!d.ran_twice);
+}
+
 }  // namespace jasminedyke
