Have each incarnation of an upstream refuse late start orders

The upstream crashes, is back under its id, and then the order reaches it.

Cause: a confirmed stop was taken for proof that the run never starts, and the run was forgotten. The promise ends with the incarnation that gave it, as does the order's time limit; the order may still be on its way.

Mend: a session remembers the starts that its upstream refuses for as long as their orders may arrive (15 s), and sends the stops to each later incarnation, again and again until it confirms them. Nothing waits for that.

"a start that was refused arrives at the next incarnation" (four ways in which the incarnation is revealed) fails four of four without the new stops and passes with them.

--- a/src/runs/incarnation_state.cc
+++ b/src/runs/incarnation_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "runs/refused_starts.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -10,10 +12,6 @@
 // lost. Losses come in bursts that last seconds, with less than a second
 // between two losses on a busy upstream.
 constexpr duration kUnansweredCallWindow = std::chrono::seconds(3);
-// An unanswered order may be executed seconds later. By then another
-// incarnation may run, on whose clock the order's time limit is far in the
-// future.
-constexpr duration kMaxOrderDelay = std::chrono::seconds(15);
 // How long after the last reply holds continue to extend the lease. An
 // unanswered hold may still arrive, and every lease that it may have extended
 // delays the proof that nothing runs on the upstream any more.
@@ -35,6 +33,7 @@
       poll_timer(scheduler),
       start_timer(scheduler),
       stop_timer(scheduler),
+      refusal_timer(scheduler),
       lapse_timer(scheduler),
       scheduler_(scheduler) {}
 
@@ -157,6 +156,8 @@
   return unknown_runs;
 }
 
+// By the time at which an order is executed another incarnation may run, on
+// whose clock the order's time limit is far in the future.
 bool incarnation_state::MayStartLater(const run_record& record,
                                       time_point now) const {
   return birth != upstream_birth() && !gone &&
--- a/src/runs/incarnation_state.h
+++ b/src/runs/incarnation_state.h
@@ -139,6 +139,7 @@
   scoped_timer poll_timer;
   scoped_timer start_timer;
   scoped_timer stop_timer;
+  scoped_timer refusal_timer;
   scoped_timer lapse_timer;
 
  private:
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -114,6 +114,8 @@
   incarnation_ = std::make_unique<incarnation_state>(clock_, birth, *old);
   if (incarnation_->runs.HasUnconfirmed())
     ScheduleStartCheck(times_.Timeout(kStartReplyTimeout));
+  refused_starts_.OnNewIncarnation();
+  RefuseStarts();
   upstream_loss loss{{info_.id, old->birth}, true, {}};
   for (const auto& [task, record] : old->runs.all()) {
     // A start request carried over from an earlier incarnation is counted as
@@ -311,6 +313,30 @@
   });
 }
 
+// Stopping a run that is not there makes the upstream refuse its start.
+void upstream_session::RefuseStarts() {
+  for (const refused_starts::start& refused :
+       refused_starts_.Unpromised(clock_.now()))
+    RefuseStart(refused);
+}
+
+void upstream_session::RefuseStart(const refused_starts::start& refused) {
+  port_.Stop(
+      info_.id,
+      {refused.first, refused.second, token_, times_.Timeout(kReplyTimeout)},
+      [this, refused, number = incarnation_number_](call_result result) {
+        if (number != incarnation_number_)
+          return;
+        if (result == call_result::kOk)
+          refused_starts_.OnPromised(refused);
+        else if (result == call_result::kFenced)
+          owner_.OnFenced(*this);
+        else if (!incarnation_->refusal_timer.active())
+          incarnation_->refusal_timer.StartAfter(kStopRetryPause,
+                                                 [this] { RefuseStarts(); });
+      });
+}
+
 void upstream_session::ScheduleStartCheck(duration pause) {
   incarnation_->start_timer.StartAfter(pause, [this, pause] {
     CheckStarts();
@@ -667,8 +693,12 @@
                                        const hold_reply& reply) {
   for (const ended_run& entry : incarnation_->runs.EndedRuns(sent, reply)) {
     // The owner's handling of another ended run may have removed this one.
-    if (!incarnation_->runs.Find(entry.task))
+    const run_record* record = incarnation_->runs.Find(entry.task);
+    if (!record)
       continue;
+    if (record->IsUnconfirmed())
+      refused_starts_.Add({entry.task, record->run}, record->since,
+                          clock_.now());
     incarnation_->runs.Remove(entry.task);
     if (entry.never_began)
       owner_.OnNotStarted(*this, entry.task, entry.run, start_result::kUnknown);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -13,6 +13,7 @@
 #include "base/base.h"
 #include "runs/answer_times.h"
 #include "runs/incarnation_state.h"
+#include "runs/refused_starts.h"
 #include "runs/run_types.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
@@ -198,6 +199,9 @@
   void OnStopAnswered(run_record& record, call_result result);
   // Sends the orders to stop again that went unanswered.
   void ScheduleStopRetry();
+  // Has the current incarnation refuse the starts that an earlier one refused.
+  void RefuseStarts();
+  void RefuseStart(const refused_starts::start& refused);
   // Counts an upstream that has never replied as settled, as it has been silent
   // for too long.
   void SettleWithoutReply();
@@ -222,6 +226,7 @@
   // replies again or is known to have crashed.
   std::optional<upstream_loss> unreachable_loss_;
   time_point created_at_;
+  refused_starts refused_starts_;
   std::unique_ptr<incarnation_state> incarnation_;
   // Number of the current incarnation. Replies to calls of earlier ones are
   // ignored.
--- a/tests/upstream_session/upstream_rebirth_test.cc
+++ b/tests/upstream_session/upstream_rebirth_test.cc
@@ -86,6 +86,40 @@
   CHECK(f.session->usable());
 }
 
+TEST_CASE("a start that was refused arrives at the next incarnation") {
+  // Guards against a run beside the task's next one: a confirmed stop counted
+  // as proof for all incarnations, and the next one knows nothing of it.
+  rebirth_fixture f;
+  // The order's limit lies ahead on the clock of the next incarnation.
+  f.clock.Advance(milliseconds(8000));
+  f.fleet.late = milliseconds(3000);
+  f.fleet.fate = [](const upstream_id&, const std::string&) {
+    return call_fate::kDelayed;
+  };
+  f.Start(kTask);
+  f.SetUnreachable(false);
+  f.clock.Advance(milliseconds(600));
+  REQUIRE(f.log.not_started.size() == 1);
+  f.upstream->Rebirth(kSecond);
+  SUBCASE("which a hold reveals") {}
+  SUBCASE("which its registration reveals") {
+    f.Register(kSecond);
+  }
+  SUBCASE("which is out of reach at first") {
+    f.SetUnreachable(true);
+    f.Register(kSecond);
+    f.clock.Advance(milliseconds(1200));
+    f.SetUnreachable(false);
+  }
+  SUBCASE("after one more") {
+    f.clock.Advance(milliseconds(800));
+    f.upstream->Rebirth(kThird);
+  }
+  f.clock.Advance(milliseconds(4000));
+  CHECK(f.upstream->starts.empty());
+  CHECK(f.session->idle());
+}
+
 TEST_CASE("a registration reveals a new incarnation first") {
   // The end of the old runs must not be delayed until a call fails.
   rebirth_fixture f;
