Don't ask an upstream that is gone to refuse starts

The stops for refused starts were repeated every 20 ms while they went unanswered, also where another upstream answered at the address: 50 calls a second for up to 15 s and each such start. They follow the pause of failed holds now (60 ms to 1 s), and end when the upstream is gone.

--- a/src/cluster/home_contact.h
+++ b/src/cluster/home_contact.h
@@ -17,7 +17,7 @@
  public:
   explicit home_contact(const scheduler& clock) : clock_(clock) {}
 
-  // The home has sent its whole list over a new link.
+  // A whole list has come from the home or from an instance that knows it.
   void OnList();
   // The home has sent its status.
   void OnStatus();
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -331,8 +331,9 @@
           refused_starts_.OnPromised(refused);
         else if (result == call_result::kFenced)
           owner_.OnFenced(*this);
-        else if (!incarnation_->refusal_timer.active())
-          incarnation_->refusal_timer.StartAfter(kStopRetryPause,
+        else if (result != call_result::kGone &&
+                 !incarnation_->refusal_timer.active())
+          incarnation_->refusal_timer.StartAfter(RetryPause(),
                                                  [this] { RefuseStarts(); });
       });
 }
