--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -37,8 +37,9 @@
 // it could overlap.
 //
 // If a start stays unanswered, a poll checks for the run soon after. A run that
-// is not listed is stopped, as a stopped run number can never start. This gives
-// the proof within a few round trips, long before the order's time limit.
+// is not listed is stopped, as a stopped run number can never start in the same
+// incarnation. This gives the proof within a few round trips, long before the
+// order's time limit. Later incarnations are told to refuse the run as well.
 class upstream_session {
  public:
   using limits = lease_limits;
