--- a/review/lib-2/site_2.py
+++ b/review/lib-2/site_2.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -28,11 +29,15 @@
 
 
 def free_ports(count):
+    """Ports below those that outgoing connections usually get."""
     sockets = []
-    for _ in range(count):
+    while len(sockets) < count:
         s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
+        try:
+            s.bind(("127.0.0.1", random.randrange(10000, 32000)))
+            sockets.append(s)
+        except OSError:
+            s.close()
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
