--- a/review/lib-2/site_2.py
+++ b/review/lib-2/site_2.py
@@ -298,6 +298,12 @@
     async def listen(self):
         await self.http.listen()
         beside(self._tick())
+        beside(self._beat())
+
+    async def _beat(self):
+        while True:
+            await asyncio.sleep(self.site.heartbeat_s)
+            await self.register()
 
     async def register(self):
         self.sequence += 1
@@ -518,6 +524,7 @@
         self.record = Record(folder)
         self.zones = list(zones)
         self.max_hold_ms = 1000
+        self.heartbeat_s = 1.5
         self.link_mbps = 1000.0
         self.temp = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
@@ -617,22 +624,28 @@
     return "%016x" % (0x5c0e7a2100000000 + number)
 
 
-def main(folder, case):
+def main(folder, case, trouble):
     """Runs `case(site, trouble)`; it returns True if the rule was broken."""
     if not os.access(DAEMON, os.X_OK):
         print("target/jasminedyked is not built")
         sys.exit(CANNOT_RUN)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def go():
         site = Site(folder)
         code = CANNOT_RUN
+        played = asyncio.ensure_future(asyncio.wait_for(case(site, trouble), 110))
+        loop = asyncio.get_running_loop()
+        # The daemons end also if the script is ended from outside.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, played.cancel)
         try:
-            broken = await asyncio.wait_for(case(site, trouble), 110)
+            broken = await played
             code = BROKEN if broken else HELD
             print("the rule was broken" if broken else "the rule held")
         except (CannotRun, asyncio.TimeoutError) as problem:
             print("the case could not run:", problem or "it took too long")
+        except asyncio.CancelledError:
+            print("ended from outside")
         except Exception:
             traceback.print_exc()
         finally:
