Log what ends a daemon

Callers and operators saw a daemon that was gone. Its log didn't tell why: what ends it at the start went to standard error only, without a time and without the reason of the system, and signals, uncaught exceptions and failed checks of libevent left nothing.

Now a line `ended` tells the status and the reason, or the signal; `starting` begins a log, `settings_invalid` has each problem, and an address that can't be had is named with the system's reason. Shown by a run of each: a taken port, unknown settings, SIGUSR1, SIGSEGV, SIGABRT and SIGXFSZ. Messages on standard error stay as they were. No logic changes.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
+#include <cerrno>
 #include <cstdint>
+#include <cstring>
 #include <stdexcept>
 #include <utility>
 
@@ -190,7 +192,8 @@
   socket_ = evhttp_bind_socket_with_handle(evhttp_.get(), address.ip.c_str(),
                                            address.port);
   if (!socket_)
-    throw std::runtime_error("can't listen on " + address.ToString());
+    throw std::runtime_error("can't listen on " + address.ToString() + ": " +
+                             std::strerror(errno));
   return {address.ip, BoundPort(socket_)};
 }
 
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <CLI/CLI.hpp>
+#include <unistd.h>
 
 #include "base/base.h"
 #include "daemon/daemon.h"
@@ -22,6 +23,17 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
+// Before the settings tell what is to be logged, and for what ends the process.
+constexpr char kFirstLogLevel[] = "info";
+
+void LogBadSettings(const std::string& file,
+                    const settings_problems& problems) {
+  for (const settings_problem& problem : problems)
+    LogEvent(log_level::kError, "settings_invalid",
+             {{"problem", problem.ToString(file)}});
+  LogEnd(kExitBadSettings, "the settings can't be used");
+}
+
 // `load` reads and checks the settings and says from which file: at the start,
 // and again on each reload.
 template <class Daemon, class Load>
@@ -31,6 +43,8 @@
   if (!settings.ok()) {
     for (const settings_problem& problem : settings.error())
       std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
+    if (!check_only)
+      LogBadSettings(file, settings.error());
     return kExitBadSettings;
   }
   if (check_only) {
@@ -38,6 +52,8 @@
     return kExitOk;
   }
   StartLogging(settings.value().log_level);
+  LogEvent(log_level::kInfo, "starting",
+           {{"version", kVersion}, {"pid", getpid()}, {"file", file}});
   std::optional<Daemon> served;
   RunDaemon(loop, [&] {
     served.emplace(loop, settings.value());
@@ -52,6 +68,7 @@
     };
     return actions;
   });
+  LogEnd(kExitOk, "stopped");
   return kExitOk;
 }
 
@@ -77,6 +94,10 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
   }
+  if (!check_only) {
+    StartLogging(kFirstLogLevel);
+    LogWhatEndsTheProcess();
+  }
   try {
     event_loop loop;
     if (on_platform)
@@ -88,6 +109,7 @@
     return Serve<instance>(loop, load, check_only);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "jasminedyked: %s\n", error.what());
+    LogEnd(kExitFailed, error.what());
     return kExitFailed;
   }
 }
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -1,5 +1,7 @@
 #include "protocol/peer_mesh.h"
 
+#include <cerrno>
+#include <cstring>
 #include <stdexcept>
 #include <utility>
 
@@ -57,7 +59,8 @@
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
       -1, reinterpret_cast<sockaddr*>(&to), sizeof(to)));
   if (!socket_)
-    throw std::runtime_error("can't listen on " + listen.ToString());
+    throw std::runtime_error("can't listen on " + listen.ToString() + ": " +
+                             std::strerror(errno));
   sockaddr_in bound{};
   socklen_t length = sizeof(bound);
   getsockname(evconnlistener_get_fd(socket_.get()),
