Log a fault of the program and leave it to the handler before

Sanitizers report a fault from handlers of their own, which the log's handler had replaced: a sanitized daemon would have ended without its report. Only a signal that was sent is raised again; a fault comes again by itself.

--- a/src/daemon/process_end.cc
+++ b/src/daemon/process_end.cc
@@ -33,9 +33,12 @@
     named_signal{SIGXFSZ, "SIGXFSZ"},
 };
 
-// Not enough for a stack overflow's deep frames, enough for one line.
+// The handler has little on its stack.
 constexpr size_t kHandlerStackBytes = 64 * 1024;
 
+// What each signal did before, as sanitizers have handlers of their own.
+std::array<struct sigaction, kEnding.size()> g_before;
+
 // Only calls that are allowed in a signal's handler; never waits for the log's
 // reader.
 void WriteLine(const char* text, size_t size) {
@@ -44,34 +47,39 @@
     (void)!write(STDOUT_FILENO, text, size);
 }
 
-void OnEndingSignal(int number) {
+void OnEndingSignal(int number, siginfo_t* info, void*) {
   std::array<char, 80> line{};
   std::strcpy(line.data(), "level=critical event=ended signal=");
-  const char* name = "unknown";
-  for (const named_signal& each : kEnding) {
-    if (each.number == number)
-      name = each.name;
+  for (size_t i = 0; i < kEnding.size(); ++i) {
+    if (kEnding[i].number != number)
+      continue;
+    std::strcat(line.data(), kEnding[i].name);
+    sigaction(number, &g_before[i], nullptr);
   }
-  std::strcat(line.data(), name);
   std::strcat(line.data(), "\n");
   WriteLine(line.data(), std::strlen(line.data()));
-  // The handler is gone by now: the default action gives the exit status that
-  // others expect, and the memory image.
-  std::raise(number);
+  // A fault of the program comes again on return, with its place in the code.
+  bool sent = info->si_code <= 0;
+  if (sent)
+    std::raise(number);
 }
 
 void HandleEndingSignals() {
   static std::array<char, kHandlerStackBytes> stack;
-  stack_t alternative{};
-  alternative.ss_sp = stack.data();
-  alternative.ss_size = stack.size();
-  sigaltstack(&alternative, nullptr);
+  stack_t present{};
+  sigaltstack(nullptr, &present);
+  if ((present.ss_flags & SS_DISABLE) != 0) {
+    stack_t alternative{};
+    alternative.ss_sp = stack.data();
+    alternative.ss_size = stack.size();
+    sigaltstack(&alternative, nullptr);
+  }
   struct sigaction action {};
-  action.sa_handler = &OnEndingSignal;
-  action.sa_flags = static_cast<int>(SA_ONSTACK | SA_RESETHAND | SA_NODEFER);
+  action.sa_sigaction = &OnEndingSignal;
+  action.sa_flags = static_cast<int>(SA_ONSTACK | SA_NODEFER | SA_SIGINFO);
   sigemptyset(&action.sa_mask);
-  for (const named_signal& each : kEnding)
-    sigaction(each.number, &action, nullptr);
+  for (size_t i = 0; i < kEnding.size(); ++i)
+    sigaction(kEnding[i].number, &action, &g_before[i]);
 }
 
 std::string CurrentException() {
@@ -92,9 +100,8 @@
 }
 
 void OnLibeventMessage(int severity, const char* message) {
-  LogEvent(
-      severity >= EVENT_LOG_WARN ? log_level::kWarning : log_level::kDebug,
-      "libevent", {{"message", message}});
+  LogEvent(severity >= EVENT_LOG_WARN ? log_level::kWarning : log_level::kDebug,
+           "libevent", {{"message", message}});
 }
 
 [[noreturn]] void OnLibeventFatal(int) {
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -7,8 +7,8 @@
 #include <string>
 #include <utility>
 
-#include <CLI/CLI.hpp>
 #include <unistd.h>
+#include <CLI/CLI.hpp>
 
 #include "base/base.h"
 #include "daemon/daemon.h"
