--- /dev/null
+++ b/src/daemon/process_end.cc
@@ -0,0 +1,126 @@
+#include "daemon/process_end.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <exception>
+
+#include <event2/event.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include "base/base.h"
+
+namespace jasminedyke {
+
+namespace {
+
+struct named_signal {
+  int number;
+  const char* name;
+};
+
+// Those that end a process by default and that the daemon doesn't act on.
+constexpr std::array kEnding = {
+    named_signal{SIGSEGV, "SIGSEGV"},     named_signal{SIGBUS, "SIGBUS"},
+    named_signal{SIGFPE, "SIGFPE"},       named_signal{SIGILL, "SIGILL"},
+    named_signal{SIGABRT, "SIGABRT"},     named_signal{SIGQUIT, "SIGQUIT"},
+    named_signal{SIGTRAP, "SIGTRAP"},     named_signal{SIGUSR1, "SIGUSR1"},
+    named_signal{SIGUSR2, "SIGUSR2"},     named_signal{SIGALRM, "SIGALRM"},
+    named_signal{SIGVTALRM, "SIGVTALRM"}, named_signal{SIGPROF, "SIGPROF"},
+    named_signal{SIGIO, "SIGIO"},         named_signal{SIGXCPU, "SIGXCPU"},
+    named_signal{SIGXFSZ, "SIGXFSZ"},
+};
+
+// The handler has little on its stack.
+constexpr size_t kHandlerStackBytes = 64 * 1024;
+
+// What each signal did before, as sanitizers have handlers of their own.
+std::array<struct sigaction, kEnding.size()> g_before;
+
+// Only calls that are allowed in a signal's handler; never waits for the log's
+// reader.
+void WriteLine(const char* text, size_t size) {
+  pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+  if (poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0)
+    (void)!write(STDOUT_FILENO, text, size);
+}
+
+void OnEndingSignal(int number, siginfo_t* info, void*) {
+  std::array<char, 80> line{};
+  std::strcpy(line.data(), "level=critical event=ended signal=");
+  for (size_t i = 0; i < kEnding.size(); ++i) {
+    if (kEnding[i].number != number)
+      continue;
+    std::strcat(line.data(), kEnding[i].name);
+    sigaction(number, &g_before[i], nullptr);
+  }
+  std::strcat(line.data(), "\n");
+  WriteLine(line.data(), std::strlen(line.data()));
+  // A fault of the program comes again on return, with its place in the code.
+  bool sent = info->si_code <= 0;
+  if (sent)
+    std::raise(number);
+}
+
+void HandleEndingSignals() {
+  static std::array<char, kHandlerStackBytes> stack;
+  stack_t present{};
+  sigaltstack(nullptr, &present);
+  if ((present.ss_flags & SS_DISABLE) != 0) {
+    stack_t alternative{};
+    alternative.ss_sp = stack.data();
+    alternative.ss_size = stack.size();
+    sigaltstack(&alternative, nullptr);
+  }
+  struct sigaction action {};
+  action.sa_sigaction = &OnEndingSignal;
+  action.sa_flags = static_cast<int>(SA_ONSTACK | SA_NODEFER | SA_SIGINFO);
+  sigemptyset(&action.sa_mask);
+  for (size_t i = 0; i < kEnding.size(); ++i)
+    sigaction(kEnding[i].number, &action, &g_before[i]);
+}
+
+std::string CurrentException() {
+  try {
+    std::rethrow_exception(std::current_exception());
+  } catch (const std::exception& error) {
+    return error.what();
+  } catch (...) {
+    return "an exception of unknown type";
+  }
+}
+
+[[noreturn]] void OnTerminate() {
+  LogEvent(log_level::kError, "terminating",
+           {{"reason", std::current_exception() ? CurrentException()
+                                                : "std::terminate"}});
+  std::abort();
+}
+
+void OnLibeventMessage(int severity, const char* message) {
+  LogEvent(severity >= EVENT_LOG_WARN ? log_level::kWarning : log_level::kDebug,
+           "libevent", {{"message", message}});
+}
+
+[[noreturn]] void OnLibeventFatal(int) {
+  LogEvent(log_level::kError, "terminating", {{"reason", "libevent"}});
+  std::abort();
+}
+
+}  // namespace
+
+void LogWhatEndsTheProcess() {
+  HandleEndingSignals();
+  std::set_terminate(&OnTerminate);
+  event_set_log_callback(&OnLibeventMessage);
+  event_set_fatal_callback(&OnLibeventFatal);
+}
+
+void LogEnd(int status, const std::string& reason) {
+  LogEvent(status == 0 ? log_level::kInfo : log_level::kError, "ended",
+           {{"status", status}, {"reason", reason}});
+}
+
+}  // namespace jasminedyke
