Signals that tell a daemon nothing no longer end it

Callers saw an instance gone with no reason but the signal's default action: SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, and SIGXFSZ when the file of the log had reached its limit. They are counted now and change nothing; a write beyond the limit is an error of that write, a dropped line. Faults, SIGABRT, SIGQUIT, SIGTRAP and SIGXCPU end it as before, with a line.

The signals reach a running daemon, whose reload or stop afterwards shows that it runs; nothing depends on time.

--- a/src/daemon/process_end.cc
+++ b/src/daemon/process_end.cc
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "base/base.h"
+#include "base/signals.h"
 
 namespace jasminedyke {
 
@@ -21,16 +22,12 @@
   const char* name;
 };
 
-// Those that end a process by default and that the daemon doesn't act on.
+// Faults, and signals that ask for an end with a core dump.
 constexpr std::array kEnding = {
-    named_signal{SIGSEGV, "SIGSEGV"},     named_signal{SIGBUS, "SIGBUS"},
-    named_signal{SIGFPE, "SIGFPE"},       named_signal{SIGILL, "SIGILL"},
-    named_signal{SIGABRT, "SIGABRT"},     named_signal{SIGQUIT, "SIGQUIT"},
-    named_signal{SIGTRAP, "SIGTRAP"},     named_signal{SIGUSR1, "SIGUSR1"},
-    named_signal{SIGUSR2, "SIGUSR2"},     named_signal{SIGALRM, "SIGALRM"},
-    named_signal{SIGVTALRM, "SIGVTALRM"}, named_signal{SIGPROF, "SIGPROF"},
-    named_signal{SIGIO, "SIGIO"},         named_signal{SIGXCPU, "SIGXCPU"},
-    named_signal{SIGXFSZ, "SIGXFSZ"},
+    named_signal{SIGSEGV, "SIGSEGV"}, named_signal{SIGBUS, "SIGBUS"},
+    named_signal{SIGFPE, "SIGFPE"},   named_signal{SIGILL, "SIGILL"},
+    named_signal{SIGABRT, "SIGABRT"}, named_signal{SIGQUIT, "SIGQUIT"},
+    named_signal{SIGTRAP, "SIGTRAP"}, named_signal{SIGXCPU, "SIGXCPU"},
 };
 
 // The handler has little on its stack.
@@ -112,6 +109,7 @@
 }  // namespace
 
 void LogWhatEndsTheProcess() {
+  CountHarmlessSignals();
   HandleEndingSignals();
   std::set_terminate(&OnTerminate);
   event_set_log_callback(&OnLibeventMessage);
--- /dev/null
+++ b/tests/daemon_process/signals_test.cc
@@ -0,0 +1,73 @@
+// Signals that reach a daemon while it runs.
+
+#include <csignal>
+#include <cstring>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "fakes/daemon_process.h"
+
+namespace jasminedyke {
+namespace {
+
+// Guards against a daemon that ends by a signal that tells it nothing.
+TEST_CASE("a daemon runs on after signals that tell it nothing") {
+  for (int number : {SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO,
+                     SIGXFSZ, SIGPIPE, SIGPWR, SIGSTKFLT}) {
+    INFO(strsignal(number));
+    daemon_process daemon(SettingsText({}));
+    REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+    daemon.Signal(number);
+    daemon.Signal(SIGHUP);
+    CHECK_MESSAGE(daemon.WaitForLine("event=reload"), daemon.log());
+  }
+}
+
+// Guards against a daemon that no longer stops in order after such signals.
+TEST_CASE("a daemon stops in order after signals that tell it nothing") {
+  daemon_process daemon(SettingsText({}));
+  REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+  for (int number : {SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO,
+                     SIGXFSZ, SIGPIPE, SIGPWR, SIGSTKFLT})
+    daemon.Signal(number);
+  daemon.Signal(SIGTERM);
+  CHECK_MESSAGE(daemon.WaitForLine("event=ended status=0"), daemon.log());
+  CHECK(daemon.WaitForEnd() == 0);
+}
+
+// Guards against a daemon that ends by a fault and leaves no line.
+TEST_CASE(
+    "a fault or an order to leave a core dump ends a daemon with a line") {
+  struct ending {
+    int number;
+    const char* line;
+  };
+  for (const ending& each : {ending{SIGSEGV, "ended signal=SIGSEGV"},
+                             ending{SIGABRT, "ended signal=SIGABRT"},
+                             ending{SIGQUIT, "ended signal=SIGQUIT"},
+                             ending{SIGTRAP, "ended signal=SIGTRAP"},
+                             ending{SIGXCPU, "ended signal=SIGXCPU"}}) {
+    daemon_process daemon(SettingsText({}));
+    REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+    daemon.Signal(each.number);
+    CHECK_MESSAGE(daemon.WaitForLine(each.line), daemon.log());
+    CHECK(daemon.WaitForEnd() != 0);
+  }
+}
+
+// Guards against a daemon that ends as its log reaches the size that a file may
+// have.
+TEST_CASE("a daemon runs on when the file of its log may not grow") {
+  daemon_parent parent;
+  parent.log_is_file = true;
+  daemon_process daemon(SettingsText({}), parent);
+  REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+  daemon.LimitFileSize(daemon.log().size());
+  daemon.Signal(SIGHUP);
+  daemon.Signal(SIGTERM);
+  CHECK(daemon.WaitForEnd() == 0);
+}
+
+}  // namespace
+}  // namespace jasminedyke
--- a/tests/fakes/daemon_process.cc
+++ b/tests/fakes/daemon_process.cc
@@ -11,7 +11,9 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -20,6 +22,7 @@
 namespace {
 
 constexpr int kSilenceMs = 60'000;
+constexpr int kPauseMs = 5;
 
 std::string MakeFolder() {
   std::string folder = std::filesystem::temp_directory_path() / "daemon-XXXXXX";
@@ -45,25 +48,35 @@
          "[upstreams]\nlongest_lease_ms = 1000\n[stop]\ngrace_s = 6\n";
 }
 
-daemon_process::daemon_process(const std::string& settings)
-    : folder_(MakeFolder()) {
+daemon_process::daemon_process(const std::string& settings,
+                               const daemon_parent& parent)
+    : folder_(MakeFolder()), log_is_file_(parent.log_is_file) {
   WriteSettings(settings);
-  std::array<int, 2> log{};
-  if (pipe2(log.data(), O_CLOEXEC) != 0)
-    throw std::runtime_error("no pipe for the log");
+  std::array<int, 2> log = log_is_file_ ? OpenFile() : OpenPipe();
   log_end_ = log[0];
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, log[1], STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, log[1], STDERR_FILENO);
+  for (int each : parent.closed_descriptors)
+    posix_spawn_file_actions_addclose(&actions, each);
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  for (int each : parent.blocked_signals)
+    sigaddset(&blocked, each);
+  posix_spawnattr_setsigmask(&attributes, &blocked);
+  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
   std::string program = JASMINEDYKED;
   std::string option = "--platform";
   std::string variable = "JASMINEDYKE_BOOT=" + SettingsFile(folder_);
   std::array<char*, 3> arguments = {program.data(), option.data(), nullptr};
   std::array<char*, 2> environment = {variable.data(), nullptr};
-  int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+  int failed = posix_spawn(&pid_, program.c_str(), &actions, &attributes,
                            arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
+  posix_spawnattr_destroy(&attributes);
   close(log[1]);
   if (failed != 0)
     throw std::runtime_error("can't start " + program);
@@ -86,6 +99,11 @@
   kill(pid_, number);
 }
 
+void daemon_process::LimitFileSize(uint64_t bytes) const {
+  rlimit limit{bytes, bytes};
+  prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 bool daemon_process::WaitForLine(const std::string& part) {
   do {
     size_t found = log_.find(part, seen_);
@@ -104,9 +122,42 @@
   return WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
 }
 
+std::array<int, 2> daemon_process::OpenPipe() const {
+  std::array<int, 2> ends{};
+  if (pipe2(ends.data(), O_CLOEXEC) != 0)
+    throw std::runtime_error("no pipe for the log");
+  return ends;
+}
+
+std::array<int, 2> daemon_process::OpenFile() const {
+  std::string path = folder_ + "/log";
+  int writing = open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  return {open(path.c_str(), O_RDONLY | O_CLOEXEC), writing};
+}
+
+bool daemon_process::Runs() const {
+  siginfo_t ended{};
+  waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT);
+  return ended.si_pid == 0;
+}
+
+bool daemon_process::WaitForGrowth() const {
+  for (int waited = 0; waited < kSilenceMs; waited += kPauseMs) {
+    bool runs = Runs();
+    struct stat file {};
+    fstat(log_end_, &file);
+    if (file.st_size > lseek(log_end_, 0, SEEK_CUR))
+      return true;
+    if (!runs)
+      return false;
+    poll(nullptr, 0, kPauseMs);
+  }
+  return false;
+}
+
 bool daemon_process::ReadMore() {
   pollfd ready{log_end_, POLLIN, 0};
-  if (poll(&ready, 1, kSilenceMs) != 1)
+  if (log_is_file_ ? !WaitForGrowth() : poll(&ready, 1, kSilenceMs) != 1)
     return false;
   std::array<char, 4096> some{};
   ssize_t count = read(log_end_, some.data(), some.size());
--- a/tests/fakes/daemon_process.h
+++ b/tests/fakes/daemon_process.h
@@ -3,7 +3,10 @@
 #ifndef TESTS_FAKES_DAEMON_PROCESS_H_
 #define TESTS_FAKES_DAEMON_PROCESS_H_
 
+#include <array>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include <sys/types.h>
 
@@ -22,12 +25,21 @@
 // Settings of a daemon on the operators' platform, whose store is away.
 std::string SettingsText(const daemon_addresses& addresses);
 
+// What a daemon inherits from the program that starts it.
+struct daemon_parent {
+  std::vector<int> blocked_signals;
+  std::vector<int> closed_descriptors;
+  // Its log is a file rather than a pipe.
+  bool log_is_file = false;
+};
+
 // Ends the process, if it still runs, when it goes.
 class daemon_process {
  public:
   // Starts it with a settings file of that text. Its standard output and error
   // are the log.
-  explicit daemon_process(const std::string& settings);
+  explicit daemon_process(const std::string& settings,
+                          const daemon_parent& parent = {});
   ~daemon_process();
   daemon_process(const daemon_process&) = delete;
   daemon_process& operator=(const daemon_process&) = delete;
@@ -37,6 +49,9 @@
 
   void Signal(int number) const;
 
+  // Sets the largest size of a file that it may write.
+  void LimitFileSize(uint64_t bytes) const;
+
   // Reads the log up to a line that has `part`. Returns false if the log ends
   // before, as the process ends, or is silent for a minute.
   bool WaitForLine(const std::string& part);
@@ -44,16 +59,25 @@
   // The exit status; negative is the signal that ended the process.
   int WaitForEnd();
 
+  pid_t pid() const { return pid_; }
+
   // All that was read of the log.
   const std::string& log() const { return log_; }
 
  private:
+  // Both return the log's end for this test, and the one for the process.
+  std::array<int, 2> OpenPipe() const;
+  std::array<int, 2> OpenFile() const;
   // Returns false at the log's end.
   bool ReadMore();
+  // Of a file, which may grow while the process runs.
+  bool WaitForGrowth() const;
+  bool Runs() const;
 
   std::string folder_;
   pid_t pid_ = -1;
   int log_end_ = -1;
+  bool log_is_file_;
   std::string log_;
   // What `WaitForLine` has looked at.
   size_t seen_ = 0;
