--- a/tests/daemon_process/signals_test.cc
+++ b/tests/daemon_process/signals_test.cc
@@ -36,6 +36,22 @@
   CHECK(daemon.WaitForEnd() == 0);
 }
 
+// Guards against a daemon that never acts on a signal since its parent blocks
+// it, as one must that sends signals right after the start.
+TEST_CASE("a daemon acts on signals that its parent has blocked") {
+  daemon_parent parent;
+  parent.blocked_signals = {SIGHUP, SIGTERM, SIGINT};
+  daemon_process reloads(SettingsText({}), parent);
+  reloads.Signal(SIGHUP);
+  CHECK_MESSAGE(reloads.WaitForLine("event=reload"), reloads.log());
+  for (int number : {SIGTERM, SIGINT}) {
+    daemon_process stops(SettingsText({}), parent);
+    stops.Signal(number);
+    CHECK_MESSAGE(stops.WaitForLine("event=ended status=0"), stops.log());
+    CHECK(stops.WaitForEnd() == 0);
+  }
+}
+
 // Guards against a daemon that ends by a fault and leaves no line.
 TEST_CASE(
     "a fault or an order to leave a core dump ends a daemon with a line") {
