A call without a socket fails later, not within itself

Seen by users as: nothing certain. Without a descriptor left, http_connection calls back from within Send, which its header rules out: a queue sends itself empty from within itself, a level of the stack a call, and sessions of upstreams get an answer to a call that they are still making. Cause: evhttp fails a request at once when socket() fails, within evhttp_make_request. Evidence: the new test against the connection before (its own build, -O0): the result is there when Send returns, kind 1 (reset) instead of connect. With this change it passes. Works because a failure within Send is told by the timer, as the one of Open is.

--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -69,11 +69,7 @@
   if (connection_ && (must_reopen_ || HasUnreadInput()))
     connection_.reset();
   if (!connection_ && !Open()) {
-    failing_at_once_ = true;
-    timer_.StartAfter(duration::zero(), [this] {
-      failing_at_once_ = false;
-      Finish(http_failure{http_failure_kind::kConnect, true});
-    });
+    FailLater();
     return;
   }
   request_ = evhttp_request_new(&http_connection::OnReply, this);
@@ -84,11 +80,21 @@
   evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(),
                request.body.size());
   timer_.StartAfter(timeout, [this] { OnTimeout(); });
+  in_send_ = true;
   evhttp_make_request(connection_.get(), request_, ToCommand(request.method),
                       request.path.c_str());
+  in_send_ = false;
   SendAtOnce();
 }
 
+void http_connection::FailLater() {
+  failing_at_once_ = true;
+  timer_.StartAfter(duration::zero(), [this] {
+    failing_at_once_ = false;
+    Finish(http_failure{http_failure_kind::kConnect, true});
+  });
+}
+
 // A small request must not wait for the acknowledgement of earlier bytes.
 void http_connection::SendAtOnce() {
   if (!connection_)
@@ -169,6 +175,11 @@
 void http_connection::OnReply(evhttp_request* request, void* self) {
   auto* connection = static_cast<http_connection*>(self);
   connection->request_ = nullptr;
+  // As it is where no socket can be had.
+  if (connection->in_send_) {
+    connection->FailLater();
+    return;
+  }
   if (!request) {
     connection->Finish(
         http_failure{http_failure_kind::kReset, !connection->byte_sent_});
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -75,6 +75,7 @@
   static void OnInputChanged(evbuffer* buffer,
                              const evbuffer_cb_info* info,
                              void* self);
+  void FailLater();
   static void OnReply(evhttp_request* request, void* self);
 
   bool Open();
@@ -97,6 +98,7 @@
   // The next request must not reuse this connection.
   bool must_reopen_ = false;
   bool failing_at_once_ = false;
+  bool in_send_ = false;
   callback done_;
   scoped_timer timer_;
   time_point idle_since_;
--- a/tests/http_connection/http_connection_test.cc
+++ b/tests/http_connection/http_connection_test.cc
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include "fakes/descriptor_limit.h"
 #include "fakes/raw_socket.h"
 #include "http/http.h"
 
@@ -73,6 +74,25 @@
   CHECK_FALSE(server.Accept());
 }
 
+// Guards against a sender that is called back within its own call, and so sends
+// its whole queue from within itself, while the process has no descriptor left.
+TEST_CASE("http_connection: without a socket a request fails later") {
+  raw_server server;
+  client c(server.address());
+  {
+    descriptor_limit none(descriptor_limit::NoneLeft());
+    c.Send("one");
+    CHECK_FALSE(c.result.has_value());
+    CHECK(c.connection.busy());
+    REQUIRE(c.WaitForResult());
+    REQUIRE_FALSE(c.result->ok());
+    CHECK(c.result->error().kind == http_failure_kind::kConnect);
+    CHECK(c.result->error().nothing_sent);
+  }
+  c.Send("two");
+  CHECK(WaitForRequest(c, server, "two"));
+}
+
 TEST_CASE("http_connection: a refused connection proves that nothing left") {
   socket_address nobody;
   {
