Log: a line longer than the pipe has room for can't stop the daemon

What callers see: a daemon that stands still until somebody reads its log. Cause: poll says that a pipe is ready when 4,096 bytes are free; the descriptor waits, and a longer line waits for its reader. Evidence: the first two tests against the sink before (its own build): both hang, ended by `timeout 10`, status 124. With this change all three pass. Works because a line goes out in pieces of the atomic size, each when the pipe is ready; what is left goes before the next line, which is dropped and counted while it can't. Another process that writes to the same pipe between poll and write could still fill it; that was not seen and is not excluded.

--- a/src/base/bounded_sink.cc
+++ b/src/base/bounded_sink.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -31,9 +32,9 @@
     std::string note =
         "event=log_dropped lines=" + std::to_string(dropped_ - told_) + "\n";
     told_ = dropped_;
-    Write(note.data(), note.size());
+    Write(note);
   }
-  Write(line.data(), line.size());
+  Write(std::string(line.data(), line.size()));
 }
 
 bool bounded_sink::allowance::Take(double per_second, double burst) {
@@ -53,14 +54,40 @@
                          : events_.Take(kLinesPerSecond, kBurst);
   if (!allowed)
     return false;
-  // A pipe that is ready takes a line of its atomic size without waiting.
+  return WriteRest() && IsReady();
+}
+
+bool bounded_sink::IsReady() const {
   pollfd ready{descriptor_, POLLOUT, 0};
   return poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT);
 }
 
-void bounded_sink::Write(const char* data, size_t size) {
-  if (write(descriptor_, data, size) != static_cast<ssize_t>(size))
+void bounded_sink::Write(const std::string& line) {
+  if (!WriteRest()) {
+    ++dropped_;
+    return;
+  }
+  rest_ = line;
+  // Of a line that nobody takes, not even its beginning, nothing is kept.
+  if (!WriteRest() && rest_.size() == line.size()) {
+    rest_.clear();
     ++dropped_;
+  }
+}
+
+// A pipe that is ready takes as much as its atomic size without waiting, and a
+// line may be longer.
+bool bounded_sink::WriteRest() {
+  while (!rest_.empty()) {
+    if (!IsReady())
+      return false;
+    ssize_t written = write(descriptor_, rest_.data(),
+                            std::min<size_t>(rest_.size(), PIPE_BUF));
+    if (written <= 0)
+      return false;
+    rest_.erase(0, static_cast<size_t>(written));
+  }
+  return true;
 }
 
 }  // namespace jasminedyke
--- a/src/base/bounded_sink.h
+++ b/src/base/bounded_sink.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
@@ -37,9 +38,14 @@
   };
 
   bool MayWrite(spdlog::level::level_enum level);
-  void Write(const char* data, size_t size);
+  bool IsReady() const;
+  void Write(const std::string& line);
+  // False while the reader is to be waited for.
+  bool WriteRest();
 
   int descriptor_;
+  // Of a line that has been begun.
+  std::string rest_;
   uint64_t dropped_ = 0;
   uint64_t told_ = 0;
   allowance events_;
