--- a/bench/soak.py
+++ b/bench/soak.py
@@ -286,13 +286,13 @@
             change = {"remove": [row]}
         await self.call(self.args.port, "/api/rows-tx", change)
 
-    async def configure(self):
+    async def configure(self, routes=ROUTES):
         """As operators do: the whole configuration, with a route for its version."""
         self.version += 1
         common = {"hostname": "desk.example", "service": "parts", "timeout_ms": 1500,
                   "target_latency_ms": 60, "stretch": 1.6, "max_attempts": MAX_ATTEMPTS}
         paths = ["parts", f"version-{self.version}"]
-        paths += [f"route-{i}" for i in range(ROUTES)]
+        paths += [f"route-{i}" for i in range(routes)]
         document = {"version": self.version,
                     "routes": [dict(common, name=path, path_prefix=f"/{path}/") for path in paths],
                     "services": [{"name": "parts", "max_connections": 64, "admission_check": True}]}
