--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -117,6 +117,12 @@
             return "port"
         return {2: "settings"}.get(status, "other")
 
+    def read_log(self, limit):
+        """From the pipe, if it is one that is still read."""
+        if self.reader and not self.reader.closed:
+            with open(self.log, "ab") as log:
+                log.write(self.reader.read(limit) or b"")
+
     def text(self):
         with open(self.log, errors="replace") as file:
             file.seek(self.log_begin)
@@ -145,8 +151,6 @@
     def port(self, number, offset):
         return self.ports[number][offset]
 
-    # What is told.
-
     @contextlib.contextmanager
     def kind(self, name, number=None):
         """In force for all instances, or for one."""
@@ -191,11 +195,10 @@
         log, reader = os.path.join(self.folder, f"entry-{number}.log"), None
         sink, log_begin = open(log, "ab"), os.path.getsize(log)
         if how.sink != "file":
-            reader, writer = os.pipe()
-            os.set_blocking(reader, False)
-            fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
             sink.close()
-            sink = os.fdopen(writer, "wb")
+            reader, sink = (os.fdopen(end, mode, buffering=0) for end, mode in zip(os.pipe(), ("rb", "wb")))
+            os.set_blocking(reader.fileno(), False)
+            fcntl.fcntl(sink, fcntl.F_SETPIPE_SZ, 4096)
         limit = (how.descriptors, how.descriptors)
         child = subprocess.Popen(
             [f"{self.folder}/jasminedyked", "--platform"], stdin=subprocess.DEVNULL, stdout=sink,
@@ -212,16 +215,13 @@
             asyncio.get_running_loop().call_later(seconds, life.send, which)
 
     async def read_log(self, life, how):
-        """Slowly, not at all, or not any more; what is left is read when the process has ended."""
-        with open(life.log, "ab") as log, os.fdopen(life.reader, "rb", buffering=0) as pipe:
-            if how == "gone":
-                await asyncio.sleep(0.1)
-                return
-            while life.child.returncode is None:
-                await asyncio.sleep(0.2)
-                if how == "slow":
-                    log.write(pipe.read(256) or b"")
-            log.write(pipe.read(65536) or b"")
+        """Slowly, not at all, or not any more."""
+        await asyncio.sleep(0.1)
+        if how == "gone":
+            life.reader.close()
+        while how == "slow" and life.child.returncode is None:
+            life.read_log(256)
+            await asyncio.sleep(0.2)
 
     async def again(self, number, wait_s):
         await asyncio.sleep(wait_s)
@@ -231,6 +231,7 @@
             self.start_instance(number)
 
     def on_end(self, life):
+        life.read_log(65536)
         reason = life.end_reason()
         self.lives[life.number] = None
         self.note("ended", f"entry-{life.number}", life.child.returncode, reason or "as asked")
@@ -247,9 +248,8 @@
                 if life.child.poll() is not None:
                     self.on_end(life)
                     continue
-                overdue = GRACE_S + GRACE_SLACK_S
-                if life.stop_at and not life.paused and \
-                        time.monotonic() - max(life.stop_at, life.free_since) > overdue:
+                stops_for = time.monotonic() - max(life.stop_at or time.monotonic(), life.free_since)
+                if stops_for > GRACE_S + GRACE_SLACK_S and not life.paused:
                     self.tell(life, "no end after SIGTERM")
                     life.send(signal.SIGKILL)
             await asyncio.sleep(0.01)
@@ -309,9 +309,7 @@
         self.watcher = asyncio.create_task(self.watch())
         self.paths = [self.settings(number) for number in self.lives]
         self.texts = [pathlib.Path(path).read_text() for path in self.paths]
-        order = list(self.lives)
-        self.luck.shuffle(order)
-        for number in order:
+        for number in self.lives:
             self.begin(self.again(number, self.luck.uniform(0, RESTART_S)))
 
     async def callers(self):
