Ends: signals to a process that is being loaded are a kind of their own

A process can't hold signals before its first line runs, and under load or sanitizers loading takes 20 to 600 ms (A SIGHUP after 29 ms ended one; sanitized, after 577 ms). All other kinds wait until the kernel shows that the process holds or handles the signal; the kind loading doesn't.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -26,6 +26,7 @@
     descriptors: int = 0
     sink: str = "file"
     signals: list = dataclasses.field(default_factory=list)  # (seconds, signal)
+    while_loading: bool = False
     wait_s: float = RESTART_S
 
 
@@ -60,19 +61,18 @@
         series.send(number, signal.SIGCONT)
 
 
-def started_with_signals(series, luck, number, first_s, last_s):
+def started_with_signals(series, luck, number, first_s, last_s, while_loading=False):
     which = [signal.SIGHUP, signal.SIGHUP, signal.SIGTERM]
     signals = [(luck.uniform(first_s, last_s), luck.choice(which)) for _ in range(luck.randint(1, 4))]
-    restart(series, number, luck, signals=signals)
+    restart(series, number, luck, signals=signals, while_loading=while_loading)
 
 
 async def early(series, luck, number):
-    # A process under load is loaded later.
-    started_with_signals(series, luck, number, LOADING_S * 5, 0.3)
+    started_with_signals(series, luck, number, 0, 0.3)
 
 
 async def loading(series, luck, number):
-    started_with_signals(series, luck, number, 0, LOADING_S)
+    started_with_signals(series, luck, number, 0, LOADING_S, while_loading=True)
 
 
 async def freeze(series, luck, number):
--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -36,18 +36,18 @@
 
 import soak
 from disturbances import BALANCER_PORT, KINDS, METRICS_PORT, RESTART_S, Start
+from process_life import Life
 
 # Bounds: what operators expect of a deployment.
 GRACE_S = 6.0
 GRACE_SLACK_S = 1.0
 CONTACT_S = 3.0
 RECOVER_S = 12.0
-MEMORY_KIB = 260 * 1024
 CPU_SHARE = 0.25
 
 # The callers' jobs: milliseconds of a task, and how often.
 JOBS = {60: 34.4, 200: 100.0, 900: 6.25}
-ASKED = {0: {signal.SIGTERM, signal.SIGINT}, -signal.SIGKILL: {signal.SIGKILL}}
+LOADED = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
 
 
 # Those of outgoing connections are 32768 to 60999 by default; the kernel gives odd ones first.
@@ -70,65 +70,6 @@
                 return found
 
 
-class Life:
-    """One process of an instance."""
-
-    def __init__(self, number, child, log, log_begin, reader):
-        self.number, self.child, self.reader = number, child, reader
-        self.log, self.log_begin = log, log_begin
-        self.began = self.free_since = time.monotonic()
-        self.asked, self.stop_at, self.paused, self.told = [], None, False, set()
-        self.answered, self.peak_kib = {}, 0
-
-    def send(self, which):
-        now = time.monotonic()
-        self.asked.append((which, now - self.began))
-        if which in (signal.SIGTERM, signal.SIGINT):
-            self.stop_at = self.stop_at or now
-        if which in (signal.SIGSTOP, signal.SIGCONT):
-            self.paused, self.free_since = which == signal.SIGSTOP, now
-        with contextlib.suppress(ProcessLookupError):
-            self.child.send_signal(which)
-
-    def read(self, name):
-        with open(f"/proc/{self.child.pid}/{name}") as file:
-            return file.read()
-
-    def waited_s(self):
-        """How long it was ready to run and had no processor."""
-        return int(self.read("schedstat").split()[1]) / 1e9
-
-    def processor_s(self):
-        fields = self.read("stat").rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-    def look(self):
-        self.peak_kib = int(self.read("status").split("VmHWM:")[1].split()[0])
-
-    def end_reason(self):
-        """None if the end was asked for."""
-        status, signals = self.child.returncode, {which for which, _ in self.asked}
-        if ASKED.get(status, set()) & signals:
-            return None
-        text = self.text()
-        if -status in signals and not text:
-            return "signal while loading"
-        if "can't listen" in text:
-            return "port"
-        return {2: "settings"}.get(status, "other")
-
-    def read_log(self, limit):
-        """From the pipe, if it is one that is still read."""
-        if self.reader and not self.reader.closed:
-            with open(self.log, "ab") as log:
-                log.write(self.reader.read(limit) or b"")
-
-    def text(self):
-        with open(self.log, errors="replace") as file:
-            file.seek(self.log_begin)
-            return file.read()
-
-
 class Series(soak.Soak):
     def __init__(self, args, seed, folder):
         super().__init__(args, seed, folder)
@@ -212,7 +153,7 @@
         if reader is not None:
             self.begin(self.read_log(life, how.sink))
         for seconds, which in how.signals:
-            asyncio.get_running_loop().call_later(seconds, life.send, which)
+            asyncio.get_running_loop().call_later(seconds, self.send_to, life, which, how.while_loading)
 
     async def read_log(self, life, how):
         """Slowly, not at all, or not any more."""
@@ -262,7 +203,7 @@
                 with contextlib.suppress(OSError, IndexError):
                     life.look()
                 self.peak_kib = max(self.peak_kib, life.peak_kib)
-                if life.peak_kib > MEMORY_KIB:
+                if life.peak_kib > self.args.memory_mb * 1024:
                     self.tell(life, "memory", kib=life.peak_kib)
 
     async def probe(self, number, offset, path):
@@ -289,10 +230,17 @@
                         self.tell(life, what, silent_s=f"{silent:.2f}")
             await asyncio.sleep(0.3)
 
-    def send(self, number, which):
+    def send(self, number, which, while_loading=False):
+        """Once the process is loaded, unless asked otherwise: before that it can't hold signals."""
         if life := self.lives[number]:
-            self.note(which.name, f"entry-{number}")
-            life.send(which)
+            self.send_to(life, which, while_loading)
+
+    def send_to(self, life, which, while_loading):
+        if which in LOADED and not while_loading and not life.handles(which):
+            asyncio.get_running_loop().call_later(0.002, self.send_to, life, which, False)
+            return
+        self.note(which.name, f"entry-{life.number}")
+        life.send(which)
 
     # The series.
 
@@ -423,6 +371,7 @@
     parser.add_argument("--callers", type=int, default=31)
     parser.add_argument("--per-s", type=float, default=140, help="jobs")
     parser.add_argument("--kinds-per-s", type=float, default=4, help="disturbances")
+    parser.add_argument("--memory-mb", type=int, default=260, help="limit of a process")
     parser.add_argument("--ports", choices=PORTS, default="below",
                         help="of instances: below outgoing connections', among them, or as the kernel gives")
     parser.add_argument("--without", nargs="*", default=[], metavar="KIND", help=f"of {', '.join(KINDS)}")
