A signal after the stop no longer ends a daemon as if it had crashed

Callers saw an instance that was asked to stop end by SIGTERM or SIGHUP instead of with status 0, after its log said `ended status=0`. Cause: the loop gives SIGTERM, SIGINT and SIGHUP their default actions back as it is taken down, while they are let through.

The signals are held again as soon as the loop has ended, also by an exception.

--- a/src/daemon/daemon_run.cc
+++ b/src/daemon/daemon_run.cc
@@ -15,6 +15,17 @@
   pthread_sigmask(how, &signals, nullptr);
 }
 
+// Signals that the loop handles are let through while this lives. The loop
+// gives them their default actions back when it goes, which would end the
+// process before its last line.
+class signals_let_through {
+ public:
+  signals_let_through() { MaskSignals(SIG_UNBLOCK); }
+  ~signals_let_through() { MaskSignals(SIG_BLOCK); }
+  signals_let_through(const signals_let_through&) = delete;
+  signals_let_through& operator=(const signals_let_through&) = delete;
+};
+
 }  // namespace
 
 void HoldSignals() {
@@ -25,7 +36,7 @@
   signal_actions actions;
   loop.OnStopSignal([&] { actions.stop([&loop] { loop.Stop(); }); });
   loop.OnReloadSignal([&] { actions.reload(); });
-  MaskSignals(SIG_UNBLOCK);
+  signals_let_through while_it_runs;
   actions = make();
   loop.Run();
 }
--- a/src/daemon/daemon_run.h
+++ b/src/daemon/daemon_run.h
@@ -27,7 +27,8 @@
 // Handlers stand before `make` runs: a signal that comes while the daemon is
 // being put together would end the process by its default action, with an
 // instance lost that was only to read its settings again. It is kept, and acted
-// on as soon as the loop runs.
+// on as soon as the loop runs. One that comes after the stop is kept as well,
+// and has no effect.
 void RunDaemon(event_loop& loop, const std::function<signal_actions()>& make);
 
 }  // namespace jasminedyke
