Metrics are written to their last digit

Operators saw totals above a million stand still and then jump: a sample had six digits, so bytes of a link moved in steps of its millionth, and a time in seconds since 1970 in steps of a thousand. Fifteen digits hold any count there is. The test failed before (bytes_total), and passes now.

--- a/src/admin/prometheus_writer.cc
+++ b/src/admin/prometheus_writer.cc
@@ -1,7 +1,16 @@
 #include "admin/prometheus_writer.h"
 
+#include <iomanip>
+
 namespace jasminedyke {
 
+namespace {
+
+// Counters of bytes need all of theirs.
+constexpr int kDigits = 15;
+
+}  // namespace
+
 void prometheus_writer::Counter(const std::string& name,
                                 double value,
                                 std::initializer_list<metric_label> labels) {
@@ -40,7 +49,8 @@
     text_ << separator << each.first << "=\"" << each.second << '"';
     separator = ",";
   }
-  text_ << (labels.size() > 0 ? "} " : " ") << value << '\n';
+  text_ << (labels.size() > 0 ? "} " : " ") << std::setprecision(kDigits)
+        << value << '\n';
 }
 
 }  // namespace jasminedyke
