Logs and metrics tell of starts and ends

Nobody could tell who had asked for a stop, whether a second SIGTERM came, or how near a process was to its limits before it was killed.

Not tested: the wait for a slow reader, which would need a timed test.

--- a/src/admin/metrics_report.cc
+++ b/src/admin/metrics_report.cc
@@ -5,9 +5,9 @@
 #include <sstream>
 #include <utility>
 
-#include <sys/resource.h>
-
 #include "admin/prometheus_writer.h"
+#include "admin/run_metrics_report.h"
+#include "base/process_state.h"
 
 namespace jasminedyke {
 
@@ -71,13 +71,11 @@
     out.Counter("peer_links_ended_total", count, {{"cause", ToString(cause)}});
 }
 
+// `process_peak_memory_bytes` is the name that older dashboards have.
 void WriteProcess(prometheus_writer& out) {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  double seconds = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec +
-                   (usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
-  out.Counter("process_cpu_seconds_total", seconds);
-  out.Gauge("process_peak_memory_bytes", usage.ru_maxrss * 1024.0);
+  out.Gauge("process_peak_memory_bytes",
+            static_cast<double>(ReadProcessState().peak_resident_bytes));
+  WriteProcessMetrics(out);
 }
 
 }  // namespace
--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -2,18 +2,27 @@
 
 #include <sys/resource.h>
 
+#include "base/process_state.h"
+#include "base/signals.h"
+
 namespace jasminedyke {
 
 namespace {
 
 constexpr double kMicrosecondsInSecond = 1e6;
-constexpr double kBytesInKilobyte = 1024;
 
 double Seconds(const timeval& time) {
   return static_cast<double>(time.tv_sec) +
          static_cast<double>(time.tv_usec) / kMicrosecondsInSecond;
 }
 
+void WriteIfKnown(prometheus_writer& out,
+                  const char* name,
+                  const std::optional<uint64_t>& value) {
+  if (value)
+    out.Gauge(name, static_cast<double>(*value));
+}
+
 void WriteDesk(prometheus_writer& out, const job_owner& desk) {
   const job_owner_metrics& metrics = desk.metrics();
   out.Counter("jobs_accepted_total", static_cast<double>(metrics.accepted));
@@ -128,8 +137,20 @@
   getrusage(RUSAGE_SELF, &usage);
   out.Counter("process_cpu_seconds_total",
               Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  process_state state = ReadProcessState();
+  out.Gauge("process_start_time_seconds",
+            static_cast<double>(state.started_at));
   out.Gauge("process_peak_resident_bytes",
-            static_cast<double>(usage.ru_maxrss) * kBytesInKilobyte);
+            static_cast<double>(state.peak_resident_bytes));
+  WriteIfKnown(out, "process_resident_bytes", state.resident_bytes);
+  WriteIfKnown(out, "process_open_descriptors", state.descriptors);
+  WriteIfKnown(out, "process_max_descriptors", state.descriptor_limit);
+  for (const signal_count& each : CountedSignals())
+    out.Counter("signals_total", static_cast<double>(each.times),
+                {{"signal", each.name}});
+  reload_counts reloads = CountedReloads();
+  out.Counter("reloads_total", static_cast<double>(reloads.all));
+  out.Counter("reloads_failed_total", static_cast<double>(reloads.failed));
   out.Counter("log_lines_dropped_total",
               static_cast<double>(DroppedLogLines()));
 }
--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -8,6 +8,9 @@
 
 #include <event2/event.h>
 
+#include "base/log.h"
+#include "base/signals.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -15,6 +18,12 @@
 // Timers run in one pass before sockets get their turn again.
 constexpr int kMaxTimersInOnePass = 256;
 
+// Tells in the log who asks for what follows.
+void TellSignal(evutil_socket_t number) {
+  CountSignal(number);
+  LogEvent(log_level::kInfo, "signal", {{"signal", SignalName(number)}});
+}
+
 }  // namespace
 
 void event_loop::event_base_deleter::operator()(event_base* base) const {
@@ -74,7 +83,8 @@
 
 void event_loop::OnStopSignal(std::function<void()> handler) {
   on_stop_signal_ = std::move(handler);
-  auto on_signal = [](evutil_socket_t, short, void* self) {
+  auto on_signal = [](evutil_socket_t number, short, void* self) {
+    TellSignal(number);
     static_cast<event_loop*>(self)->on_stop_signal_();
   };
   terminate_event_.reset(evsignal_new(base_.get(), SIGTERM, on_signal, this));
@@ -85,7 +95,8 @@
 
 void event_loop::OnReloadSignal(std::function<void()> handler) {
   on_reload_signal_ = std::move(handler);
-  auto on_signal = [](evutil_socket_t, short, void* self) {
+  auto on_signal = [](evutil_socket_t number, short, void* self) {
+    TellSignal(number);
     static_cast<event_loop*>(self)->on_reload_signal_();
   };
   reload_event_.reset(evsignal_new(base_.get(), SIGHUP, on_signal, this));
--- a/src/daemon/process_end.cc
+++ b/src/daemon/process_end.cc
@@ -33,14 +33,18 @@
 // The handler has little on its stack.
 constexpr size_t kHandlerStackBytes = 64 * 1024;
 
+// How long the last line waits for the log's reader; the platform kills a
+// process soon after its stop.
+constexpr int kLastLineMs = 100;
+constexpr int kRetryMs = 10;
+
 // What each signal did before, as sanitizers have handlers of their own.
 std::array<struct sigaction, kEnding.size()> g_before;
 
-// Only calls that are allowed in a signal's handler; never waits for the log's
-// reader.
+// Only calls that are allowed in a signal's handler.
 void WriteLine(const char* text, size_t size) {
   pollfd ready{STDOUT_FILENO, POLLOUT, 0};
-  if (poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0)
+  if (poll(&ready, 1, kLastLineMs) == 1 && (ready.revents & POLLOUT) != 0)
     (void)!write(STDOUT_FILENO, text, size);
 }
 
@@ -116,9 +120,17 @@
   event_set_fatal_callback(&OnLibeventFatal);
 }
 
+// A line that is dropped, as the reader is slow or too many came before, is
+// tried again.
 void LogEnd(int status, const std::string& reason) {
-  LogEvent(status == 0 ? log_level::kInfo : log_level::kError, "ended",
-           {{"status", status}, {"reason", reason}});
+  for (int waited = 0; waited <= kLastLineMs; waited += kRetryMs) {
+    uint64_t dropped = DroppedLogLines();
+    LogEvent(status == 0 ? log_level::kInfo : log_level::kError, "ended",
+             {{"status", status}, {"reason", reason}});
+    if (DroppedLogLines() == dropped)
+      return;
+    poll(nullptr, 0, kRetryMs);
+  }
 }
 
 }  // namespace jasminedyke
--- a/src/daemon/process_end.h
+++ b/src/daemon/process_end.h
@@ -13,7 +13,8 @@
 // SIGKILL, also by a machine that is out of memory, can't be told.
 void LogWhatEndsTheProcess();
 
-// The line of a process that ends by returning from `main`.
+// The line of a process that ends by returning from `main`. Waits for a slow
+// reader of the log, at most a tenth of a second.
 void LogEnd(int status, const std::string& reason);
 
 }  // namespace jasminedyke
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 
 #include "base/base.h"
+#include "base/process_state.h"
 #include "daemon/daemon.h"
 #include "platform_daemon.h"
 #include "version.h"
@@ -63,6 +64,7 @@
     };
     actions.reload = [&] {
       bool valid = load(&file).ok();
+      CountReload(valid);
       LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
                {{"file", file}, {"valid", valid ? 1 : 0}});
     };
