--- a/bench/process_life.py
+++ b/bench/process_life.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import re
 import signal
 import time
 
@@ -9,6 +10,18 @@
 ASKED = {0: {signal.SIGTERM, signal.SIGINT}, -signal.SIGKILL: {signal.SIGKILL}}
 
 
+def holders(log):
+    """The kernel's sockets on the port that the log tells of: state (in hex), the other end's port."""
+    wanted = re.search(r"can't listen on [\d.]+:(\d+)", log)
+    found = set()
+    with open("/proc/net/tcp") as table:
+        for line in table.readlines()[1:]:
+            port, other = (int(end.split(":")[1], 16) for end in line.split()[1:3])
+            if wanted and port == int(wanted[1]):
+                found.add((line.split()[3], other))
+    return sorted(found)
+
+
 class Life:
     """One process of an instance."""
 
--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -36,7 +36,7 @@
 
 import soak
 from disturbances import BALANCER_PORT, KINDS, METRICS_PORT, RESTART_S, Start
-from process_life import Life
+from process_life import Life, holders
 
 # Bounds: what operators expect of a deployment.
 GRACE_S = 6.0
@@ -178,7 +178,8 @@
         self.note("ended", f"entry-{life.number}", life.child.returncode, reason or "as asked")
         if reason:
             self.ends[reason] += 1
-            self.tell(life, f"end: {reason}", status=life.child.returncode)
+            held = holders(life.text()) if reason == "port" else ""
+            self.tell(life, f"end: {reason}", status=life.child.returncode, held=held)
         if not self.ending:
             wait_s = RESTART_S if reason else self.next[life.number].wait_s
             self.begin(self.again(life.number, wait_s))
