Home: counts of a job's tasks are kept as they change

Callers of other jobs got 504 or no answer for seconds while a home worked on a job of 20,000 tasks with anti_affinity; its peers took it for dead.

Cause: whether an upstream may run a task counted all tasks of the job, and was asked for each task in one call (CouldEverRun) and for each upstream (HasPlacesFor, Place). Whether a job is over, and what work waits, walked over all tasks for each end and dispatch.

home_tasks keeps the counts (phases, ordered tasks by step and upstream, work by size) and is the only part that changes what is counted; tests compare them with a recount under random changes. CouldEverRun asks once for tasks that ask for the same; HasPlacesFor goes on where it stopped.

Failed before: with the count as a walk, home_tasks_test saw 501 walks for CouldEverRun (1 allowed), 34 and 36 for the placer (1 and 2).

tests/owner_links sets the phase by home_tasks::Order; nothing else changed there.

--- a/src/runs/home_reports.cc
+++ b/src/runs/home_reports.cc
@@ -22,8 +22,8 @@
 
 task_times SplitTaskTime(const home_task& task, time_point now) {
   task_times times;
-  times.end = task.phase == task_phase::kDone ? task.ended_at : now;
-  bool queued = task.phase == task_phase::kQueued;
+  times.end = task.phase() == task_phase::kDone ? task.ended_at : now;
+  bool queued = task.phase() == task_phase::kQueued;
   time_point ordered = queued ? times.end : task.ordered_at;
   bool ever_ordered = task.first_ordered_at != time_point();
   time_point first = ever_ordered ? task.first_ordered_at : ordered;
@@ -45,12 +45,11 @@
       timer_(clock) {}
 
 void home_reports::Report(home_job& job,
-                          const home_task& task,
+                          home_task& task,
                           task_verdict verdict) {
-  job.unreported.push_back({task.demand.position, verdict});
-  bool all_done = std::ranges::all_of(job.tasks, [](const auto& entry) {
-    return entry.second.phase == task_phase::kDone;
-  });
+  job.unreported.push_back({task.demand().position, verdict});
+  task.unreported = true;
+  bool all_done = job.tasks.AllDone();
   if (all_done)
     LogLate(job);
   if (all_done || verdict == task_verdict::kFailed)
@@ -80,7 +79,7 @@
     total.room_wait += times.room_wait;
     total.lost += times.lost;
     total.run += times.run;
-    expected += task->demand.estimate;
+    expected += task->demand().estimate;
   }
   const home_task& last = *last_task_of_step.rbegin()->second;
   duration age =
@@ -93,7 +92,7 @@
             {"lost_ms", ToMilliseconds(total.lost)},
             {"run_ms", ToMilliseconds(total.run)},
             {"expected_ms", ToMilliseconds(expected)},
-            {"upstream", last.upstream.str()},
+            {"upstream", last.upstream().str()},
             {"runs", last.last_run},
             {"answers_lost", last.answers_lost ? 1 : 0}});
 }
@@ -105,7 +104,7 @@
             std::to_string(failure.run);
   LogEvent(log_level::kInfo, "task_failed",
            {{"job", job.key.str()},
-            {"task", task.demand.position.index},
+            {"task", task.demand().position.index},
             {"failures", task.failures.size()},
             {"max_attempts", job.request.max_attempts},
             {"runs", runs}});
@@ -129,6 +128,7 @@
   run_report report{job.key, job.request.submission, {}};
   report.tasks = std::exchange(job.unreported, {});
   for (const task_report& task : report.tasks) {
+    job.tasks.Find(task.position)->unreported = false;
     if (task.verdict == task_verdict::kDone)
       reported_.Add({job.key, 0, task.position});
   }
--- a/src/runs/home_reports.h
+++ b/src/runs/home_reports.h
@@ -28,7 +28,7 @@
   // or on the last end of a job at this home, so other ends are delayed briefly
   // and batched: a job of four tasks usually needs one message instead of four.
   // Ends of orphaned jobs wait until the owner sends the job again.
-  void Report(home_job& job, const home_task& task, task_verdict verdict);
+  void Report(home_job& job, home_task& task, task_verdict verdict);
   // Sends the ends that wait.
   void SendPending(home_job& job);
   // Returns true if the task was reported as done so recently that its owner
--- a/src/runs/home_upstreams.cc
+++ b/src/runs/home_upstreams.cc
@@ -76,13 +76,18 @@
 }
 
 bool home_upstreams::CouldEverRun(const home_job& job) const {
+  const task_demand* last = nullptr;
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
-    return task.phase == task_phase::kDone ||
-           std::ranges::any_of(sessions_, [&](const auto& candidate) {
-             return MayRun(*candidate.second, job, task) &&
-                    task.demand.need.Fits(candidate.second->largest_capacity());
-           });
+    const task_demand& demand = task.demand();
+    bool is_known = last && AskForSame(*last, demand);
+    if (is_known || task.phase() == task_phase::kDone)
+      return true;
+    last = &demand;
+    return std::ranges::any_of(sessions_, [&](const auto& candidate) {
+      return MayRun(*candidate.second, job, task) &&
+             demand.need.Fits(candidate.second->largest_capacity());
+    });
   });
 }
 
--- a/src/runs/owner_links.cc
+++ b/src/runs/owner_links.cc
@@ -138,7 +138,7 @@
     bool in_doubt = !job.orphaned && !job.cancelled &&
                     linked_.contains(job.owner) &&
                     bound_.MustStop(now, bound_.EndOfRuns(ConfirmedAt(job)));
-    if (in_doubt && job.OrderedTasks() > 0)
+    if (in_doubt && job.tasks.Count(task_phase::kOrdered) > 0)
       unconfirmed.push_back(&job);
   }
   return unconfirmed;
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -167,14 +167,14 @@
 void run_home::AddTasks(home_job& job, const run_request& request) {
   for (const task_demand& demand : request.tasks) {
     task_name name{job.key, 0, demand.position};
-    auto [found, is_new] = job.tasks.try_emplace(demand.position);
-    home_task& task = found->second;
-    task.demand = demand;
+    auto [found, is_new] = job.tasks.TryAdd(demand.position);
+    home_task& task = *found;
+    job.tasks.SetDemand(task, demand);
     if (is_new)
       task.queued_at = clock_.now();
     // A home that has had a task since it was first sent knows whether it
     // started it.
-    bool known_queued = !is_new && task.phase == task_phase::kQueued;
+    bool known_queued = !is_new && task.phase() == task_phase::kQueued;
     if (auto end = claims_.TakeUnclaimedEnd(name)) {
       if (*end == run_end::kDone && demand.maybe_started) {
         job.may_have_run = true;
@@ -187,36 +187,36 @@
       OnTaskDone(job, task);
       continue;
     }
-    bool waits = task.phase == task_phase::kQueued ||
-                 task.phase == task_phase::kMaybeStarted;
+    bool waits = task.phase() == task_phase::kQueued ||
+                 task.phase() == task_phase::kMaybeStarted;
     if (auto found_run = waits ? claims_.Claim(name) : std::nullopt) {
       MarkAdopted(job, task, found_run->upstream);
       task.stopping = found_run->stopping;
-      upstream_session* session = upstreams_.Find(task.upstream);
+      upstream_session* session = upstreams_.Find(task.upstream());
       if (!task.stopping && session) {
         ++metrics_.adopted;
         session->Adopt(name, demand.need);
       }
       continue;
     }
-    if (job.IsUnreported(task))
+    if (task.unreported)
       continue;
     if (task.succeeded) {
       // The report of this end was lost with the owner's link.
       reports_.Report(job, task, task_verdict::kDone);
       continue;
     }
-    if (task.phase == task_phase::kDone) {
+    if (task.phase() == task_phase::kDone) {
       // The job was sent again after the task had failed or been cancelled.
-      task.phase = task_phase::kQueued;
+      job.tasks.SetPhase(task, task_phase::kQueued);
       task.rejections = 0;
     }
-    if (task.phase == task_phase::kQueued && demand.maybe_started &&
+    if (task.phase() == task_phase::kQueued && demand.maybe_started &&
         !known_queued) {
       job.may_have_run = true;
       task.moved_at = clock_.now();
       if (!EarlierRunsAreKnown(task.moved_at))
-        task.phase = task_phase::kMaybeStarted;
+        job.tasks.SetPhase(task, task_phase::kMaybeStarted);
     }
   }
 }
@@ -224,8 +224,7 @@
 void run_home::MarkAdopted(home_job& job,
                            home_task& task,
                            const upstream_id& upstream) {
-  task.phase = task_phase::kOrdered;
-  task.upstream = upstream;
+  job.tasks.Order(task, upstream);
   task.ordered_at = clock_.now();
   task.first_ordered_at = task.ordered_at;
   task.adopted = true;
@@ -248,14 +247,14 @@
 void run_home::CancelJob(home_job& job) {
   owner_links_.Cancel(job);
   for (auto& [position, task] : job.tasks) {
-    if (task.phase == task_phase::kOrdered) {
+    if (task.phase() == task_phase::kOrdered) {
       if (!task.stopping)
         ++metrics_.stopped;
       task.stopping = true;
-      if (upstream_session* session = upstreams_.Find(task.upstream))
+      if (upstream_session* session = upstreams_.Find(task.upstream()))
         session->Stop({job.key, 0, position});
-    } else if (task.phase != task_phase::kDone) {
-      task.phase = task_phase::kDone;
+    } else if (task.phase() != task_phase::kDone) {
+      job.tasks.SetPhase(task, task_phase::kDone);
     }
   }
 }
@@ -282,12 +281,9 @@
   auto found = jobs_.find(key);
   if (found == jobs_.end())
     return;
-  bool over = std::ranges::all_of(found->second.tasks, [](const auto& entry) {
-    return entry.second.phase == task_phase::kDone;
-  });
   const home_job& job = found->second;
   bool owner_waits = job.orphaned && !job.cancelled && !job.unreported.empty();
-  if (over && !owner_waits)
+  if (job.tasks.AllDone() && !owner_waits)
     jobs_.erase(found);
 }
 
@@ -314,11 +310,8 @@
   auto found = jobs_.find(task.job);
   if (found == jobs_.end())
     return nullptr;
-  auto entry = found->second.tasks.find(task.position);
-  if (entry == found->second.tasks.end())
-    return nullptr;
   *job = &found->second;
-  return &entry->second;
+  return found->second.tasks.Find(task.position);
 }
 
 void run_home::OnRunEnded(upstream_session& session,
@@ -328,11 +321,11 @@
   home_job* job = nullptr;
   home_task* task = FindTask(name, &job);
   claims_.OnEnded(session.info().id, name, how, task != nullptr);
-  bool elsewhere = task && task->phase == task_phase::kOrdered &&
-                   task->upstream != session.info().id;
-  if (!task || elsewhere || task->phase == task_phase::kDone)
+  bool elsewhere = task && task->phase() == task_phase::kOrdered &&
+                   task->upstream() != session.info().id;
+  if (!task || elsewhere || task->phase() == task_phase::kDone)
     return;
-  bool ordered_here = task->phase == task_phase::kOrdered;
+  bool ordered_here = task->phase() == task_phase::kOrdered;
   if (ordered_here && run.value() < task->last_run)
     return;
   task->last_run = std::max(task->last_run, run.value());
@@ -370,7 +363,7 @@
 void run_home::RecordRunEnd(home_job& job, const home_task& task, run_end how) {
   time_point now = clock_.now();
   if (how == run_end::kFailed)
-    upstreams_.Standing(task.upstream).OnFailed(now, job.key);
+    upstreams_.Standing(task.upstream()).OnFailed(now, job.key);
   if (how != run_end::kDone || task.adopted)
     return;
   duration took = now - task.ordered_at;
@@ -379,7 +372,7 @@
 }
 
 void run_home::OnTaskDone(home_job& job, home_task& task) {
-  task.phase = task_phase::kDone;
+  job.tasks.SetPhase(task, task_phase::kDone);
   task.succeeded = true;
   task.ended_at = clock_.now();
   if (!job.cancelled)
@@ -387,21 +380,22 @@
 }
 
 void run_home::OnTaskFailed(home_job& job, home_task& task) {
-  task.failures.push_back({task.upstream, task.last_run});
-  task.avoided_upstream = task.upstream;
+  task.failures.push_back({task.upstream(), task.last_run});
+  task.avoided_upstream = task.upstream();
   if (std::ssize(task.failures) < job.request.max_attempts) {
     Requeue(job, task);
     return;
   }
   reports_.LogFailed(job, task);
-  task.phase = task_phase::kDone;
+  job.tasks.SetPhase(task, task_phase::kDone);
   if (!job.cancelled)
     reports_.Report(job, task, task_verdict::kFailed);
 }
 
 void run_home::Requeue(home_job& job, home_task& task) {
   task.stopping = false;
-  task.phase = job.cancelled ? task_phase::kDone : task_phase::kQueued;
+  job.tasks.SetPhase(task,
+                     job.cancelled ? task_phase::kDone : task_phase::kQueued);
   ScheduleDispatch();
 }
 
@@ -455,7 +449,7 @@
 // another upstream.
 void run_home::GiveUp(home_job& job, const home_task& task) {
   ++metrics_.given_up;
-  task_name name{job.key, 0, task.demand.position};
+  task_name name{job.key, 0, task.demand().position};
   reports_.LogHeld(name, crashes_.LossesOf(name));
   ReturnToOwner(job, run_refusal::kUpstreamsLost,
                 crashes_.RemainingHoldTime(name, clock_.now()));
@@ -468,8 +462,8 @@
   ++metrics_.refused_starts[why];
   home_job* job = nullptr;
   home_task* task = FindTask(name, &job);
-  bool current = task && task->phase == task_phase::kOrdered &&
-                 task->upstream == session.info().id &&
+  bool current = task && task->phase() == task_phase::kOrdered &&
+                 task->upstream() == session.info().id &&
                  task->last_run == run.value();
   if (!current)
     return;
@@ -484,6 +478,7 @@
     owner_links_.OnStartNotSent(*job);
   if (why == start_result::kNotAccepted) {
     ++task->rejections;
+    job->any_rejected = true;
     task->avoided_upstream = session.info().id;
   }
   Requeue(*job, *task);
@@ -495,13 +490,13 @@
                        run_number run) {
   home_job* job = nullptr;
   home_task* task = FindTask(name, &job);
-  bool waits = task && (task->phase == task_phase::kMaybeStarted ||
-                        task->phase == task_phase::kQueued);
+  bool waits = task && (task->phase() == task_phase::kMaybeStarted ||
+                        task->phase() == task_phase::kQueued);
   if (waits && !job->cancelled) {
     MarkAdopted(*job, *task, session.info().id);
     task->last_run = std::max(task->last_run, run.value());
     ++metrics_.adopted;
-    session.Adopt(name, task->demand.need);
+    session.Adopt(name, task->demand().need);
     return;
   }
   claims_.OnFound(session, name, task != nullptr);
@@ -549,11 +544,13 @@
 
 void run_home::QueueMaybeStarted() {
   for (auto& [key, job] : jobs_) {
+    if (job.tasks.Count(task_phase::kMaybeStarted) == 0)
+      continue;
     for (auto& [position, task] : job.tasks) {
-      if (task.phase != task_phase::kMaybeStarted ||
+      if (task.phase() != task_phase::kMaybeStarted ||
           !EarlierRunsAreKnown(task.moved_at))
         continue;
-      task.phase = task_phase::kQueued;
+      job.tasks.SetPhase(task, task_phase::kQueued);
       if (crashes_.OnSuspectRunMissing({key, 0, position}, clock_.now()))
         PublishCrashNews();
     }
@@ -624,7 +621,7 @@
 std::vector<waiting_job> run_home::RankWaitingJobs() {
   std::vector<waiting_job> waiting;
   for (auto& [key, job] : jobs_) {
-    double work = job.cancelled || job.orphaned ? 0 : job.QueuedWork();
+    double work = job.cancelled || job.orphaned ? 0 : job.tasks.QueuedWork();
     if (work <= 0)
       continue;
     scheduling_criteria criteria = job.SchedulingCriteria();
@@ -636,8 +633,10 @@
 
 // Returns true if all waiting tasks were placed.
 bool run_home::PlaceTasks(home_job& job) {
+  if (job.tasks.Count(task_phase::kQueued) == 0)
+    return true;
   for (auto& [position, task] : job.tasks) {
-    bool waits = task.phase == task_phase::kQueued &&
+    bool waits = task.phase() == task_phase::kQueued &&
                  !claims_.IsFound({job.key, 0, position});
     if (waits && !PlaceTask(job, task))
       return false;
@@ -661,7 +660,7 @@
   // A suspect task that is placed alone reserves the whole capacity, so that no
   // other task is placed beside it.
   StartOn(*session, job, task,
-          alone ? session->info().capacity : task.demand.need);
+          alone ? session->info().capacity : task.demand().need);
   return true;
 }
 
@@ -669,9 +668,8 @@
                        home_job& job,
                        home_task& task,
                        const resource_amount& need) {
-  task.phase = task_phase::kOrdered;
+  job.tasks.Order(task, session.info().id);
   task.stopping = false;
-  task.upstream = session.info().id;
   task.ordered_at = clock_.now();
   if (task.last_run == 0)
     task.first_ordered_at = task.ordered_at;
@@ -686,19 +684,21 @@
     delegate = start_delegate{job.owner, job.request.submission};
   spec_rate_.Add(clock_.now(),
                  job.request.kept_spec_bytes.value_or(job.request.spec.size()));
-  session.Start({job.key, 0, task.demand.position}, run_number(task.last_run),
+  session.Start({job.key, 0, task.demand().position}, run_number(task.last_run),
                 job.request.spec, need, delegate);
 }
 
 crash_suspicion run_home::SuspicionOf(const home_job& job,
                                       const home_task& task) const {
-  return crashes_.SuspicionLevel({job.key, 0, task.demand.position},
+  return crashes_.SuspicionLevel({job.key, 0, task.demand().position},
                                  clock_.now());
 }
 
 const home_task* run_home::HeldTask(const home_job& job) const {
+  if (crashes_.size() == 0)
+    return nullptr;
   auto held = std::ranges::find_if(job.tasks, [&](const auto& entry) {
-    return entry.second.phase == task_phase::kQueued &&
+    return entry.second.phase() == task_phase::kQueued &&
            SuspicionOf(job, entry.second) == crash_suspicion::kHeld;
   });
   return held == job.tasks.end() ? nullptr : &held->second;
@@ -742,7 +742,9 @@
   time_point now = clock_.now();
   for (auto& [key, job] : jobs_) {
     bool overdue = job.cancelled && now - job.cancelled_at >= kOverdueStop;
-    int runs = overdue && !job.overdue_logged ? job.OrderedTasks() : 0;
+    size_t runs = overdue && !job.overdue_logged
+                      ? job.tasks.Count(task_phase::kOrdered)
+                      : 0;
     if (runs == 0)
       continue;
     job.overdue_logged = true;
@@ -796,7 +798,7 @@
   home_load load;
   load.cores = upstreams_.UsableCores();
   for (const auto& [key, job] : jobs_)
-    load.work_ahead += job.cancelled ? 0 : job.QueuedWork();
+    load.work_ahead += job.cancelled ? 0 : job.tasks.QueuedWork();
   return EstimateWait(load);
 }
 
--- a/src/runs/run_times.cc
+++ b/src/runs/run_times.cc
@@ -20,14 +20,14 @@
 
 run_expectation run_times::Expect(const home_job& job,
                                   const home_task& task) const {
-  return model_.Expect(job.request.queue, task.demand.estimate,
-                       job.MedianPaceExcluding(task.upstream));
+  return model_.Expect(job.request.queue, task.demand().estimate,
+                       job.MedianPaceExcluding(task.upstream()));
 }
 
 run_expectation run_times::ExpectOnUpstream(const home_job& job,
                                             const home_task& task) const {
   run_expectation expected = Expect(job, task);
-  const upstream_session* session = upstreams_.Find(task.upstream);
+  const upstream_session* session = upstreams_.Find(task.upstream());
   if (!session)
     return expected;
   const upstream_info& ran_on = session->info();
@@ -84,7 +84,7 @@
   task_name evidence{job.key, 0, {}};
   bool pace_known = job.MedianPaceExcluding(ran_on.id) > 0;
   if (pace_known)
-    evidence.position = task.demand.position;
+    evidence.position = task.demand().position;
   upstreams_.Standing(ran_on.id).OnSlow(
       now, evidence,
       model_.ShareAtLeast(job.request.queue, slowness, pace_known));
@@ -95,7 +95,7 @@
                                 const home_task& task,
                                 duration predicted,
                                 time_point now) {
-  if (const upstream_session* session = upstreams_.Find(task.upstream))
+  if (const upstream_session* session = upstreams_.Find(task.upstream()))
     AssessRun(job, task, session->info(), predicted, now);
 }
 
@@ -103,8 +103,8 @@
                        const home_task& task,
                        duration took,
                        time_point now) {
-  done_.Add(job.request.priority, CoreSeconds(task.demand));
-  const upstream_session* session = upstreams_.Find(task.upstream);
+  done_.Add(job.request.priority, CoreSeconds(task.demand()));
+  const upstream_session* session = upstreams_.Find(task.upstream());
   if (!session || took <= duration::zero())
     return;
   const upstream_info& ran_on = session->info();
@@ -124,10 +124,10 @@
   if (job.MedianPaceExcluding(ran_on.id) > 0 && usual > duration::zero())
     model_.LearnSibling(queue, ToSeconds(at_usual_speed) / ToSeconds(usual),
                         now);
-  duration reference = model_.Reference(queue, task.demand.estimate);
+  duration reference = model_.Reference(queue, task.demand().estimate);
   if (reference > duration::zero())
     job.AddPace({ToSeconds(at_usual_speed) / ToSeconds(reference), ran_on.id});
-  model_.Learn(queue, task.demand.estimate, at_usual_speed, now);
+  model_.Learn(queue, task.demand().estimate, at_usual_speed, now);
 }
 
 }  // namespace jasminedyke
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -15,6 +15,7 @@
 #include "runs/home_reports.h"
 #include "runs/home_room.h"
 #include "runs/home_speeds.h"
+#include "runs/home_tasks.h"
 #include "runs/home_upstreams.h"
 #include "runs/incarnation_state.h"
 #include "runs/job_order.h"
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -138,10 +138,10 @@
                        const std::function<duration()>& room_wait) {
   may_restart_ = may_restart;
   for (auto& [key, job] : jobs) {
-    if (job.cancelled)
+    if (job.cancelled || job.tasks.Count(task_phase::kOrdered) == 0)
       continue;
     for (auto& [position, task] : job.tasks) {
-      if (task.phase == task_phase::kOrdered && !task.stopping)
+      if (task.phase() == task_phase::kOrdered && !task.stopping)
         CheckRun(job, task, room_wait);
     }
   }
@@ -152,7 +152,7 @@
                           const std::function<duration()>& room_wait) {
   if (clock_.now() - task.ordered_at < kMinCheckedAge)
     return;
-  upstream_session* session = upstreams_.Find(task.upstream);
+  upstream_session* session = upstreams_.Find(task.upstream());
   if (!session)
     return;
   run_judgement judgement = JudgeRun(Observe(job, task, *session));
@@ -185,12 +185,12 @@
   run.expected.longest =
       Times(run.expected.longest, RestartAllowance(task.overlong_stops));
   run.stalls = task.stalls;
-  run.pace_known = job.MedianPaceExcluding(task.upstream) > 0;
+  run.pace_known = job.MedianPaceExcluding(task.upstream()) > 0;
   run.adopted = task.adopted;
   run.asked =
       task.progress_asked_at > task.ordered_at &&
       clock_.now() - task.progress_asked_at >= answers_.Timeout(kAnswerTime);
-  auto progress = session.Progress({job.key, 0, task.demand.position});
+  auto progress = session.Progress({job.key, 0, task.demand().position});
   // An adopted run may have been listed before it was claimed.
   if (progress && progress->listed > task.ordered_at) {
     run.percent = progress->percent;
@@ -212,7 +212,7 @@
                              const std::function<duration()>& room_wait) {
   time_point now = clock_.now();
   times_.OnPredictedTime(job, task, predicted_length, now);
-  if (!may_restart_ || !upstreams_.Standing(task.upstream).slow())
+  if (!may_restart_ || !upstreams_.Standing(task.upstream()).slow())
     return;
   time_point predicted_end = task.ordered_at + predicted_length;
   time_point restarted_end = now + room_wait() + times_.Expect(job, task).usual;
@@ -226,7 +226,7 @@
                          upstream_session& session,
                          stuck_evidence evidence) {
   time_point now = clock_.now();
-  upstreams_.Standing(task.upstream).OnStuck(now);
+  upstreams_.Standing(task.upstream()).OnStuck(now);
   // A restart pays only if the job can then still be answered in useful time.
   time_point restarted_end = now + times_.Expect(job, task).usual;
   if (restarted_end >= std::min(job.useful_until, job.limit))
@@ -243,14 +243,14 @@
                       stuck_evidence evidence) {
   ++stopped_[evidence];
   task.stopping = true;
-  task.avoided_upstream = task.upstream;
+  task.avoided_upstream = task.upstream();
   LogEvent(log_level::kInfo, "run_stuck",
            {{"job", job.key.str()},
-            {"task", task.demand.position.index},
-            {"upstream", task.upstream.str()},
+            {"task", task.demand().position.index},
+            {"upstream", task.upstream().str()},
             {"evidence", ToString(evidence)},
             {"ms", ToMilliseconds(clock_.now() - task.ordered_at)}});
-  session.Stop({job.key, 0, task.demand.position});
+  session.Stop({job.key, 0, task.demand().position});
 }
 
 }  // namespace jasminedyke
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -22,12 +22,12 @@
   const upstream_info& info = session.info();
   if (info.service != job.request.service)
     return false;
-  if (!task.demand.required_label.empty() &&
-      !info.labels.contains(task.demand.required_label))
+  if (!task.demand().required_label.empty() &&
+      !info.labels.contains(task.demand().required_label))
     return false;
-  return task.demand.max_per_upstream == 0 ||
-         job.OrderedTasksOn(info.id, task.demand.position.step) <
-             task.demand.max_per_upstream;
+  return task.demand().max_per_upstream == 0 ||
+         job.tasks.OrderedOn(task.demand().position.step, info.id) <
+             task.demand().max_per_upstream;
 }
 
 void task_placer::ListUpstreams() {
@@ -67,20 +67,28 @@
 bool task_placer::HasPlacesFor(const home_job& job) const {
   std::map<const upstream_session*, resource_amount> taken;
   time_point end = TargetEnd(job);
+  const task_demand* last = nullptr;
+  // An upstream that does not suit a task does not suit later ones that ask for
+  // the same.
+  size_t first = 0;
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
-    if (task.demand.need.cpu_millis > largest_free_cpu_millis_)
+    if (task.demand().need.cpu_millis > largest_free_cpu_millis_)
       return false;
     double least_speed = LeastSpeed(job, task, end);
-    for (const available_upstream& open : available_) {
-      if (!open.good || !task.demand.need.Fits(open.room) ||
+    if (!last || !AskForSame(*last, task.demand()))
+      first = 0;
+    last = &task.demand();
+    for (; first < available_.size(); ++first) {
+      const available_upstream& open = available_[first];
+      if (!open.good || !task.demand().need.Fits(open.room) ||
           !MayRun(*open.session, job, task) ||
           WaitsForFaster(task, open.speed_class, least_speed))
         continue;
       resource_amount& used = taken[open.session];
-      if (!task.demand.need.Fits(open.room - used))
+      if (!task.demand().need.Fits(open.room - used))
         continue;
-      used += task.demand.need;
+      used += task.demand().need;
       return true;
     }
     return false;
@@ -111,10 +119,12 @@
 // earlier than that task.
 time_point task_placer::TargetEnd(const home_job& job) const {
   time_point end = job.objective;
+  if (job.tasks.Count(task_phase::kOrdered) == 0)
+    return end;
   for (const auto& [position, other] : job.tasks) {
-    if (other.phase != task_phase::kOrdered || other.adopted)
+    if (other.phase() != task_phase::kOrdered || other.adopted)
       continue;
-    const upstream_session* session = upstreams_.Find(other.upstream);
+    const upstream_session* session = upstreams_.Find(other.upstream());
     if (session)
       end = std::max(end,
                      other.ordered_at +
@@ -143,8 +153,8 @@
                                  double least_speed) const {
   return rule_ == placement_rule::kLeastSlack &&
          least_speed < std::numeric_limits<double>::infinity() &&
-         SpeedOfClass(speed_class) < least_speed && task.demand.rack.empty() &&
-         task.demand.required_label.empty();
+         SpeedOfClass(speed_class) < least_speed &&
+         task.demand().rack.empty() && task.demand().required_label.empty();
 }
 
 void task_placer::Take(available_upstream& open, const resource_amount& need) {
@@ -155,14 +165,14 @@
 
 upstream_session* task_placer::Place(const home_job& job,
                                      const home_task& task) {
-  if (task.demand.need.cpu_millis > largest_free_cpu_millis_)
+  if (task.demand().need.cpu_millis > largest_free_cpu_millis_)
     return nullptr;
   std::vector<placement_candidate> candidates;
   std::vector<available_upstream*> available;
   bool may_run_off_rack = MayRunOffRack(job, task);
   for (available_upstream& open : available_) {
     const upstream_session& session = *open.session;
-    if (!task.demand.need.Fits(open.room) || !MayRun(session, job, task) ||
+    if (!task.demand().need.Fits(open.room) || !MayRun(session, job, task) ||
         session.info().id == task.avoided_upstream)
       continue;
     double slowness = RackSlowdown(session.info(), task);
@@ -181,11 +191,11 @@
   }
   double least_speed = LeastSpeed(job, task, last_job_end_);
   auto chosen =
-      ChooseUpstream(candidates, {task.demand.need, least_speed}, rule_);
+      ChooseUpstream(candidates, {task.demand().need, least_speed}, rule_);
   if (!chosen ||
       WaitsForFaster(task, candidates[*chosen].speed_class, least_speed))
     return nullptr;
-  Take(*available[*chosen], task.demand.need);
+  Take(*available[*chosen], task.demand().need);
   return available[*chosen]->session;
 }
 
@@ -194,7 +204,7 @@
   auto chosen =
       std::ranges::find_if(available_, [&](const available_upstream& open) {
         return open.good && open.session->idle() &&
-               task.demand.need.Fits(open.room) &&
+               task.demand().need.Fits(open.room) &&
                MayRun(*open.session, job, task);
       });
   if (chosen == available_.end())
--- a/tests/owner_links/owner_links_test.cc
+++ b/tests/owner_links/owner_links_test.cc
@@ -128,7 +128,7 @@
 // Guards against runs that outlive an owner which falls silent.
 TEST_CASE("owner_links: the runs of an owner that falls silent must end") {
   owner_links_fixture f;
-  f.job.tasks[{0, 0}].phase = task_phase::kOrdered;
+  f.job.tasks.Order(*f.job.tasks.TryAdd({0, 0}).first, upstream_id("u1"));
   f.links.OnConfirmed(kOwner, f.clock.boot_now());
   CHECK(f.Left() == milliseconds(1250));
   f.clock.Advance(milliseconds(500));
