Sessions: the runs that an upstream lists are ordered before they are looked up

Each reply to a hold looked for each run of the session in the whole list: quadratic in the runs on one upstream, of which there are tens of thousands where tasks ask for next to nothing. Found by reading; not measured by itself.

--- a/src/runs/upstream_runs.cc
+++ b/src/runs/upstream_runs.cc
@@ -1,6 +1,8 @@
 #include "runs/upstream_runs.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 
 #include "runs/upstream_clock.h"
 
@@ -8,6 +10,10 @@
 
 namespace {
 
+auto OrderOf(const listed_run* listed) {
+  return std::tie(listed->task, listed->run);
+}
+
 bool HasEnded(const run_record& record,
               time_point sent,
               const hold_reply& reply) {
@@ -20,10 +26,17 @@
 
 }  // namespace
 
-bool IsListed(const hold_reply& reply, const task_name& task, run_number run) {
-  return std::ranges::any_of(reply.running, [&](const listed_run& listed) {
-    return listed.task == task && listed.run >= run;
-  });
+listed_runs::listed_runs(const hold_reply& reply) {
+  listed_.reserve(reply.running.size());
+  for (const listed_run& each : reply.running)
+    listed_.push_back(&each);
+  std::ranges::sort(listed_, std::less(), OrderOf);
+}
+
+bool listed_runs::Contain(const task_name& task, run_number run) const {
+  auto found = std::ranges::lower_bound(listed_, std::tie(task, run),
+                                        std::less(), OrderOf);
+  return found != listed_.end() && (*found)->task == task;
 }
 
 void run_record::NoteListed(const listed_run& listed, time_point now) {
@@ -110,8 +123,9 @@
 std::vector<ended_run> upstream_runs::EndedRuns(time_point sent,
                                                 const hold_reply& reply) const {
   std::vector<ended_run> ended;
+  listed_runs listed(reply);
   for (const auto& [task, record] : runs_) {
-    if (!IsListed(reply, task, record.run) && HasEnded(record, sent, reply))
+    if (!listed.Contain(task, record.run) && HasEnded(record, sent, reply))
       ended.push_back(
           {task, record.run, record.IsUnconfirmed() && !record.carried});
   }
--- a/src/runs/upstream_runs.h
+++ b/src/runs/upstream_runs.h
@@ -83,9 +83,20 @@
   bool begun = false;
 };
 
-// Whether `reply` lists this run of the task or a later one. An earlier run in
-// the list doesn't count: the reply was written before this run could begin.
-bool IsListed(const hold_reply& reply, const task_name& task, run_number run);
+// The runs that a reply lists, ordered for look-ups: an upstream may list tens
+// of thousands of small ones. Must not outlive the reply.
+class listed_runs {
+ public:
+  explicit listed_runs(const hold_reply& reply);
+
+  // Whether this run of the task or a later one is listed. An earlier run in
+  // the list doesn't count: the reply was written before this run could begin.
+  bool Contain(const task_name& task, run_number run) const;
+
+ private:
+  // Ordered by task and run.
+  std::vector<const listed_run*> listed_;
+};
 
 // Holds at most one run per task.
 class upstream_runs {
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -368,10 +368,11 @@
 void upstream_session::StopUnlistedStarts(time_point sent,
                                           const hold_reply& reply) {
   duration reply_timeout = times_.Timeout(kStartReplyTimeout);
+  listed_runs listed(reply);
   for (const task_name& task :
        incarnation_->runs.UnconfirmedLongerThan(sent, reply_timeout)) {
     run_record* record = incarnation_->runs.Find(task);
-    if (!record->stop_confirmed_at && !IsListed(reply, task, record->run))
+    if (!record->stop_confirmed_at && !listed.Contain(task, record->run))
       SendStop(*record, task);
   }
 }
