Home: at most 64 starts on one upstream are unanswered

A job of 10,000 tasks of 0.001 core kept its home from answering: GET /api/ready got no answer for 9.3 s to the end of the run (5.0 s of the processor, 6,040 descriptors; code before, load 30), the peers took it for dead, the job failed.

Cause: one dispatch started all of them, and each unanswered start takes a connection, which is searched for among all others of that upstream.

The placer counts the starts that an upstream hasn't confirmed; beyond 64 it takes nothing until some are answered, and the next dispatch goes on. Usual tasks never get there.

--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -10,6 +10,9 @@
 // Allows for differences between a job's tasks, and for the delay until the
 // home hears that the last task ended.
 constexpr double kRunTimeMargin = 1.1;
+// How many starts on one upstream may be unanswered. Each takes a connection,
+// so that a job of many thousands of small tasks would use up all descriptors.
+constexpr size_t kMaxUnansweredStarts = 64;
 // Exceeds every slowness by racks, so that a trial is made only if no good
 // upstream has room.
 constexpr double kTrialSlowness = 10;
@@ -56,9 +59,12 @@
       all.free_cpu_millis += std::max<int64_t>(room.cpu_millis, 0);
       all.total_cpu_millis += session->info().capacity.cpu_millis;
     }
-    if (room.cpu_millis <= 0 || session->IsLeaseCut())
+    size_t unanswered = session->unconfirmed_starts();
+    if (room.cpu_millis <= 0 || session->IsLeaseCut() ||
+        unanswered >= kMaxUnansweredStarts)
       continue;
-    available_.push_back({session, room, good, speed_class});
+    available_.push_back(
+        {session, room, kMaxUnansweredStarts - unanswered, good, speed_class});
     largest_free_cpu_millis_ =
         std::max(largest_free_cpu_millis_, room.cpu_millis);
   }
@@ -159,6 +165,7 @@
 
 void task_placer::Take(available_upstream& open, const resource_amount& need) {
   open.room -= need;
+  --open.starts_left;
   if (open.good)
     classes_[open.speed_class].free_cpu_millis -= need.cpu_millis;
 }
@@ -172,7 +179,8 @@
   bool may_run_off_rack = MayRunOffRack(job, task);
   for (available_upstream& open : available_) {
     const upstream_session& session = *open.session;
-    if (!task.demand().need.Fits(open.room) || !MayRun(session, job, task) ||
+    if (open.starts_left == 0 || !task.demand().need.Fits(open.room) ||
+        !MayRun(session, job, task) ||
         session.info().id == task.avoided_upstream)
       continue;
     double slowness = RackSlowdown(session.info(), task);
@@ -203,7 +211,7 @@
                                           const home_task& task) {
   auto chosen =
       std::ranges::find_if(available_, [&](const available_upstream& open) {
-        return open.good && open.session->idle() &&
+        return open.good && open.session->idle() && open.starts_left > 0 &&
                task.demand().need.Fits(open.room) &&
                MayRun(*open.session, job, task);
       });
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -59,6 +59,8 @@
   struct available_upstream {
     upstream_session* session = nullptr;
     resource_amount room;
+    // How many more starts may be sent before some are answered.
+    size_t starts_left = 0;
     // If false, the upstream gets at most a single trial task.
     bool good = true;
     int speed_class = 0;
@@ -91,7 +93,8 @@
   bool WaitsForFaster(const home_task& task,
                       int speed_class,
                       double least_speed) const;
-  // Deducts `need` from the free capacity of `open` and of its speed class.
+  // Deducts a start of a task with this need from what `open` and its speed
+  // class can take.
   void Take(available_upstream& open, const resource_amount& need);
 
   scheduler& clock_;
--- a/src/runs/upstream_runs.cc
+++ b/src/runs/upstream_runs.cc
@@ -103,9 +103,9 @@
   });
 }
 
-bool upstream_runs::HasUnconfirmed() const {
-  return std::ranges::any_of(
-      runs_, [](const auto& entry) { return entry.second.IsUnconfirmed(); });
+size_t upstream_runs::Unconfirmed() const {
+  return static_cast<size_t>(std::ranges::count_if(
+      runs_, [](const auto& entry) { return entry.second.IsUnconfirmed(); }));
 }
 
 std::vector<task_name> upstream_runs::UnconfirmedLongerThan(
--- a/src/runs/upstream_runs.h
+++ b/src/runs/upstream_runs.h
@@ -118,7 +118,8 @@
   void Remove(const task_name& task);
 
   bool HasFound() const;
-  bool HasUnconfirmed() const;
+  // Returns how many runs are not known to have begun.
+  size_t Unconfirmed() const;
   // Tasks whose runs are unconfirmed at `now`, at least `patience` after the
   // start request, and all unconfirmed runs carried over from an earlier
   // incarnation.
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -112,7 +112,7 @@
   ++incarnation_number_;
   std::unique_ptr<incarnation_state> old = std::move(incarnation_);
   incarnation_ = std::make_unique<incarnation_state>(clock_, birth, *old);
-  if (incarnation_->runs.HasUnconfirmed())
+  if (incarnation_->runs.Unconfirmed() > 0)
     ScheduleStartCheck(times_.Timeout(kStartReplyTimeout));
   refused_starts_.OnNewIncarnation();
   RefuseStarts();
@@ -341,7 +341,7 @@
 void upstream_session::ScheduleStartCheck(duration pause) {
   incarnation_->start_timer.StartAfter(pause, [this, pause] {
     CheckStarts();
-    if (incarnation_->runs.HasUnconfirmed())
+    if (incarnation_->runs.Unconfirmed() > 0)
       ScheduleStartCheck(std::clamp(pause * 2, kMinStartCheckInterval,
                                     kMaxStartCheckInterval));
   });
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -139,6 +139,8 @@
   resource_amount room() const {
     return info_.capacity - incarnation_->runs.occupied();
   }
+  // How many starts the upstream has not confirmed yet.
+  size_t unconfirmed_starts() const { return incarnation_->runs.Unconfirmed(); }
   bool idle() const { return incarnation_->runs.empty(); }
   bool gone() const { return incarnation_->gone; }
   // Whether a call to the current incarnation went unanswered at or after
