Ingress: bounds on what one job may ask for

A body of a megabyte can name some hundred thousand steps, and each step is a message with the specification; a label of any length is kept with each task; a negative need counted as free room, and amounts near 2^63 overflowed. All of this found by reading.

Bounds, each answered 400 with the field (counted as malformed): 100,000 tasks in all (420 bytes each at owner and home in one process: 42 MB), 5,000 steps (34 MB at the peak with 4,000 bytes of specification), 200 bytes a label or rack, needs from 0 to 10^9.

--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -1,6 +1,7 @@
 // Callers' requests over real sockets: what becomes no job.
 
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -111,6 +112,76 @@
   CHECK(Has(answer, "HTTP/1.1 200"));
 }
 
+// Guards against a job that takes the memory or the processor from all others,
+// and against amounts that overflow or count as free room.
+TEST_CASE("job_ingress: jobs that no deployment could hold") {
+  ingress_fixture f;
+  f.cluster.OnConfigDocument(kConfig, "store");
+  std::string message;
+  std::string steps;
+  SUBCASE("too many tasks in a step") {
+    steps = R"({"task_count": 10001})";
+    message = "steps[0].task_count: must be from 1 to 10000";
+  }
+  SUBCASE("too many tasks in all") {
+    for (int i = 0; i < 10; ++i)
+      steps += R"({"task_count": 10000},)";
+    steps += "{}";
+    message = "steps: must have at most 100000 tasks in all";
+  }
+  SUBCASE("too many steps") {
+    for (int i = 0; i < 5000; ++i)
+      steps += "{},";
+    steps += "{}";
+    message = "steps: must have at most 5000 steps";
+  }
+  SUBCASE("a negative need") {
+    steps = R"({"cpu": 500}, {"cpu": -500})";
+    message = "steps[1].cpu: must be from 0 to 1000000000";
+  }
+  SUBCASE("a need beyond any upstream") {
+    steps = R"({"mem_mb": 9223372036854775807})";
+    message = "steps[0].mem_mb: must be from 0 to 1000000000";
+  }
+  SUBCASE("a need that no signed number holds") {
+    steps = R"({"gpus": 18446744073709551615})";
+    message = "steps[0].gpus: must be from 0 to 1000000000";
+  }
+  SUBCASE("a long name") {
+    steps = R"({"required_label": ")" + std::string(201, 'x') + "\"}";
+    message = "steps[0].required_label: must have at most 200 bytes";
+  }
+  CHECK(Has(f.Post("/q/00000000000000aa", "{\"steps\": [" + steps + "]}"),
+            "HTTP/1.1 400"));
+  CHECK(f.Rejected("malformed") == 1);
+  auto job =
+      ParseJob("00000000000000aa", route(), "{\"steps\": [" + steps + "]}");
+  REQUIRE(!job.ok());
+  CHECK(job.error().ToString() == message);
+}
+
+// Guards against times that overflow: the sum of a long estimate and the time
+// of day lies in the past.
+TEST_CASE("job_ingress: estimates beyond all bounds are taken as a day") {
+  auto job = ParseJob("00000000000000aa", route(),
+                      R"({"steps": [{"estimated_ms": 9223372036854775807},
+                                    {"estimated_ms": -5},
+                                    {"estimated_ms": 70}]})");
+  REQUIRE(job.ok());
+  CHECK(job.value().steps[0].estimate == std::chrono::hours(24));
+  CHECK(job.value().steps[1].estimate == duration::zero());
+  CHECK(job.value().steps[2].estimate == std::chrono::milliseconds(70));
+}
+
+// Guards against a list that is walked at each end of a step and may be as long
+// as the body.
+TEST_CASE("job_ingress: a step names each earlier one once") {
+  auto job = ParseJob("00000000000000aa", route(),
+                      R"({"steps": [{}, {}, {"after": [1, 0, 1, 1, 0]}]})");
+  REQUIRE(job.ok());
+  CHECK(job.value().steps[2].after == std::vector<uint32_t>{0, 1});
+}
+
 // Guards against "no such queue" from an instance that is behind.
 TEST_CASE("job_ingress: an unknown path while a newer configuration is known") {
   ingress_fixture f;
