--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -10,6 +10,9 @@
 // Allows for differences between a job's tasks, and for the delay until the
 // home hears that the last task ended.
 constexpr double kRunTimeMargin = 1.1;
+// How many starts on one upstream may be unanswered. Each takes a connection,
+// so that a job of many thousands of small tasks would use up all descriptors.
+constexpr size_t kMaxUnansweredStarts = 64;
 // Exceeds every slowness by racks, so that a trial is made only if no good
 // upstream has room.
 constexpr double kTrialSlowness = 10;
@@ -22,12 +25,12 @@
   const upstream_info& info = session.info();
   if (info.service != job.request.service)
     return false;
-  if (!task.demand.required_label.empty() &&
-      !info.labels.contains(task.demand.required_label))
+  if (!task.demand().required_label.empty() &&
+      !info.labels.contains(task.demand().required_label))
     return false;
-  return task.demand.max_per_upstream == 0 ||
-         job.OrderedTasksOn(info.id, task.demand.position.step) <
-             task.demand.max_per_upstream;
+  return task.demand().max_per_upstream == 0 ||
+         job.tasks.OrderedOn(task.demand().position.step, info.id) <
+             task.demand().max_per_upstream;
 }
 
 void task_placer::ListUpstreams() {
@@ -56,9 +59,12 @@
       all.free_cpu_millis += std::max<int64_t>(room.cpu_millis, 0);
       all.total_cpu_millis += session->info().capacity.cpu_millis;
     }
-    if (room.cpu_millis <= 0 || session->IsLeaseCut())
+    size_t unanswered = session->unconfirmed_starts();
+    if (room.cpu_millis <= 0 || session->IsLeaseCut() ||
+        unanswered >= kMaxUnansweredStarts)
       continue;
-    available_.push_back({session, room, good, speed_class});
+    available_.push_back(
+        {session, room, kMaxUnansweredStarts - unanswered, good, speed_class});
     largest_free_cpu_millis_ =
         std::max(largest_free_cpu_millis_, room.cpu_millis);
   }
@@ -67,20 +73,28 @@
 bool task_placer::HasPlacesFor(const home_job& job) const {
   std::map<const upstream_session*, resource_amount> taken;
   time_point end = TargetEnd(job);
+  const task_demand* last = nullptr;
+  // An upstream that does not suit a task does not suit later ones that ask for
+  // the same.
+  size_t first = 0;
   return std::ranges::all_of(job.tasks, [&](const auto& entry) {
     const home_task& task = entry.second;
-    if (task.demand.need.cpu_millis > largest_free_cpu_millis_)
+    if (task.demand().need.cpu_millis > largest_free_cpu_millis_)
       return false;
     double least_speed = LeastSpeed(job, task, end);
-    for (const available_upstream& open : available_) {
-      if (!open.good || !task.demand.need.Fits(open.room) ||
+    if (!last || !AskForSame(*last, task.demand()))
+      first = 0;
+    last = &task.demand();
+    for (; first < available_.size(); ++first) {
+      const available_upstream& open = available_[first];
+      if (!open.good || !task.demand().need.Fits(open.room) ||
           !MayRun(*open.session, job, task) ||
           WaitsForFaster(task, open.speed_class, least_speed))
         continue;
       resource_amount& used = taken[open.session];
-      if (!task.demand.need.Fits(open.room - used))
+      if (!task.demand().need.Fits(open.room - used))
         continue;
-      used += task.demand.need;
+      used += task.demand().need;
       return true;
     }
     return false;
@@ -111,10 +125,12 @@
 // earlier than that task.
 time_point task_placer::TargetEnd(const home_job& job) const {
   time_point end = job.objective;
+  if (job.tasks.Count(task_phase::kOrdered) == 0)
+    return end;
   for (const auto& [position, other] : job.tasks) {
-    if (other.phase != task_phase::kOrdered || other.adopted)
+    if (other.phase() != task_phase::kOrdered || other.adopted)
       continue;
-    const upstream_session* session = upstreams_.Find(other.upstream);
+    const upstream_session* session = upstreams_.Find(other.upstream());
     if (session)
       end = std::max(end,
                      other.ordered_at +
@@ -143,26 +159,28 @@
                                  double least_speed) const {
   return rule_ == placement_rule::kLeastSlack &&
          least_speed < std::numeric_limits<double>::infinity() &&
-         SpeedOfClass(speed_class) < least_speed && task.demand.rack.empty() &&
-         task.demand.required_label.empty();
+         SpeedOfClass(speed_class) < least_speed &&
+         task.demand().rack.empty() && task.demand().required_label.empty();
 }
 
 void task_placer::Take(available_upstream& open, const resource_amount& need) {
   open.room -= need;
+  --open.starts_left;
   if (open.good)
     classes_[open.speed_class].free_cpu_millis -= need.cpu_millis;
 }
 
 upstream_session* task_placer::Place(const home_job& job,
                                      const home_task& task) {
-  if (task.demand.need.cpu_millis > largest_free_cpu_millis_)
+  if (task.demand().need.cpu_millis > largest_free_cpu_millis_)
     return nullptr;
   std::vector<placement_candidate> candidates;
   std::vector<available_upstream*> available;
   bool may_run_off_rack = MayRunOffRack(job, task);
   for (available_upstream& open : available_) {
     const upstream_session& session = *open.session;
-    if (!task.demand.need.Fits(open.room) || !MayRun(session, job, task) ||
+    if (open.starts_left == 0 || !task.demand().need.Fits(open.room) ||
+        !MayRun(session, job, task) ||
         session.info().id == task.avoided_upstream)
       continue;
     double slowness = RackSlowdown(session.info(), task);
@@ -181,11 +199,11 @@
   }
   double least_speed = LeastSpeed(job, task, last_job_end_);
   auto chosen =
-      ChooseUpstream(candidates, {task.demand.need, least_speed}, rule_);
+      ChooseUpstream(candidates, {task.demand().need, least_speed}, rule_);
   if (!chosen ||
       WaitsForFaster(task, candidates[*chosen].speed_class, least_speed))
     return nullptr;
-  Take(*available[*chosen], task.demand.need);
+  Take(*available[*chosen], task.demand().need);
   return available[*chosen]->session;
 }
 
@@ -193,8 +211,8 @@
                                           const home_task& task) {
   auto chosen =
       std::ranges::find_if(available_, [&](const available_upstream& open) {
-        return open.good && open.session->idle() &&
-               task.demand.need.Fits(open.room) &&
+        return open.good && open.session->idle() && open.starts_left > 0 &&
+               task.demand().need.Fits(open.room) &&
                MayRun(*open.session, job, task);
       });
   if (chosen == available_.end())
