Servers bound their connections and what requests hold

What callers see: beside as many idle callers as descriptors a daemon answers neither callers, balancer nor metrics and takes all of the processor that it gets; bodies of up to 64 MB from any number of callers take its memory and keep it. Cause: nothing counts connections; accept fails at once, again and again; nothing counts bytes, and the heap keeps freed blocks. Works because a new caller takes the place of the connection that has waited the longest, requests must come in within 60 s, a listener rests 0.1 s after a failed accept, and requests are refused as they grow beyond a bound.

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -5,13 +5,23 @@
 #define SRC_HTTP_HTTP_SERVER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/base.h"
+#include "http/accept_pause.h"
+#include "http/connection_places.h"
+#include "http/heap_trimmer.h"
 #include "http/http_types.h"
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -37,6 +47,10 @@
     return FindHeader(request_.headers, name);
   }
 
+  // Frees the body of a request that has been read. It goes on counting as
+  // held, for what was made of it.
+  void DropBody();
+
   // Only the first reply counts; after a hang-up it goes nowhere.
   void Reply(const http_reply& reply);
 
@@ -74,10 +88,26 @@
 
 struct http_server_limits {
   size_t max_header_bytes = 16 * 1024;
-  // What is larger is cut off by evhttp with a plain 413.
+  // What is larger is refused with 413.
   size_t max_body_bytes = 64 * 1024 * 1024;
+  // What all requests may take together, from their first byte to their reply;
+  // beyond it they are refused with 503. Those above 64 KB may take three
+  // quarters, so that small ones get through beside them. 0: no bound.
+  size_t max_held_bytes = 0;
   // A caller that sends nothing for so long is cut off.
   std::chrono::seconds idle_timeout{60};
+  place_limits places;
+};
+
+struct http_server_metrics {
+  size_t open = 0;
+  // 0: no bound.
+  size_t most = 0;
+  place_metrics places;
+  uint64_t accept_failures = 0;
+  size_t held_bytes = 0;
+  // Requests that were refused for their size, by status.
+  std::map<int, uint64_t> refused;
 };
 
 class http_server {
@@ -105,25 +135,67 @@
   // Requests that wait for their reply.
   size_t open_exchanges() const { return open_exchanges_; }
 
-  // Connections that have sent a request and are open.
-  size_t connections() const { return connections_.size(); }
+  size_t connections() const { return places_.open(); }
+  http_server_metrics metrics() const;
 
  private:
   friend class http_exchange;
   struct evhttp_deleter {
     void operator()(evhttp* server) const;
   };
+  struct event_deleter {
+    void operator()(event* e) const;
+  };
 
+  // At a fixed place while it is open.
+  struct open_connection {
+    http_server* server = nullptr;
+    evhttp_connection* connection = nullptr;
+    // Null between requests.
+    http_exchange* waiting = nullptr;
+    // Of the request that arrives or is served, and of what came after it.
+    size_t bytes = 0;
+    // With this status, as it is too much; 0: it is not.
+    int refuse_with = 0;
+    // Has got it; what still comes is thrown away.
+    bool discards = false;
+  };
+
+  static bufferevent* MakeBufferevent(event_base* base, void* self);
+  static void OnInputChanged(evbuffer* buffer,
+                             const evbuffer_cb_info* info,
+                             void* entry);
+  static void OnOutputChanged(evbuffer* buffer,
+                              const evbuffer_cb_info* info,
+                              void* entry);
   static void OnRequest(evhttp_request* request, void* self);
   static void OnClose(evhttp_connection* connection, void* self);
 
+  void Hold(open_connection& entry, size_t bytes);
+  void Release(open_connection& entry);
+  int RefusalOf(const open_connection& entry) const;
+  void RefuseAll();
+  void Refuse(open_connection& entry);
+  void TakeNewcomers();
+  void Take(evhttp_connection* connection);
+
+  event_loop& loop_;
   handler handle_;
-  std::chrono::seconds idle_timeout_;
+  http_server_limits limits_;
   evhttp_bound_socket* socket_ = nullptr;
+  std::unique_ptr<accept_pause> accept_pause_;
   bool close_after_replies_ = false;
   size_t open_exchanges_ = 0;
-  // With the exchange that waits on each; null between requests.
-  std::unordered_map<evhttp_connection*, http_exchange*> connections_;
+  std::unordered_map<evhttp_connection*, open_connection> connections_;
+  connection_places places_;
+  // Made for connections that were just accepted, each with a reference.
+  std::vector<bufferevent*> newcomers_;
+  std::unique_ptr<event, event_deleter> newcomers_event_;
+  // Of all connections.
+  size_t held_bytes_ = 0;
+  std::map<int, uint64_t> refused_;
+  scoped_timer refuse_timer_;
+  heap_trimmer trimmer_;
   // Last, so that it goes first: closing its connections calls back.
   std::unique_ptr<evhttp, evhttp_deleter> evhttp_;
 };
--- /dev/null
+++ b/src/http/http_server_memory.cc
@@ -0,0 +1,85 @@
+// What the requests of a server hold, and how those that are too much are
+// refused.
+
+#include "http/http_server.h"
+
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <sys/socket.h>
+
+namespace jasminedyke {
+
+namespace {
+
+// Above, a request is large.
+constexpr size_t kSmallBytes = 64 * 1024;
+
+std::string RefusalText(int status) {
+  bool too_large = status == 413;
+  std::string body =
+      too_large ? "{\"reason\":\"body_too_large\"}" : "{\"reason\":\"memory\"}";
+  return "HTTP/1.1 " + std::to_string(status) +
+         (too_large ? " Content Too Large\r\n"
+                    : " Service Unavailable\r\nRetry-After: 1\r\n") +
+         "Content-Type: application/json\r\nConnection: close\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void Discard(bufferevent* bev, void*) {
+  evbuffer* input = bufferevent_get_input(bev);
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+}  // namespace
+
+void http_server::Hold(open_connection& entry, size_t bytes) {
+  entry.bytes += bytes;
+  held_bytes_ += bytes;
+}
+
+void http_server::Release(open_connection& entry) {
+  trimmer_.NoteFreed(entry.bytes);
+  held_bytes_ -= std::exchange(entry.bytes, 0);
+}
+
+int http_server::RefusalOf(const open_connection& entry) const {
+  if (entry.bytes > limits_.max_header_bytes + limits_.max_body_bytes)
+    return 413;
+  size_t bound = limits_.max_held_bytes;
+  if (entry.bytes > kSmallBytes)
+    bound -= bound / 4;
+  return bound > 0 && held_bytes_ > bound ? 503 : 0;
+}
+
+void http_server::RefuseAll() {
+  for (auto& [connection, entry] : connections_) {
+    if (entry.refuse_with != 0 && !entry.waiting && !entry.discards)
+      Refuse(entry);
+  }
+}
+
+// evhttp replies to whole requests only. The connection is closed when the
+// caller has, so that it gets to read why, or as one that is too slow.
+void http_server::Refuse(open_connection& entry) {
+  ++refused_[entry.refuse_with];
+  entry.discards = true;
+  Release(entry);
+  bufferevent* bev = evhttp_connection_get_bufferevent(entry.connection);
+  std::string text = RefusalText(entry.refuse_with);
+  int fd = bufferevent_getfd(bev);
+  // Nothing else is on its way: the socket's buffer holds it.
+  (void)send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(fd, SHUT_WR);
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(bev, nullptr, &on_write, &on_event, &argument);
+  bufferevent_setcb(bev, Discard, on_write, on_event, argument);
+  Discard(bev, nullptr);
+}
+
+}  // namespace jasminedyke
