Daemons derive their bounds from their limits; memory_mb

Callers get half of the descriptors, an eighth of the memory for all requests and a 128th for a body; watchers and unproven peers a thirty-second of the descriptors.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -123,6 +123,40 @@
   }
 }
 
+void WriteServer(prometheus_writer& out,
+                 const char* use,
+                 const http_server_metrics& metrics) {
+  std::initializer_list<metric_label> labels = {{"use", use}};
+  out.Gauge("connections_open", static_cast<double>(metrics.open), labels);
+  out.Gauge("connections_most", static_cast<double>(metrics.most), labels);
+  out.Gauge("request_bytes_held", static_cast<double>(metrics.held_bytes),
+            labels);
+  out.Counter("accept_failures_total",
+              static_cast<double>(metrics.accept_failures), labels);
+  const place_metrics& places = metrics.places;
+  std::initializer_list<std::pair<const char*, uint64_t>> ends = {
+      {"replaced", places.replaced},
+      {"turned_away", places.turned_away},
+      {"too_slow", places.too_slow}};
+  for (const auto& [why, count] : ends)
+    out.Counter("connections_closed_total", static_cast<double>(count),
+                {{"use", use}, {"why", why}});
+  for (const auto& [status, count] : metrics.refused)
+    out.Counter("requests_too_large_total", static_cast<double>(count),
+                {{"use", use}, {"status", std::to_string(status)}});
+}
+
+void WriteOwnConnections(prometheus_writer& out,
+                         size_t peers,
+                         uint64_t peer_accept_failures,
+                         size_t upstreams) {
+  out.Gauge("connections_open", static_cast<double>(peers), {{"use", "peers"}});
+  out.Gauge("connections_open", static_cast<double>(upstreams),
+            {{"use", "upstreams"}});
+  out.Counter("accept_failures_total",
+              static_cast<double>(peer_accept_failures), {{"use", "peers"}});
+}
+
 void WriteProcessMetrics(prometheus_writer& out) {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/src/admin/run_metrics_report.h
+++ b/src/admin/run_metrics_report.h
@@ -10,6 +10,14 @@
 
 void WriteRunMetrics(prometheus_writer& out, const run_cluster& cluster);
 void WriteTraffic(prometheus_writer& out, const traffic_meter& traffic);
+// Of a server's connections, by what they are for.
+void WriteServer(prometheus_writer& out,
+                 const char* use,
+                 const http_server_metrics& metrics);
+void WriteOwnConnections(prometheus_writer& out,
+                         size_t peers,
+                         uint64_t peer_accept_failures,
+                         size_t upstreams);
 // Of the process itself, and of its log.
 void WriteProcessMetrics(prometheus_writer& out);
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,6 +6,7 @@
 #include "daemon/daemon_run.h"
 #include "daemon/instance.h"
 #include "daemon/process_end.h"
+#include "daemon/process_limits.h"
 #include "daemon/settings.h"
 #include "daemon/settings_rules.h"
 
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "daemon/process_limits.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -80,11 +82,11 @@
              [this] { return NotReadyBecause(); }),
       callers_server_(
           loop,
-          http_server_limits(),
+          CallersLimits(OwnLimits(settings.memory_mb)),
           [this](const http_exchange_ptr& e) { callers_.Handle(e); }),
       operators_server_(
           loop,
-          http_server_limits(),
+          WatchersLimits(OwnLimits(settings.memory_mb)),
           [this](const http_exchange_ptr& e) { admin_.Handle(e); }),
       stop_timer_(loop) {
   jobs_.SetStrategy(
@@ -101,6 +103,7 @@
   config_.OnChange([this] { OnConfigurationChanged(); });
   membership_.OnChange([this] { OnMembershipChanged(); });
   mesh_.SetListener(&router_);
+  mesh_.SetMostUnproven(MostUnprovenPeers(OwnLimits(settings.memory_mb)));
   documents_.SetRoomSource([this] { return slots_->free_slots_in_domain(); });
   documents_.OnRoom([this](const domain_room& r) { slots_->SetRoom(r); });
   documents_.Start();
--- /dev/null
+++ b/src/daemon/process_limits.cc
@@ -0,0 +1,66 @@
+#include "daemon/process_limits.h"
+
+#include <algorithm>
+
+#include <sys/resource.h>
+
+namespace jasminedyke {
+
+namespace {
+
+constexpr size_t kMegabyte = 1024 * 1024;
+// Where the limit can't be read, or there is none.
+constexpr size_t kMostDescriptors = 65'536;
+constexpr size_t kCallersPart = 2;
+constexpr size_t kWatchersPart = 32;
+constexpr size_t kMostWatchers = 64;
+constexpr size_t kUnprovenPart = 32;
+constexpr size_t kMostUnproven = 64;
+constexpr size_t kFewest = 2;
+constexpr size_t kHeldPart = 8;
+// A text of empty objects takes 30 times its size when it is parsed.
+constexpr size_t kBodyPart = 128;
+// What operators usually allow callers.
+constexpr size_t kSmallestBody = 256 * 1024;
+constexpr size_t kLargestBody = 64 * kMegabyte;
+constexpr size_t kSmallestHeld = 4 * kMegabyte;
+constexpr size_t kWatchersBody = 2 * kMegabyte;
+
+}  // namespace
+
+process_limits OwnLimits(double memory_mb) {
+  rlimit files{};
+  bool known = getrlimit(RLIMIT_NOFILE, &files) == 0;
+  size_t descriptors = kMostDescriptors;
+  if (known && files.rlim_cur < kMostDescriptors)
+    descriptors = static_cast<size_t>(files.rlim_cur);
+  return {descriptors, static_cast<size_t>(memory_mb * kMegabyte)};
+}
+
+http_server_limits CallersLimits(const process_limits& process) {
+  http_server_limits limits;
+  limits.places.most = std::max(kFewest, process.descriptors / kCallersPart);
+  if (process.memory_bytes == 0)
+    return limits;
+  limits.max_body_bytes =
+      std::clamp(process.memory_bytes / kBodyPart, kSmallestBody, kLargestBody);
+  limits.max_held_bytes =
+      std::max(kSmallestHeld, process.memory_bytes / kHeldPart);
+  return limits;
+}
+
+http_server_limits WatchersLimits(const process_limits& process) {
+  http_server_limits limits;
+  limits.places.most =
+      std::clamp(process.descriptors / kWatchersPart, kFewest, kMostWatchers);
+  limits.max_body_bytes = kWatchersBody;
+  limits.max_held_bytes = kSmallestHeld;
+  return limits;
+}
+
+size_t MostUnprovenPeers(const process_limits& process) {
+  return std::clamp(process.descriptors / kUnprovenPart, kFewest,
+                    kMostUnproven);
+}
+
+}  // namespace jasminedyke
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -14,6 +14,8 @@
        [](const node& n, out& s) { return TakeId(n, &s.instance); }},
       {"instance", "failure_domain", true,
        [](const node& n, out& s) { return TakeId(n, &s.failure_domain); }},
+      {"instance", "memory_mb", false,
+       [](const node& n, out& s) { return TakePositive(n, &s.memory_mb); }},
       {"listen", "callers", true,
        [](const node& n, out& s) { return TakeAddress(n, &s.callers); }},
       {"listen", "operators", true,
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -25,7 +25,6 @@
 constexpr duration kConnectAgainAfter = std::chrono::milliseconds(1000);
 // A link that is not wanted is closed when it was not used for so long.
 constexpr duration kIdleLimit = std::chrono::seconds(30);
-constexpr size_t kMaxUnproven = 64;
 
 sockaddr_in ToSockaddr(const socket_address& address) {
   sockaddr_in to{};
@@ -66,6 +65,8 @@
   getsockname(evconnlistener_get_fd(socket_.get()),
               reinterpret_cast<sockaddr*>(&bound), &length);
   address_.port = ntohs(bound.sin_port);
+  accept_pause_ =
+      std::make_unique<accept_pause>(loop, socket_.get(), address_.ToString());
   Maintain();
 }
 
@@ -107,7 +108,7 @@
 
 void peer_mesh::OnAccept(int socket) {
   // Strangers must not take all our descriptors.
-  if (links_.size() - by_peer_.size() >= kMaxUnproven) {
+  if (links_.size() - by_peer_.size() >= most_unproven_) {
     evutil_closesocket(socket);
     ++ends_[link_end::kUnauthorized];
     return;
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -37,6 +37,11 @@
   std::optional<peer_identity> Identity(const instance_id& peer) const override;
   std::vector<instance_id> peers_up() const override;
 
+  // Accepted links whose other side has yet to prove who it is.
+  void SetMostUnproven(size_t most) { most_unproven_ = most; }
+  size_t links() const { return links_.size(); }
+  uint64_t accept_failures() const { return accept_pause_->failures(); }
+
   socket_address address() const { return address_; }
   const peer_traffic& traffic() const { return traffic_; }
   // Links that ended, by cause.
@@ -67,6 +72,8 @@
   socket_address address_;
   peer_listener* listener_ = nullptr;
   std::unique_ptr<evconnlistener, listener_deleter> socket_;
+  std::unique_ptr<accept_pause> accept_pause_;
+  size_t most_unproven_ = 64;
   std::map<instance_id, socket_address> wanted_;
   // Of wanted peers without a link, since when.
   std::map<instance_id, time_point> missing_since_;
