Settings: how a clear value is written no longer decides on a start

Callers saw: a daemon ended with 2 at each start where the platform writes a bound as a fraction (1000.0), a name has dots, a link has no limit (0), or a bound is longer than the daemon uses.

Cause: milliseconds had to be TOML integers, names had no dots and at most 64 bytes, link_mbps had to be above 0, and leases, drains and times to send again had upper limits by which the settings were refused.

--- a/src/daemon/settings_rules.cc
+++ b/src/daemon/settings_rules.cc
@@ -1,6 +1,7 @@
 #include "daemon/settings_rules.h"
 
 #include <cctype>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -10,12 +11,13 @@
 namespace {
 
 constexpr size_t kShortestKeyBytes = 16;
-constexpr size_t kLongestName = 64;
+// Within what the platform's store allows in a key.
+constexpr size_t kLongestName = 128;
 
 bool IsName(const std::string& name) {
   return !name.empty() && name.size() <= kLongestName &&
          std::ranges::all_of(name, [](unsigned char c) {
-           return std::isalnum(c) || c == '-' || c == '_';
+           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
          });
 }
 
@@ -31,7 +33,7 @@
 std::string TakeName(const toml::node& node, std::string* to) {
   auto text = node.value_exact<std::string>();
   if (!text || !IsName(*text))
-    return "must be a name of letters, digits, '-' and '_'";
+    return "must be a name of letters, digits, '-', '_' and '.'";
   *to = *text;
   return {};
 }
@@ -67,10 +69,11 @@
 std::string TakeMilliseconds(const toml::node& node,
                              int64_t longest,
                              duration* to) {
-  auto ms = node.value_exact<int64_t>();
-  if (!ms || *ms < 0 || *ms > longest)
+  auto ms = node.is_number() ? node.value<double>() : std::nullopt;
+  bool within = ms && *ms >= 0 && *ms <= static_cast<double>(longest);
+  if (!within)
     return "must be whole milliseconds from 0 to " + std::to_string(longest);
-  *to = std::chrono::milliseconds(*ms);
+  *to = std::chrono::milliseconds(std::llround(*ms));
   return {};
 }
 
--- a/src/daemon/settings_rules.h
+++ b/src/daemon/settings_rules.h
@@ -38,6 +38,7 @@
 // Hex digits, to raw bytes.
 std::string TakeKey(const toml::node& node, std::string* to);
 std::string TakeLogLevel(const toml::node& node, std::string* to);
+// Fractions are rounded to whole milliseconds.
 std::string TakeMilliseconds(const toml::node& node,
                              int64_t longest,
                              duration* to);
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -235,6 +235,37 @@
         std::set{failure_domain_id("north"), failure_domain_id("south")});
 }
 
+// Guards against a daemon that doesn't start where the platform has no limit, a
+// longer one than the daemon needs, or writes whole numbers as fractions.
+TEST_CASE("platform_settings: limits that are absent, long or fractions") {
+  auto settings = ParsePlatformSettings(R"([instance]
+id = "edge-1.north.example"
+failure_domain = "north.example"
+failure_domains = ["north.example", "south.example"]
+cores = 1
+link_mbps = 0.0
+[listen]
+callers = "10.0.0.1:80"
+balancer = "10.0.0.1:81"
+peers = "10.0.0.1:82"
+metrics = "10.0.0.1:83"
+[store]
+address = "10.0.0.9:80"
+[upstreams]
+longest_lease_ms = 120000.0
+drain_bound_ms = 86400000
+[callers]
+resend_after_ms = 1300.4
+[stop]
+grace_s = 6
+)");
+  REQUIRE(settings.ok());
+  CHECK(settings.value().link_mbps == 0);
+  CHECK(settings.value().longest_lease == std::chrono::minutes(1));
+  CHECK(settings.value().drain_bound == std::chrono::minutes(10));
+  CHECK(settings.value().resend_after == std::chrono::milliseconds(1300));
+}
+
 TEST_CASE("platform_settings: a wrong file names each key and its line") {
   auto settings = ParsePlatformSettings(R"([instance]
 id = "edge-1"
