A daemon waits for what it can't have at its start

Callers saw: a daemon ended with 1 as it started while another program had one of its four ports, while an outgoing connection had it or had left it in TIME_WAIT, or before the machine had the address; two daemons on one address couldn't run for want of a second port of metrics. It ended with 2 while its settings file was being written.

Cause: each address was tried once, in the constructors of its server, and the settings were read once.

A start is now steps on the loop: read the settings, bind what the daemon can't be without, listen once all is bound, make the daemon. What can pass is logged (address_unavailable, address_available) and tried again after 50 ms up to 1 s, without an end; what can't ends with 1. SIGTERM and SIGINT end a daemon that waits with 0, SIGHUP gives it other addresses. Exceptions don't pass the loop's C code.

Tests that make an instance or a peer_mesh pass it open sockets now; nothing that they check changed.

--- /dev/null
+++ b/src/daemon/address_opener.cc
@@ -0,0 +1,130 @@
+#include "daemon/address_opener.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminedyke {
+
+namespace {
+
+// A predecessor that is ending leaves its ports within milliseconds.
+constexpr duration kFirstPause = std::chrono::milliseconds(50);
+constexpr duration kLongestPause = std::chrono::seconds(1);
+// Between two lines on one address, unless the error changes.
+constexpr duration kLogPause = std::chrono::seconds(30);
+
+}  // namespace
+
+address_opener::address_opener(scheduler& clock, handlers then, bind_call bind)
+    : clock_(clock),
+      then_(std::move(then)),
+      bind_(std::move(bind)),
+      pause_(kFirstPause),
+      timer_(clock) {}
+
+void address_opener::Open(const std::vector<listen_address>& addresses) {
+  if (over_)
+    return;
+  std::vector<entry> before = std::exchange(entries_, {});
+  for (const listen_address& each : addresses) {
+    auto same = std::ranges::find(before, each, &entry::wanted);
+    if (same == before.end())
+      entries_.push_back({each, {}, {}, {}, {}});
+    else
+      entries_.push_back(std::move(*same));
+  }
+  before.clear();
+  pause_ = kFirstPause;
+  Try();
+}
+
+void address_opener::Try() {
+  bool all = BindAll() && ListenOnAll();
+  if (over_)
+    return;
+  if (all) {
+    HandOver();
+    return;
+  }
+  timer_.StartAfter(pause_, [this] { Try(); });
+  pause_ = std::min(2 * pause_, kLongestPause);
+}
+
+bool address_opener::BindAll() {
+  bool all = true;
+  for (entry& each : entries_) {
+    if (each.socket)
+      continue;
+    auto bound = bind_(each.wanted.address);
+    if (bound.ok()) {
+      each.socket = std::move(bound.value());
+      continue;
+    }
+    all = false;
+    if (!OnError(each, bound.error()))
+      return false;
+  }
+  return all;
+}
+
+// Two sockets may be bound to one address while neither listens. The one that
+// is late lets go of everything, so that nobody reaches half a daemon.
+bool address_opener::ListenOnAll() {
+  for (entry& each : entries_) {
+    std::optional<socket_error> error = each.socket->Listen();
+    if (!error)
+      continue;
+    OnError(each, *error);
+    for (entry& held : entries_)
+      held.socket.reset();
+    return false;
+  }
+  return true;
+}
+
+bool address_opener::OnError(entry& failed, const socket_error& error) {
+  if (error.passes()) {
+    LogWaiting(failed, error);
+    return true;
+  }
+  over_ = true;
+  std::string reason = "can't listen on " + failed.wanted.address.ToString() +
+                       " for " + failed.wanted.use + ": " + error.ToString();
+  entries_.clear();
+  then_.on_failed(reason);
+  return false;
+}
+
+void address_opener::LogWaiting(entry& waiting, const socket_error& error) {
+  time_point now = clock_.now();
+  if (!waiting.waits_since)
+    waiting.waits_since = now;
+  bool known = waiting.error == error && now - waiting.logged_at < kLogPause;
+  if (known)
+    return;
+  waiting.error = error;
+  waiting.logged_at = now;
+  LogEvent(log_level::kWarning, "address_unavailable",
+           {{"use", waiting.wanted.use},
+            {"address", waiting.wanted.address.ToString()},
+            {"error", error.ToString()},
+            {"waiting_ms", WholeMilliseconds(now - *waiting.waits_since)}});
+}
+
+void address_opener::HandOver() {
+  over_ = true;
+  open_sockets open;
+  for (entry& each : entries_) {
+    if (each.waits_since)
+      LogEvent(
+          log_level::kInfo, "address_available",
+          {{"use", each.wanted.use},
+           {"address", each.wanted.address.ToString()},
+           {"waited_ms", WholeMilliseconds(clock_.now() - *each.waits_since)}});
+    open.emplace(each.wanted.use, std::move(*each.socket));
+  }
+  entries_.clear();
+  then_.on_open(std::move(open));
+}
+
+}  // namespace jasminedyke
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,7 +3,9 @@
 #ifndef SRC_DAEMON_DAEMON_H_
 #define SRC_DAEMON_DAEMON_H_
 
+#include "daemon/address_opener.h"
 #include "daemon/daemon_run.h"
+#include "daemon/daemon_start.h"
 #include "daemon/instance.h"
 #include "daemon/process_end.h"
 #include "daemon/settings.h"
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -20,9 +20,23 @@
 constexpr duration kLinger = std::chrono::milliseconds(200);
 constexpr size_t kIncarnationBytes = 8;
 
+constexpr char kCallersUse[] = "callers";
+constexpr char kOperatorsUse[] = "operators";
+constexpr char kPeersUse[] = "peers";
+
 }  // namespace
 
-instance::instance(event_loop& loop, const daemon_settings& settings)
+std::vector<listen_address> instance::Addresses(
+    const daemon_settings& settings) {
+  // Operators' has /readyz, without which the balancer sends nobody here.
+  return {{kCallersUse, settings.callers},
+          {kOperatorsUse, settings.operators},
+          {kPeersUse, settings.peers}};
+}
+
+instance::instance(event_loop& loop,
+                   const daemon_settings& settings,
+                   open_sockets sockets)
     : loop_(loop),
       settings_(settings),
       self_{settings.instance, incarnation_id(RandomHex(kIncarnationBytes)),
@@ -37,7 +51,10 @@
       jobs_(loop, links_, usage_, upstreams_, DefaultOrderRule(), queue_caps()),
       mint_(loop, settings.instance, self_.incarnation),
       registry_(loop, jobs_, mint_),
-      mesh_(loop, {self_, settings.peer_key}, settings.peers, names_),
+      mesh_(loop,
+            {self_, settings.peer_key},
+            std::move(sockets.at(kPeersUse)),
+            names_),
       home_side_(loop,
                  settings.instance,
                  settings.failure_domain,
@@ -107,8 +124,10 @@
   config_.StartPolling(kPollInterval);
   membership_.StartPolling(kPollInterval);
   usage_.StartFlushing(kUsageInterval);
-  callers_address_ = callers_server_.Listen(settings.callers);
-  operators_address_ = operators_server_.Listen(settings.operators);
+  callers_address_ = sockets.at(kCallersUse).address();
+  operators_address_ = sockets.at(kOperatorsUse).address();
+  callers_server_.Serve(std::move(sockets.at(kCallersUse)));
+  operators_server_.Serve(std::move(sockets.at(kOperatorsUse)));
   LogEvent(log_level::kInfo, "started",
            {{"instance", self_.instance.str()},
             {"incarnation", self_.incarnation.str()},
--- a/src/daemon/instance.h
+++ b/src/daemon/instance.h
@@ -5,10 +5,12 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "admin/admin.h"
 #include "base/base.h"
 #include "cluster/cluster.h"
+#include "daemon/address_opener.h"
 #include "daemon/settings.h"
 #include "entry/entry.h"
 #include "http/http.h"
@@ -23,8 +25,13 @@
 // used from the loop's thread only, and everything in it runs there.
 class instance {
  public:
-  // Throws `std::runtime_error` if an address can't be had.
-  instance(event_loop& loop, const daemon_settings& settings);
+  // What `instance` can't be without.
+  static std::vector<listen_address> Addresses(const daemon_settings& settings);
+
+  // `sockets` are those of `Addresses`.
+  instance(event_loop& loop,
+           const daemon_settings& settings,
+           open_sockets sockets);
   ~instance();
 
   // Ends planned work gracefully and calls `done`. Further calls change
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,12 +1,9 @@
 #include "http/http_server.h"
 
-#include <cerrno>
 #include <cstdint>
-#include <cstring>
 #include <stdexcept>
 #include <utility>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -42,14 +39,6 @@
   }
 }
 
-uint16_t BoundPort(evhttp_bound_socket* socket) {
-  sockaddr_in address{};
-  socklen_t length = sizeof(address);
-  getsockname(evhttp_bound_socket_get_fd(socket),
-              reinterpret_cast<sockaddr*>(&address), &length);
-  return ntohs(address.sin_port);
-}
-
 }  // namespace
 
 http_exchange::http_exchange(http_server& server, evhttp_request* request)
@@ -189,12 +178,16 @@
 }
 
 socket_address http_server::Listen(const socket_address& address) {
-  socket_ = evhttp_bind_socket_with_handle(evhttp_.get(), address.ip.c_str(),
-                                           address.port);
+  server_socket socket = server_socket::Open(address);
+  socket_address open = socket.address();
+  Serve(std::move(socket));
+  return open;
+}
+
+void http_server::Serve(server_socket socket) {
+  socket_ = evhttp_accept_socket_with_handle(evhttp_.get(), socket.Release());
   if (!socket_)
-    throw std::runtime_error("can't listen on " + address.ToString() + ": " +
-                             std::strerror(errno));
-  return {address.ip, BoundPort(socket_)};
+    throw std::runtime_error("evhttp can't accept connections");
 }
 
 void http_server::StopListening() {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -11,6 +11,7 @@
 
 #include "base/base.h"
 #include "http/http_types.h"
+#include "http/server_socket.h"
 
 struct evhttp;
 struct evhttp_bound_socket;
@@ -95,6 +96,9 @@
   // can't be had. Returns the address with the real port.
   socket_address Listen(const socket_address& address);
 
+  // Serves what comes to `socket`, which listens.
+  void Serve(server_socket socket);
+
   // Accepts no further connections; those that exist go on.
   void StopListening();
 
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -5,7 +5,9 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
+#include <vector>
 
 #include <unistd.h>
 #include <CLI/CLI.hpp>
@@ -26,6 +28,12 @@
 // Before the settings tell what is to be logged, and for what ends the process.
 constexpr char kFirstLogLevel[] = "info";
 
+int Fail(const std::string& reason) {
+  std::fprintf(stderr, "jasminedyked: %s\n", reason.c_str());
+  LogEnd(kExitFailed, reason);
+  return kExitFailed;
+}
+
 void LogBadSettings(const std::string& file,
                     const settings_problems& problems) {
   for (const settings_problem& problem : problems)
@@ -34,42 +42,118 @@
   LogEnd(kExitBadSettings, "the settings can't be used");
 }
 
-// `load` reads and checks the settings and says from which file: at the start,
-// and again on each reload.
-template <class Daemon, class Load>
-int Serve(event_loop& loop, const Load& load, bool check_only) {
+void PrintProblems(const std::string& file, const settings_problems& problems) {
+  for (const settings_problem& problem : problems)
+    std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
+}
+
+template <class Load>
+int Check(const Load& load) {
   std::string file;
   auto settings = load(&file);
   if (!settings.ok()) {
-    for (const settings_problem& problem : settings.error())
-      std::fprintf(stderr, "%s\n", problem.ToString(file).c_str());
-    if (!check_only)
-      LogBadSettings(file, settings.error());
+    PrintProblems(file, settings.error());
     return kExitBadSettings;
   }
-  if (check_only) {
-    std::printf("%s: ok\n", file.c_str());
-    return kExitOk;
+  std::printf("%s: ok\n", file.c_str());
+  return kExitOk;
+}
+
+// A daemon from its start to its end. `Load` reads and checks the settings and
+// says from which file: at the start, and again on each reload.
+template <class Daemon, class Load>
+class daemon_life {
+ public:
+  daemon_life(event_loop& loop, const Load& load)
+      : loop_(loop), load_(load), start_(loop, Steps()) {}
+
+  // Returns the exit status.
+  int Run() {
+    RunDaemon(loop_, [this] {
+      start_.Begin();
+      signal_actions actions;
+      actions.stop = [this](std::function<void()> done) {
+        Stop(std::move(done));
+      };
+      actions.reload = [this] { Reload(); };
+      return actions;
+    });
+    if (status_ == kExitOk)
+      LogEnd(kExitOk, "stopped");
+    return status_;
   }
-  StartLogging(settings.value().log_level);
-  LogEvent(log_level::kInfo, "starting",
-           {{"version", kVersion}, {"pid", getpid()}, {"file", file}});
-  std::optional<Daemon> served;
-  RunDaemon(loop, [&] {
-    served.emplace(loop, settings.value());
-    signal_actions actions;
-    actions.stop = [&](std::function<void()> done) {
-      served->Stop(std::move(done));
+
+ private:
+  using settings_outcome = std::invoke_result_t<Load, std::string*>;
+  using settings_type =
+      std::remove_cvref_t<decltype(std::declval<settings_outcome>().value())>;
+
+  start_steps Steps() {
+    start_steps steps;
+    steps.load = [this] { return ReadSettings(); };
+    steps.make = [this](open_sockets sockets) {
+      served_.emplace(loop_, *settings_, std::move(sockets));
     };
-    actions.reload = [&] {
-      bool valid = load(&file).ok();
-      LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
-               {{"file", file}, {"valid", valid ? 1 : 0}});
+    steps.on_bad_settings = [this](const settings_problems& problems) {
+      PrintProblems(file_, problems);
+      LogBadSettings(file_, problems);
+      End(kExitBadSettings);
     };
-    return actions;
-  });
-  LogEnd(kExitOk, "stopped");
-  return kExitOk;
+    steps.on_failed = [this](const std::string& reason) { End(Fail(reason)); };
+    return steps;
+  }
+
+  outcome<std::vector<listen_address>, settings_problems> ReadSettings() {
+    settings_outcome read = load_(&file_);
+    if (!read.ok())
+      return read.error();
+    if (!served_)
+      Use(read.value());
+    return Daemon::Addresses(read.value());
+  }
+
+  void Use(const settings_type& settings) {
+    std::string level = settings_ ? settings_->log_level : kFirstLogLevel;
+    if (settings.log_level != level)
+      StartLogging(settings.log_level);
+    if (!settings_)
+      LogEvent(log_level::kInfo, "starting",
+               {{"version", kVersion}, {"pid", getpid()}, {"file", file_}});
+    settings_ = settings;
+  }
+
+  // One that isn't made yet has nothing to end gracefully.
+  void Stop(std::function<void()> done) {
+    if (served_)
+      served_->Stop(std::move(done));
+    else
+      done();
+  }
+
+  void Reload() {
+    bool valid = start_.Reload();
+    LogEvent(valid ? log_level::kInfo : log_level::kError, "reload",
+             {{"file", file_}, {"valid", valid ? 1 : 0}});
+  }
+
+  void End(int status) {
+    status_ = status;
+    loop_.Stop();
+  }
+
+  event_loop& loop_;
+  Load load_;
+  std::string file_;
+  // Those by which the daemon is made.
+  std::optional<settings_type> settings_;
+  std::optional<Daemon> served_;
+  int status_ = kExitOk;
+  daemon_start start_;
+};
+
+template <class Daemon, class Load>
+int Serve(event_loop& loop, const Load& load) {
+  return daemon_life<Daemon, Load>(loop, load).Run();
 }
 
 }  // namespace
@@ -94,22 +178,19 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
   }
-  if (!check_only) {
-    StartLogging(kFirstLogLevel);
-    LogWhatEndsTheProcess();
-  }
+  auto load = [&file](std::string* read) {
+    *read = file;
+    return LoadSettings(file);
+  };
+  if (check_only)
+    return on_platform ? Check(LoadPlatformSettings) : Check(load);
+  StartLogging(kFirstLogLevel);
+  LogWhatEndsTheProcess();
   try {
     event_loop loop;
-    if (on_platform)
-      return Serve<platform_daemon>(loop, LoadPlatformSettings, check_only);
-    auto load = [&file](std::string* read) {
-      *read = file;
-      return LoadSettings(file);
-    };
-    return Serve<instance>(loop, load, check_only);
+    return on_platform ? Serve<platform_daemon>(loop, &LoadPlatformSettings)
+                       : Serve<instance>(loop, load);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "jasminedyked: %s\n", error.what());
-    LogEnd(kExitFailed, error.what());
-    return kExitFailed;
+    return Fail(error.what());
   }
 }
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -1,7 +1,5 @@
 #include "protocol/peer_mesh.h"
 
-#include <cerrno>
-#include <cstring>
 #include <stdexcept>
 #include <utility>
 
@@ -43,29 +41,22 @@
 
 peer_mesh::peer_mesh(event_loop& loop,
                      const peer_link::settings& own,
-                     const socket_address& listen,
+                     server_socket listens,
                      const wire_names& names)
     : loop_(loop),
       own_(own),
       names_(names),
-      address_(listen),
+      address_(listens.address()),
       maintain_timer_(loop) {
-  sockaddr_in to = ToSockaddr(listen);
-  socket_.reset(evconnlistener_new_bind(
+  socket_.reset(evconnlistener_new(
       loop.base(),
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
         static_cast<peer_mesh*>(self)->OnAccept(fd);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-      -1, reinterpret_cast<sockaddr*>(&to), sizeof(to)));
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0,
+      listens.Release()));
   if (!socket_)
-    throw std::runtime_error("can't listen on " + listen.ToString() + ": " +
-                             std::strerror(errno));
-  sockaddr_in bound{};
-  socklen_t length = sizeof(bound);
-  getsockname(evconnlistener_get_fd(socket_.get()),
-              reinterpret_cast<sockaddr*>(&bound), &length);
-  address_.port = ntohs(bound.sin_port);
+    throw std::runtime_error("can't accept peers");
   Maintain();
 }
 
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -23,10 +23,10 @@
 // come, the other one does.
 class peer_mesh : public peer_port, public peer_link::owner {
  public:
-  // Throws `std::runtime_error` if the address can't be had.
+  // `listens` does.
   peer_mesh(event_loop& loop,
             const peer_link::settings& own,
-            const socket_address& listen,
+            server_socket listens,
             const wire_names& names);
   ~peer_mesh() override;
 
--- a/tests/fakes/test_cluster.cc
+++ b/tests/fakes/test_cluster.cc
@@ -57,6 +57,13 @@
     WaitUntilReady(i);
 }
 
+open_sockets OpenNow(const daemon_settings& settings) {
+  open_sockets sockets;
+  for (const listen_address& each : instance::Addresses(settings))
+    sockets.emplace(each.use, server_socket::Open(each.address));
+  return sockets;
+}
+
 test_cluster::~test_cluster() {
   connections_.clear();
   entries.clear();
@@ -71,7 +78,8 @@
   settings.peer_key = std::string(32, 'k');
   settings.ready_delay = std::chrono::milliseconds(20);
   entries[number].reset();
-  entries[number] = std::make_unique<instance>(loop, settings);
+  entries[number] =
+      std::make_unique<instance>(loop, settings, OpenNow(settings));
   PublishInstances();
 }
 
--- a/tests/fakes/test_cluster.h
+++ b/tests/fakes/test_cluster.h
@@ -17,6 +17,9 @@
 
 namespace jasminedyke {
 
+// The sockets of an instance. Throws `std::runtime_error` if one can't be had.
+open_sockets OpenNow(const daemon_settings& settings);
+
 // Everything real but the platform and the upstreams, which are stand-ins. No
 // port is fixed: the platform learns the addresses after they were taken.
 class test_cluster {
--- a/tests/instance/instance_test.cc
+++ b/tests/instance/instance_test.cc
@@ -173,7 +173,7 @@
 
 TEST_CASE("instance: it is not ready without configuration, and says why") {
   event_loop loop;
-  instance alone(loop, WithoutPlatform());
+  instance alone(loop, WithoutPlatform(), OpenNow(WithoutPlatform()));
   http_connection connection(loop, alone.operators_address(),
                              http_client_limits());
   std::optional<http_result> ready;
@@ -189,7 +189,7 @@
 // authorized" would make it give up; it is told to come back.
 TEST_CASE("instance: callers that come before the configuration") {
   event_loop loop;
-  instance alone(loop, WithoutPlatform());
+  instance alone(loop, WithoutPlatform(), OpenNow(WithoutPlatform()));
   http_connection connection(loop, alone.callers_address(),
                              http_client_limits());
   std::optional<http_result> answer;
--- a/tests/peer_link/peer_link_test.cc
+++ b/tests/peer_link/peer_link_test.cc
@@ -34,7 +34,7 @@
              {{instance_id(id), incarnation_id(incarnation),
                failure_domain_id("d")},
               key},
-             {"127.0.0.1", 0},
+             server_socket::Open({"127.0.0.1", 0}),
              names) {
     mesh.SetListener(&seen);
   }
