--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -16,6 +16,7 @@
 #include "http/connection_places.h"
 #include "http/heap_trimmer.h"
 #include "http/http_types.h"
+#include "http/server_socket.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -125,6 +126,9 @@
   // can't be had. Returns the address with the real port.
   socket_address Listen(const socket_address& address);
 
+  // Serves what comes to `socket`, which listens.
+  void Serve(server_socket socket);
+
   // Accepts no further connections; those that exist go on.
   void StopListening();
 
