--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 
 #include "daemon/daemon_run.h"
 #include "daemon/instance.h"
+#include "daemon/limit_watch.h"
 #include "daemon/process_end.h"
 #include "daemon/settings.h"
 #include "daemon/settings_rules.h"
