--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "daemon/daemon_run.h"
 #include "daemon/daemon_start.h"
 #include "daemon/instance.h"
+#include "daemon/limit_watch.h"
 #include "daemon/process_end.h"
 #include "daemon/process_limits.h"
 #include "daemon/settings.h"
