Outgoing connections lend their ports to daemons

Callers saw an instance that stayed away after its start for as long as a connection of another instance on its machine had its port: a link between two peers, or a kept connection to an upstream or the store, lives for hours, and what it leaves a minute. A start waits now, but this wait had no end.

Cause: bind fails beside a connection that doesn't allow it, whatever the listener sets.

The option counts at the moment of the other socket's bind, so it may be set after evhttp has made its socket. One more system call for each new connection, none for a request. Connections that come in have it from their listener.

Not run: all unit tests, sanitizers.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -8,6 +8,7 @@
 #include "http/http_connection.h"
 #include "http/http_server.h"
 #include "http/http_types.h"
+#include "http/outgoing_port.h"
 #include "http/server_socket.h"
 
 #endif  // SRC_HTTP_HTTP_H_
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "http/evhttp_convert.h"
+#include "http/outgoing_port.h"
 
 namespace jasminedyke {
 
@@ -80,10 +81,16 @@
   evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(),
                request.body.size());
   timer_.StartAfter(timeout, [this] { OnTimeout(); });
+  // evhttp connects within the call, also again after the other side has
+  // closed.
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection_.get());
+  bool connects = bufferevent_getfd(bev) < 0;
   in_send_ = true;
   evhttp_make_request(connection_.get(), request_, ToCommand(request.method),
                       request.path.c_str());
   in_send_ = false;
+  if (connects)
+    LendPort(bufferevent_getfd(bev));
   SendAtOnce();
 }
 
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -119,8 +119,8 @@
   if (!is_new && loop_.now() - entry->second < kConnectAgainAfter)
     return;
   entry->second = loop_.now();
-  bufferevent* connection =
-      bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent* connection = bufferevent_socket_new(
+      loop_.base(), MakeOutgoingSocket(), BEV_OPT_CLOSE_ON_FREE);
   sockaddr_in to = ToSockaddr(address);
   auto link = std::make_unique<peer_link>(loop_, own_, names_, connection, true,
                                           *this, traffic_);
