--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -15,7 +15,7 @@
 struct daemon_settings {
   instance_id instance;
   failure_domain_id failure_domain;
-  // That the process may take; 0 if not given.
+  // Memory that the process may take; 0 if not given.
   double memory_mb = 0;
   socket_address callers;
   socket_address operators;
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -182,7 +182,7 @@
 void http_connection::OnReply(evhttp_request* request, void* self) {
   auto* connection = static_cast<http_connection*>(self);
   connection->request_ = nullptr;
-  // As it is where no socket can be had.
+  // evhttp fails within the call where no socket can be had.
   if (connection->in_send_) {
     connection->FailLater();
     return;
