--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -105,6 +105,34 @@
   }
 }
 
+// Guards against times and counts that overflow where they are added up: the
+// calls to the upstream would follow each other without a pause.
+TEST_CASE("run_calls: numbers that no upstream means") {
+  for (const char* clock : {"9223372036854775807", "-9223372036854775808",
+                            "18446744073709551615", "1e300", "-1"}) {
+    CAPTURE(clock);
+    std::string body = std::string("{\"clock_ms\":") + clock + "}";
+    CHECK(canned_upstream({200, {}, body}).Hold().result ==
+          call_result::kUnknown);
+    start_reply started = canned_upstream({200, {}, body}).Start();
+    CHECK(started.result == start_result::kStarted);
+    CHECK(!started.clock);
+  }
+  hold_reply reply = canned_upstream({200, {}, R"({"clock_ms":7,
+      "running":[["00000000000000aa.0.0.1",1,"",-1],
+                 ["00000000000000aa.0.0.2",1,"",1e300],
+                 ["00000000000000aa.0.0.3",-1,"",5],
+                 ["00000000000000aa.0.0.4",1e300,"",5]],
+      "ended":[[-1,"00000000000000aa.0.0.5",1,"done",""],
+               [1e300,"00000000000000aa.0.0.6",1,"done",""],
+               [3,"00000000000000aa.0.0.7",-1,"done",""]]})"})
+                         .Hold();
+  REQUIRE(reply.running.size() == 2);
+  CHECK(!reply.running[0].percent);
+  CHECK(!reply.running[1].percent);
+  CHECK(reply.ended.empty());
+}
+
 TEST_CASE("run_calls: an upstream that is not there") {
   // Nobody listens: no byte left, so the task may start elsewhere at once.
   event_loop loop;
