--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -133,6 +133,23 @@
   CHECK(reply.ended.empty());
 }
 
+// Guards against an exception that ends the process: an order's text comes
+// from another instance, and JSON can't hold all of it.
+TEST_CASE("run_calls: an order whose text is not UTF-8") {
+  canned_upstream upstream({200, {}, R"({"clock_ms":5})"});
+  run_calls calls(upstream.loop, [&](const upstream_id&) {
+    return upstream.address.ToString();
+  });
+  std::optional<start_reply> started;
+  CHECK_NOTHROW(calls.Start(
+      kUpstream, {kTask, run_number(1), "\xff\xfe", fencing_token(1), {9}},
+      [&](const start_reply& r) { started = r; }));
+  RunUntil(upstream.loop, [&] { return started.has_value(); });
+  task_name odd{job_key("\xff"), 0, {0, 1}};
+  CHECK_NOTHROW(calls.Stop(kUpstream, {odd, run_number(1), fencing_token(1)},
+                           [](call_result) {}));
+}
+
 TEST_CASE("run_calls: an upstream that is not there") {
   // Nobody listens: no byte left, so the task may start elsewhere at once.
   event_loop loop;
