Holds that are answered at once are paced

A hold waits at the upstream for an end, and the next one is sent as soon as it is answered. An upstream that does not wait, or that lists an end which can't be read here and is therefore never acknowledged, is called again at once, for as long as it lasts: one call per round trip to each upstream.

From the second reply in a row that comes without an end in less than half of the wait, a pause of 60 ms follows, which doubles up to half a second. One early reply is normal: of two holds that wait for the same end one may bring nothing.

--- a/src/runs/incarnation_state.h
+++ b/src/runs/incarnation_state.h
@@ -22,6 +22,11 @@
   bool in_flight = false;
   // Sent while nothing ran: it waits longer and does not extend the lease.
   bool idle = true;
+  // Of the last order.
+  duration wait = duration::zero();
+  // Replies in a row that came without an end and long before the wait was
+  // over.
+  int early_replies = 0;
   scoped_timer timer;
 };
 
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -37,6 +37,10 @@
 // Also the interval between checks whether the lease has expired.
 constexpr duration kHoldRetryPause = std::chrono::milliseconds(60);
 constexpr duration kMaxHoldRetryPause = std::chrono::milliseconds(1000);
+// The part of its wait before which a hold's reply without an end is early, and
+// the number of such replies after which the pause no longer grows.
+constexpr int kEarlyShare = 2;
+constexpr int kMaxEarlyReplies = 5;
 // Pause before an unanswered order to stop is repeated. Orders time out after a
 // multiple of it, so this matters only where they fail at once.
 constexpr duration kStopRetryPause = std::chrono::milliseconds(20);
@@ -434,6 +438,7 @@
                                             : kHoldRetryPause;
   }
   hold.in_flight = true;
+  hold.wait = order.wait;
   hold.idle = incarnation_->runs.empty();
   hold.timer.Stop();
   port_.Hold(info_.id, order,
@@ -456,6 +461,7 @@
 void upstream_session::SendSecondHold() {
   bool wanted = incarnation_->settled && incarnation_->failed_holds == 0 &&
                 incarnation_->HasRecentUnansweredCall() && !times_.AllLate() &&
+                !incarnation_->second_hold.timer.active() &&
                 !incarnation_->runs.empty() && !incarnation_->runs.HasFound();
   if (wanted)
     SendHold(incarnation_->second_hold);
@@ -556,6 +562,10 @@
                                       time_point sent,
                                       const hold_reply& reply) {
   incarnation_->settled = true;
+  bool is_early =
+      reply.ended.empty() && clock_.now() - sent < hold.wait / kEarlyShare;
+  hold.early_replies =
+      is_early ? std::min(hold.early_replies + 1, kMaxEarlyReplies) : 0;
   ApplyReply(sent, reply);
   ScheduleNextHold(hold, !reply.ended.empty());
 }
@@ -581,11 +591,27 @@
     owner_.OnCapacityChanged(*this);
 }
 
+// An upstream that does not wait for ends, or that lists one which can't be
+// read, would be called without a pause. Of two holds that wait for the same
+// end, one may be answered early.
+duration upstream_session::EarlyReplyPause(const hold_call& hold) {
+  return hold.early_replies < 2
+             ? duration::zero()
+             : kHoldRetryPause * (1 << (hold.early_replies - 2));
+}
+
 void upstream_session::ScheduleNextHold(hold_call& hold, bool any_end) {
   bool is_main_hold = &hold == &incarnation_->hold;
+  duration pause = EarlyReplyPause(hold);
   if (is_main_hold && any_end && incarnation_->runs.empty())
-    hold.timer.StartAfter(kIdleHoldPause,
-                          [this] { SendHold(incarnation_->hold); });
+    pause = kIdleHoldPause;
+  if (pause > duration::zero())
+    hold.timer.StartAfter(pause, [this, is_main_hold] {
+      if (is_main_hold)
+        SendHold(incarnation_->hold);
+      else
+        SendSecondHold();
+    });
   else if (is_main_hold)
     SendHold(hold);
   SendSecondHold();
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -173,6 +173,7 @@
   void OnPollReply(time_point sent, const hold_reply& reply);
   void OnPollFailed(time_point sent);
   duration RetryPause() const;
+  static duration EarlyReplyPause(const hold_call& hold);
   void ScheduleNextHold(hold_call& hold, bool any_end);
   void SendSecondHold();
   void ScheduleLeasePoll();
