Explanations of losses that are heard expire

On each new link it told all of them, which the other side took as of now. The list grew with each upstream that left, on each instance, for as long as the processes lived.

What is taken in forgets what has expired, and what is told leaves it out. The new test failed before on both (All had the explanation after 61 s, and two instead of one after the next news).

--- a/src/runs/crash_record.cc
+++ b/src/runs/crash_record.cc
@@ -108,6 +108,8 @@
 }
 
 void crash_record::Take(const crash_news& news, time_point now) {
+  // An instance that is not home forgets at no other time.
+  Forget(now);
   for (const crash_suspect& suspect : news.suspects)
     TakeSuspect(suspect, now);
   for (const upstream_incarnation& upstream : news.explained) {
@@ -222,8 +224,11 @@
     if (SuspicionLevel(task, now) != crash_suspicion::kNone)
       news.suspects.push_back(Describe(task, found));
   }
-  for (const auto& [upstream, explained] : explained_)
-    news.explained.push_back(upstream);
+  // Instances that hear of an explanation keep it for as long again.
+  for (const auto& [upstream, explained] : explained_) {
+    if (now - explained.at < kRetention)
+      news.explained.push_back(upstream);
+  }
   return news;
 }
 
--- a/tests/crash_record/crash_record_test.cc
+++ b/tests/crash_record/crash_record_test.cc
@@ -244,4 +244,19 @@
   CHECK(record.size() == 0);
 }
 
+// Guards against a list that grows for as long as the process lives: instances
+// that are not home only hear of losses, and tell each other on each new link.
+TEST_CASE("crash_record: explanations that are heard expire") {
+  crash_record record;
+  crash_news first;
+  first.explained = {Upstream("u1")};
+  record.Take(first, At(0));
+  CHECK(record.All(At(59'000)).explained.size() == 1);
+  CHECK(record.All(At(61'000)).explained.empty());
+  crash_news second;
+  second.explained = {Upstream("u2")};
+  record.Take(second, At(61'000));
+  CHECK(record.All(At(0)).explained == second.explained);
+}
+
 }  // namespace jasminedyke
