A wait for too much work does not overflow

The estimated wait behind such work exceeds what a duration holds; added to the time of day it is in the past, so that jobs behind it counted as served at once instead of hopeless, and on x86-64 the conversion alone gives another value. Waits end at a year now, beyond the 30 days of the longest limit.

The new test failed before (now + wait > now, IsHopeless).

--- a/src/runs/admission_estimate.cc
+++ b/src/runs/admission_estimate.cc
@@ -6,10 +6,18 @@
 
 namespace jasminedyke {
 
+namespace {
+
+// Beyond all limits of callers, and far enough from the type's bounds for sums.
+constexpr duration kLongestWait = std::chrono::hours(24 * 365);
+
+}  // namespace
+
 duration EstimateWait(const home_load& load) {
   if (load.cores <= 0)
     return kWaitWithoutCores;
-  return FromSeconds(load.work_ahead / (load.cores * room_rate::kUsableShare));
+  double seconds = load.work_ahead / (load.cores * room_rate::kUsableShare);
+  return FromSeconds(std::min(seconds, ToSeconds(kLongestWait)));
 }
 
 bool IsHopeless(const scheduling_criteria& criteria,
--- a/tests/home_room/home_room_test.cc
+++ b/tests/home_room/home_room_test.cc
@@ -202,4 +202,19 @@
   CHECK(work.UpTo(100) == 100);
 }
 
+// Guards against a wait that overflows: jobs behind the work of one that asks
+// for all that callers may ask for would count as served at once.
+TEST_CASE("a wait for more work than any is beyond all limits") {
+  constexpr double kMostCores = 1e6 * 100'000;
+  constexpr double kSecondsOfDay = 86'400;
+  time_point now(std::chrono::hours(1));
+  scheduling_criteria criteria;
+  criteria.useful_until = now + std::chrono::hours(24);
+  criteria.limit = now + std::chrono::hours(24);
+  duration wait = EstimateWait({kMostCores * kSecondsOfDay, 32});
+  CHECK(wait > std::chrono::hours(24 * 30));
+  CHECK(now + wait > now);
+  CHECK(IsHopeless(criteria, wait, now));
+}
+
 }  // namespace jasminedyke
