Times and factors of routes have bounds

A time of 2^53 - 1 ms or more in a route, as a way to say that there is no limit, overflows when it is turned into microseconds or when the deadline of a job is computed from it; its jobs are refused or given up at once. 8e18 ms was read as a negative time. Times lie between 0 and 30 days now, as callers' limits do, and the stretch between 0 and 1,000.

--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -63,6 +63,27 @@
   CHECK(config->routes.size() == 1);
 }
 
+// Guards against sums that overflow: each job of the route would be refused.
+TEST_CASE("document_codec: times of routes have bounds") {
+  auto config = ParseRoutingConfig(R"({"version":7,"routes":[
+      {"name":"a","timeout_ms":9007199254740991,"stretch":1e17,
+       "target_latency_ms":9007199254740991},
+      {"name":"b","timeout_ms":8900000000000000000,
+       "target_latency_ms":8e18},
+      {"name":"c","timeout_ms":-5,"target_latency_ms":-8e18,"stretch":-1}]})");
+  REQUIRE(config);
+  REQUIRE(config->routes.size() == 3);
+  constexpr duration kLongest = std::chrono::hours(24 * 30);
+  CHECK(config->routes[0].timeout == kLongest);
+  CHECK(config->routes[0].target_latency == kLongest);
+  CHECK(config->routes[0].stretch == 1000);
+  CHECK(config->routes[1].timeout == kLongest);
+  CHECK(config->routes[1].target_latency == kLongest);
+  CHECK(config->routes[2].timeout == duration::zero());
+  CHECK(config->routes[2].target_latency == duration::zero());
+  CHECK(config->routes[2].stretch == 0);
+}
+
 TEST_CASE("document_codec: a configuration that is written is read again") {
   auto config = ParseRoutingConfig(R"({"version":7,
     "routes":[{"name":"r","hostname":"h.example","path_prefix":"/a/",
