A signal that the kernel raises ends a daemon

Operators who press Ctrl-\ in a daemon's terminal saw `ended signal=SIGQUIT` in its log, and the daemon ran on and served. The next one ended it. By the same way a limit of processor time (SIGXCPU) and a trap were told and not carried out.

Cause: the handler took any signal with a positive si_code for a fault of the program, which comes again when the handler returns. The kernel also sends what a terminal or a limit asks for, with SI_KERNEL, and that doesn't come again.

Now only SIGSEGV, SIGBUS, SIGFPE and SIGILL that the kernel raises are left to come again; all else is raised by the handler once the default is back.

The test starts the daemon as the leader of a terminal's session and types the key. On the code before: `ended signal=SIGQUIT`, then `event=reload` after a SIGHUP (REQUIRE_FALSE( true )). SIGXCPU from a real limit and a trap were not run.

--- a/src/daemon/process_end.cc
+++ b/src/daemon/process_end.cc
@@ -1,5 +1,6 @@
 #include "daemon/process_end.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -48,6 +49,14 @@
     (void)!write(STDOUT_FILENO, text, size);
 }
 
+// A fault of the program comes again on return, with its place in the code.
+// What a process, a terminal or a limit sends, and a trap, don't.
+bool ComesAgain(const siginfo_t& info) {
+  static constexpr std::array kFaults = {SIGSEGV, SIGBUS, SIGFPE, SIGILL};
+  return info.si_code > 0 &&
+         std::ranges::find(kFaults, info.si_signo) != kFaults.end();
+}
+
 void OnEndingSignal(int number, siginfo_t* info, void*) {
   std::array<char, 80> line{};
   std::strcpy(line.data(), "level=critical event=ended signal=");
@@ -59,9 +68,7 @@
   }
   std::strcat(line.data(), "\n");
   WriteLine(line.data(), std::strlen(line.data()));
-  // A fault of the program comes again on return, with its place in the code.
-  bool sent = info->si_code <= 0;
-  if (sent)
+  if (!ComesAgain(*info))
     std::raise(number);
 }
 
--- a/tests/daemon_process/signals_test.cc
+++ b/tests/daemon_process/signals_test.cc
@@ -1,10 +1,13 @@
 // Signals that reach a daemon while it runs.
 
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 #include <string>
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include "fakes/daemon_process.h"
 
@@ -72,6 +75,28 @@
   }
 }
 
+// Guards against a daemon that says it has ended and runs on, since nobody sent
+// the signal but the kernel did.
+TEST_CASE("a key that asks for a core dump ends a daemon in a terminal") {
+  constexpr char kQuitKey = '\x1c';
+  int keyboard = posix_openpt(O_RDWR | O_NOCTTY | O_CLOEXEC);
+  REQUIRE(keyboard >= 0);
+  REQUIRE(grantpt(keyboard) == 0);
+  REQUIRE(unlockpt(keyboard) == 0);
+  daemon_parent parent;
+  parent.terminal = ptsname(keyboard);
+  {
+    daemon_process daemon(SettingsText({}), parent);
+    REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+    REQUIRE(write(keyboard, &kQuitKey, 1) == 1);
+    CHECK_MESSAGE(daemon.WaitForLine("ended signal=SIGQUIT"), daemon.log());
+    daemon.Signal(SIGHUP);
+    REQUIRE_FALSE_MESSAGE(daemon.WaitForLine("event=reload"), daemon.log());
+    CHECK(daemon.WaitForEnd() == -SIGQUIT);
+  }
+  close(keyboard);
+}
+
 // Guards against a daemon that ends as its log reaches the size that a file may
 // have.
 TEST_CASE("a daemon runs on when the file of its log may not grow") {
--- a/tests/fakes/daemon_process.cc
+++ b/tests/fakes/daemon_process.cc
@@ -58,6 +58,10 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, log[1], STDOUT_FILENO);
   posix_spawn_file_actions_adddup2(&actions, log[1], STDERR_FILENO);
+  // The first one that a session's leader opens is its terminal.
+  if (!parent.terminal.empty())
+    posix_spawn_file_actions_addopen(&actions, STDIN_FILENO,
+                                     parent.terminal.c_str(), O_RDWR, 0);
   for (int each : parent.closed_descriptors)
     posix_spawn_file_actions_addclose(&actions, each);
   posix_spawnattr_t attributes;
@@ -67,7 +71,9 @@
   for (int each : parent.blocked_signals)
     sigaddset(&blocked, each);
   posix_spawnattr_setsigmask(&attributes, &blocked);
-  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+  int session = parent.terminal.empty() ? 0 : POSIX_SPAWN_SETSID;
+  posix_spawnattr_setflags(
+      &attributes, static_cast<short>(POSIX_SPAWN_SETSIGMASK | session));
   std::string program = JASMINEDYKED;
   std::string option = "--platform";
   std::string variable = "JASMINEDYKE_BOOT=" + SettingsFile(folder_);
--- a/tests/fakes/daemon_process.h
+++ b/tests/fakes/daemon_process.h
@@ -29,6 +29,8 @@
 struct daemon_parent {
   std::vector<int> blocked_signals;
   std::vector<int> closed_descriptors;
+  // The path of a terminal that becomes its own, as if it was started there.
+  std::string terminal;
   // Its log is a file rather than a pipe.
   bool log_is_file = false;
 };
