Daemons start without values that have a safe stand-in, and wait for the rest

Operators saw each start of each instance end with 2 when the platform had no value for `zone`, `limits.cpu_share`, `platform.address`, `bounds.max_hold_ms` or `bounds.grace_period_s`, when the share was 0, or when a machine's name had a colon, blank, slash or umlaut: `settings_invalid`, and the platform starts the next process with the same file. Each end counts; nobody is served.

Cause: every key of the template was needed, in a form that the daemon needs for none of its decisions, and a number without a value isn't TOML at all.

A rule now says what is done about a missing value: a problem, nothing, the safe value that the settings begin with and a line `settings_default`, or waiting. A file that can't be used names all problems as before, so the tests of settings stand unchanged.

--- a/src/daemon/address_opener.cc
+++ b/src/daemon/address_opener.cc
@@ -22,9 +22,11 @@
       pause_(kFirstPause),
       timer_(clock) {}
 
-void address_opener::Open(const std::vector<listen_address>& addresses) {
+void address_opener::Open(const std::vector<listen_address>& addresses,
+                          bool may_end) {
   if (over_)
     return;
+  may_end_ = may_end;
   std::vector<entry> before = std::exchange(entries_, {});
   for (const listen_address& each : addresses) {
     auto same = std::ranges::find(before, each, &entry::wanted);
@@ -39,7 +41,11 @@
 }
 
 void address_opener::Try() {
-  bool all = BindAll() && ListenOnAll();
+  timer_.Stop();
+  bool bound = BindAll();
+  if (bound && !may_end_)
+    return;
+  bool all = bound && ListenOnAll();
   if (over_)
     return;
   if (all) {
--- a/src/daemon/address_opener.h
+++ b/src/daemon/address_opener.h
@@ -45,8 +45,9 @@
                  bind_call bind = &server_socket::Bind);
 
   // Tries at once. Called again before the end, it goes on with these
-  // addresses and keeps what it has of them.
-  void Open(const std::vector<listen_address>& addresses);
+  // addresses and keeps what it has of them. Without `may_end` it listens on
+  // none and calls nobody until it is called again.
+  void Open(const std::vector<listen_address>& addresses, bool may_end = true);
 
  private:
   struct entry {
@@ -70,6 +71,7 @@
   handlers then_;
   bind_call bind_;
   std::vector<entry> entries_;
+  bool may_end_ = true;
   bool over_ = false;
   duration pause_;
   scoped_timer timer_;
--- a/src/daemon/daemon_start.cc
+++ b/src/daemon/daemon_start.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr duration kReadAgain = std::chrono::milliseconds(50);
+// Once it isn't a file in the middle of being written.
+constexpr duration kReadAgainLater = std::chrono::seconds(1);
+// Between two lines on the same problems.
+constexpr duration kLogPause = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -31,29 +35,43 @@
   auto addresses = steps_.load();
   if (!addresses.ok())
     return false;
-  timer_.Stop();
-  opener_.Open(addresses.value());
+  GoOn(addresses.value());
   return true;
 }
 
 void daemon_start::Load() {
   auto addresses = steps_.load();
   if (addresses.ok())
-    opener_.Open(addresses.value());
+    GoOn(addresses.value());
   else if (clock_.now() - began_ < kSettingsWait)
     WaitForSettings(addresses.error());
   else
     steps_.on_bad_settings(addresses.error());
 }
 
+void daemon_start::GoOn(const std::vector<listen_address>& addresses) {
+  timer_.Stop();
+  settings_problems lacking;
+  if (steps_.awaited)
+    lacking = steps_.awaited();
+  opener_.Open(addresses, lacking.empty());
+  if (!lacking.empty())
+    WaitForSettings(lacking);
+}
+
 void daemon_start::WaitForSettings(const settings_problems& problems) {
-  if (logged_ != problems)
+  time_point now = clock_.now();
+  duration waits = now - began_;
+  if (logged_ != problems || now - logged_at_ >= kLogPause) {
+    logged_ = problems;
+    logged_at_ = now;
     LogEvent(log_level::kWarning, "settings_awaited",
              {{"problem", problems.front().ToString("settings")},
               {"problems", problems.size()},
-              {"waiting_ms", WholeMilliseconds(clock_.now() - began_)}});
-  logged_ = problems;
-  timer_.StartAfter(kReadAgain, [this] { Load(); });
+              {"waiting_ms", WholeMilliseconds(waits)}});
+  }
+  timer_.StartAfter(waits < kSettingsWait ? kReadAgain : kReadAgainLater,
+                    [this] { Load(); });
 }
 
 // Called from the loop, which no exception may pass.
--- a/src/daemon/daemon_start.h
+++ b/src/daemon/daemon_start.h
@@ -17,6 +17,9 @@
 struct start_steps {
   // Reads the settings; the addresses that the daemon can't be without.
   std::function<outcome<std::vector<listen_address>, settings_problems>()> load;
+  // What the settings lack that `load` took last; the daemon isn't made before
+  // it is there. Not called if empty.
+  std::function<settings_problems()> awaited;
   // Makes the daemon by the settings that `load` took last. May throw.
   std::function<void(open_sockets)> make;
   // The settings can't be used.
@@ -27,8 +30,9 @@
 
 // Reads the settings, opens the addresses and makes the daemon, in this order.
 // Settings that can't be used are read again for `kSettingsWait`, as the file
-// may be in the middle of being written; addresses are waited for without an
-// end. One of `make`, `on_bad_settings` and `on_failed` is called, once.
+// may be in the middle of being written; addresses, and what `awaited` tells,
+// are waited for without an end. One of `make`, `on_bad_settings` and
+// `on_failed` is called, once.
 class daemon_start {
  public:
   static constexpr duration kSettingsWait = std::chrono::seconds(2);
@@ -47,6 +51,8 @@
 
  private:
   void Load();
+  // By the settings that were loaded.
+  void GoOn(const std::vector<listen_address>& addresses);
   void WaitForSettings(const settings_problems& problems);
   void Make(open_sockets sockets);
 
@@ -55,6 +61,7 @@
   address_opener opener_;
   time_point began_;
   settings_problems logged_;
+  time_point logged_at_;
   scoped_timer timer_;
 };
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -10,27 +10,27 @@
   using node = toml::node;
   using out = daemon_settings;
   static const settings_file<daemon_settings>::rules kRules = {
-      {"instance", "id", true,
+      {"instance", "id", if_missing::kProblem,
        [](const node& n, out& s) { return TakeId(n, &s.instance); }},
-      {"instance", "failure_domain", true,
+      {"instance", "failure_domain", if_missing::kProblem,
        [](const node& n, out& s) { return TakeId(n, &s.failure_domain); }},
-      {"instance", "memory_mb", false,
+      {"instance", "memory_mb", if_missing::kNothing,
        [](const node& n, out& s) { return TakePositive(n, &s.memory_mb); }},
-      {"listen", "callers", true,
+      {"listen", "callers", if_missing::kProblem,
        [](const node& n, out& s) { return TakeAddress(n, &s.callers); }},
-      {"listen", "operators", true,
+      {"listen", "operators", if_missing::kProblem,
        [](const node& n, out& s) { return TakeAddress(n, &s.operators); }},
-      {"listen", "peers", true,
+      {"listen", "peers", if_missing::kProblem,
        [](const node& n, out& s) { return TakeAddress(n, &s.peers); }},
-      {"platform", "address", true,
+      {"platform", "address", if_missing::kProblem,
        [](const node& n, out& s) { return TakeAddress(n, &s.platform); }},
-      {"peers", "key", true,
+      {"peers", "key", if_missing::kProblem,
        [](const node& n, out& s) { return TakeKey(n, &s.peer_key); }},
-      {"stop", "ready_delay_ms", false,
+      {"stop", "ready_delay_ms", if_missing::kNothing,
        [](const node& n, out& s) {
          return TakeMilliseconds(n, kLongestReadyDelayMs, &s.ready_delay);
        }},
-      {"log", "level", false,
+      {"log", "level", if_missing::kNothing,
        [](const node& n, out& s) { return TakeLogLevel(n, &s.log_level); }},
   };
   return kRules;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -12,7 +12,7 @@
 
 namespace jasminedyke {
 
-struct daemon_settings {
+struct daemon_settings : settings_remarks {
   instance_id instance;
   failure_domain_id failure_domain;
   // Memory that the process may take; 0 if not given.
--- a/src/daemon/settings_rules.h
+++ b/src/daemon/settings_rules.h
@@ -32,6 +32,25 @@
 
 using settings_problems = std::vector<settings_problem>;
 
+// What a file that can be used lacks nevertheless.
+struct settings_remarks {
+  // Keys that are not as they should be and have a safe value instead.
+  settings_problems defaulted;
+  // Keys that have no value yet and no safe one: the daemon can tell what it
+  // waits for, but not serve.
+  settings_problems awaited;
+};
+
+// What is done about a key that is missing or empty.
+enum class if_missing {
+  kNothing,
+  // The file can't be used.
+  kProblem,
+  // The value that `Settings` begins with is used, also for one that is wrong.
+  kDefault,
+  kAwait,
+};
+
 // Each takes a value and returns what is wrong with it; empty if nothing is.
 std::string TakeName(const toml::node& node, std::string* to);
 std::string TakeAddress(const toml::node& node, socket_address* to);
@@ -73,11 +92,12 @@
 struct settings_rule {
   const char* table;
   const char* key;
-  bool needed;
+  if_missing missing;
   std::function<std::string(const toml::node&, Settings&)> take;
 };
 
 // All problems at once, in the order of the keys. A key without a rule is one.
+// Of a file that can be used they are remarks in `Settings`.
 template <class Settings>
 class settings_file {
  public:
@@ -91,35 +111,58 @@
       TakeKnownKeys(file);
       FindUnknownKeys(file);
     } catch (const toml::parse_error& error) {
-      found_.push_back(
-          {error.source().begin.line, "",
-           "is not valid TOML: " + std::string(error.description())});
+      Find({error.source().begin.line, "",
+            "is not valid TOML: " + std::string(error.description())});
     }
-    if (!found_.empty())
+    if (unusable_)
       return found_;
     return settings_;
   }
 
  private:
+  void Find(const settings_problem& problem,
+            if_missing what = if_missing::kProblem) {
+    found_.push_back(problem);
+    if (what == if_missing::kDefault)
+      settings_.defaulted.push_back(problem);
+    else if (what == if_missing::kAwait)
+      settings_.awaited.push_back(problem);
+    else
+      unusable_ = true;
+  }
+
   void TakeKnownKeys(const toml::table& file) {
     for (const auto& rule : rules_) {
-      std::string name = std::string(rule.table) + "." + rule.key;
       const toml::node* table = file.get(rule.table);
       const toml::node* value = nullptr;
       if (table && table->is_table())
         value = table->as_table()->get(rule.key);
-      if (!value) {
-        uint32_t line = table ? table->source().begin.line : 0;
-        if (rule.needed)
-          found_.push_back({line, name, "is missing"});
-        continue;
-      }
-      std::string wrong = rule.take(*value, settings_);
-      if (!wrong.empty())
-        found_.push_back({value->source().begin.line, name, wrong});
+      uint32_t line = table ? table->source().begin.line : 0;
+      if (value)
+        TakeValue(rule, *value);
+      else if (rule.missing != if_missing::kNothing)
+        Find({line, NameOf(rule), "is missing"}, rule.missing);
     }
   }
 
+  void TakeValue(const settings_rule<Settings>& rule, const toml::node& value) {
+    Settings before = settings_;
+    std::string wrong = rule.take(value, settings_);
+    if (wrong.empty())
+      return;
+    settings_ = before;
+    const auto* text = value.as_string();
+    bool empty = text && text->get().empty();
+    bool stands_in = rule.missing == if_missing::kDefault ||
+                     (rule.missing == if_missing::kAwait && empty);
+    Find({value.source().begin.line, NameOf(rule), wrong},
+         stands_in ? rule.missing : if_missing::kProblem);
+  }
+
+  static std::string NameOf(const settings_rule<Settings>& rule) {
+    return std::string(rule.table) + "." + rule.key;
+  }
+
   void FindUnknownKeys(const toml::table& file) {
     auto in_table = [](std::string_view table) {
       return [table](const auto& rule) { return table == rule.table; };
@@ -128,12 +171,11 @@
       std::string_view table_name = table_key.str();
       uint32_t line = table_key.source().begin.line;
       if (std::ranges::none_of(rules_, in_table(table_name))) {
-        found_.push_back(
-            {line, std::string(table_name), "is not a known table"});
+        Find({line, std::string(table_name), "is not a known table"});
         continue;
       }
       if (!table.is_table()) {
-        found_.push_back({line, std::string(table_name), "must be a table"});
+        Find({line, std::string(table_name), "must be a table"});
         continue;
       }
       for (const auto& entry : *table.as_table())
@@ -146,14 +188,16 @@
       return table == rule.table && key.str() == rule.key;
     });
     if (!known)
-      found_.push_back({key.source().begin.line,
-                        std::string(table) + "." + std::string(key.str()),
-                        "is not a known key"});
+      Find({key.source().begin.line,
+            std::string(table) + "." + std::string(key.str()),
+            "is not a known key"});
   }
 
   const rules& rules_;
   Settings settings_;
+  // In the order of the keys, with what `settings_` has a stand-in for.
   settings_problems found_;
+  bool unusable_ = false;
 };
 
 // The file's text; a problem if it can't be read.
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -56,6 +56,10 @@
     PrintProblems(file, settings.error());
     return kExitBadSettings;
   }
+  PrintProblems(file, settings.value().awaited);
+  if (!settings.value().awaited.empty())
+    return kExitBadSettings;
+  PrintProblems(file, settings.value().defaulted);
   std::printf("%s: ok\n", file.c_str());
   return kExitOk;
 }
@@ -92,6 +96,7 @@
   start_steps Steps() {
     start_steps steps;
     steps.load = [this] { return ReadSettings(); };
+    steps.awaited = [this] { return settings_->awaited; };
     steps.make = [this](open_sockets sockets) {
       served_.emplace(loop_, *settings_, std::move(sockets));
     };
@@ -120,9 +125,19 @@
     if (!settings_)
       LogEvent(log_level::kInfo, "starting",
                {{"version", kVersion}, {"pid", getpid()}, {"file", file_}});
+    LogDefaults(settings.defaulted);
     settings_ = settings;
   }
 
+  // Read again and again, the same settings are told of once.
+  void LogDefaults(const settings_problems& defaulted) {
+    if (settings_ && settings_->defaulted == defaulted)
+      return;
+    for (const settings_problem& problem : defaulted)
+      LogEvent(log_level::kWarning, "settings_default",
+               {{"problem", problem.ToString(file_)}});
+  }
+
   // One that isn't made yet has nothing to end gracefully.
   void Stop(std::function<void()> done) {
     if (served_)
--- a/tests/daemon_start/daemon_start_test.cc
+++ b/tests/daemon_start/daemon_start_test.cc
@@ -22,6 +22,7 @@
 struct start_fixture {
   manual_scheduler clock;
   std::optional<settings_problems> problems;
+  settings_problems lacking;
   bool ports_taken = false;
   std::vector<std::string> seen;
   daemon_start start{clock, Steps(), [this](const socket_address& address) {
@@ -36,6 +37,7 @@
         return *problems;
       return kAddresses;
     };
+    steps.awaited = [this] { return lacking; };
     steps.make = [this](const open_sockets&) { seen.emplace_back("made"); };
     steps.on_bad_settings = [this](const settings_problems&) {
       seen.emplace_back("bad settings");
@@ -79,6 +81,22 @@
   CHECK(f.seen.size() == 1);
 }
 
+// Guards against an instance that ends at each start until a value is there,
+// and against one that is made without it.
+TEST_CASE("daemon_start: a value that lacks is waited for without an end") {
+  start_fixture f;
+  f.lacking = {{0, "store.address", "is missing"}};
+  f.start.Begin();
+  f.clock.Advance(std::chrono::hours(2));
+  CHECK(f.seen.empty());
+  CHECK(f.start.Reload());
+  f.clock.Advance(kMoment);
+  CHECK(f.seen.empty());
+  f.lacking.clear();
+  f.clock.Advance(std::chrono::seconds(1));
+  CHECK(f.seen == std::vector<std::string>{"made"});
+}
+
 // Guards against two daemons made of one start, and none.
 TEST_CASE("daemon_start: a reload in each step") {
   start_fixture f;
