--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -64,6 +64,7 @@
                            callback done) {
   done_ = std::move(done);
   byte_sent_ = false;
+  too_large_ = false;
   // Bytes that nobody asked for, after the end of the last reply, would be
   // taken for the reply to this request: an answer to the wrong caller. A new
   // connection can't have any.
@@ -74,6 +75,7 @@
     return;
   }
   request_ = evhttp_request_new(&http_connection::OnReply, this);
+  evhttp_request_set_error_cb(request_, &http_connection::OnError);
   evkeyvalq* headers = evhttp_request_get_output_headers(request_);
   evhttp_add_header(headers, "Host", address_.ip.c_str());
   for (const http_header& header : request.headers)
@@ -179,6 +181,12 @@
                                   [connection] { connection->OnTimeout(); });
 }
 
+// Comes before `OnReply`, which does not tell why.
+void http_connection::OnError(evhttp_request_error error, void* self) {
+  if (error == EVREQ_HTTP_DATA_TOO_LONG)
+    static_cast<http_connection*>(self)->too_large_ = true;
+}
+
 void http_connection::OnReply(evhttp_request* request, void* self) {
   auto* connection = static_cast<http_connection*>(self);
   connection->request_ = nullptr;
@@ -188,8 +196,10 @@
     return;
   }
   if (!request) {
-    connection->Finish(
-        http_failure{http_failure_kind::kReset, !connection->byte_sent_});
+    http_failure_kind kind = connection->too_large_
+                                 ? http_failure_kind::kTooLarge
+                                 : http_failure_kind::kReset;
+    connection->Finish(http_failure{kind, !connection->byte_sent_});
     return;
   }
   if (evhttp_request_get_response_code(request) == 0) {
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -7,13 +7,13 @@
 #include <functional>
 #include <memory>
 
+#include <event2/http.h>
+
 #include "base/base.h"
 #include "http/http_types.h"
 
 struct evbuffer;
 struct evbuffer_cb_info;
-struct evhttp_connection;
-struct evhttp_request;
 
 namespace jasminedyke {
 
@@ -75,6 +75,7 @@
   static void OnInputChanged(evbuffer* buffer,
                              const evbuffer_cb_info* info,
                              void* self);
+  static void OnError(evhttp_request_error error, void* self);
   void FailLater();
   static void OnReply(evhttp_request* request, void* self);
 
@@ -95,6 +96,8 @@
   bool byte_sent_ = false;
   uint64_t bytes_sent_ = 0;
   uint64_t bytes_received_ = 0;
+  // The reply to the current request is beyond the limit.
+  bool too_large_ = false;
   // The next request must not reuse this connection.
   bool must_reopen_ = false;
   bool failing_at_once_ = false;
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -54,6 +54,7 @@
   kReset,      // the connection ended before the whole reply
   kTimeout,    // the time allowed ran out
   kTruncated,  // the reply does not say how long it is, or is malformed
+  kTooLarge,   // the reply's body is beyond the limit
 };
 
 struct http_failure {
--- a/src/upstream/attempt.cc
+++ b/src/upstream/attempt.cc
@@ -57,6 +57,7 @@
       return unknown_reason::kMalformed;
     case http_failure_kind::kConnect:
     case http_failure_kind::kReset:
+    case http_failure_kind::kTooLarge:
       break;
   }
   return unknown_reason::kReset;
--- a/tests/http_connection/http_connection_test.cc
+++ b/tests/http_connection/http_connection_test.cc
@@ -47,6 +47,26 @@
   });
 }
 
+// Guards against a log that takes a reply beyond the limit for a connection
+// that broke.
+TEST_CASE("http_connection: a reply beyond the limit is told as such") {
+  raw_server server;
+  client c(server.address());
+  c.Send("one");
+  REQUIRE(WaitForRequest(c, server, "one"));
+  server.Write("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n");
+  REQUIRE(c.WaitForResult());
+  REQUIRE_FALSE(c.result->ok());
+  CHECK(c.result->error().kind == http_failure_kind::kTooLarge);
+  CHECK_FALSE(c.result->error().nothing_sent);
+  server.Close();
+  c.Send("two");
+  REQUIRE(WaitForRequest(c, server, "two"));
+  server.Write(kReply);
+  REQUIRE(c.WaitForResult());
+  CHECK(c.result->ok());
+}
+
 // What the caller sees: one failure, outcome unknown. The upstream answers a
 // first request and keeps the connection; it reads the second one and closes
 // just then. A client that sent the request again over a new connection
