Store: bounds on the size, depth and values of an answer

What operators saw: an instance whose store answers with very much, or nested, uses its memory and its processor, all instances at the same time.

Cause: a reply might have 64 MB, whatever memory the process has, and was parsed whole, at 30 times its size, before anything was looked at.

An answer has a bound from the process's memory (docs/design/limits-of-a- process.md), one about a single row 256 KB. A pass over the text, without allocations, bounds depth and values before it is parsed; a row whose value is beyond them counts as absent, so that one writer doesn't take a table from all.

--- a/tests/fakes/odd_store.h
+++ b/tests/fakes/odd_store.h
@@ -20,7 +20,9 @@
 };
 
 struct odd_store {
-  explicit odd_store(std::function<odd_answer(const std::string& path)> answer)
+  // `limits` are those of the client.
+  explicit odd_store(std::function<odd_answer(const std::string& path)> answer,
+                     const store_limits& limits = StoreLimits({}))
       : server(loop,
                http_server_limits(),
                [this, answer](const http_exchange_ptr& exchange) {
@@ -29,7 +31,7 @@
                  exchange->Reply({each.status, {}, each.body});
                }) {
     socket_address address = server.Listen({"127.0.0.1", 0});
-    client = std::make_unique<row_store>(loop, address);
+    client = std::make_unique<row_store>(loop, address, limits);
   }
 
   // Of single calls and watched tables.
--- a/tests/platform/row_store_test.cc
+++ b/tests/platform/row_store_test.cc
@@ -18,7 +18,8 @@
 struct store_fixture {
   explicit store_fixture(duration call_timeout = row_store::kCallTimeout) {
     socket_address address = standin.Listen({"127.0.0.1", 0});
-    client = std::make_unique<row_store>(loop, address, call_timeout);
+    client = std::make_unique<row_store>(loop, address, StoreLimits({}),
+                                         call_timeout);
   }
 
   outcome<table_row, store_error> Read(const std::string& key) {
--- a/tests/platform/store_answers_test.cc
+++ b/tests/platform/store_answers_test.cc
@@ -45,4 +45,67 @@
   CHECK(s.client->metrics().refused.empty());
 }
 
+// Guards against an answer that is far larger parsed than as text.
+TEST_CASE("store_answers: an answer of very many small rows") {
+  std::string rows;
+  for (int i = 0; i < 300'000; ++i)
+    rows += "{\"k\":1},";
+  odd_store s([&](const std::string&) {
+    return odd_answer{200, "{\"row_version\":5,\"rows\":[" + rows + "{}]}"};
+  });
+  CHECK(s.WatchUntilRefused("too_many_values"));
+  CHECK(s.client->metrics().snapshots == 0);
+}
+
+// Guards against memory that an answer takes before it is looked at.
+TEST_CASE("store_answers: an answer beyond the process's share") {
+  odd_store s(
+      [](const std::string&) {
+        return odd_answer{200,
+                          "{\"x\":\"" + std::string(5'000'000, 'x') + "\"}"};
+      },
+      StoreLimits({0, 100 * 1024 * 1024}));
+  CHECK(s.WatchUntilRefused("too_large"));
+}
+
+// Guards against a core that is spent on nested brackets.
+TEST_CASE("store_answers: a nested answer, and a row with a nested value") {
+  std::string nested(300'000, '[');
+  odd_store s([&](const std::string&) { return odd_answer{200, nested}; });
+  CHECK(s.WatchUntilRefused("too_deep"));
+  odd_store t([&](const std::string&) {
+    return odd_answer{
+        200, "{\"row_version\":5,\"rows\":[{\"key\":\"a\",\"value\":\"" +
+                 ToBase64(nested) + "\"},{\"key\":\"b\",\"value\":\"" +
+                 ToBase64("7") + "\"}]}"};
+  });
+  CHECK(t.WatchUntilRefused("row_too_deep"));
+  REQUIRE(RunUntil(t.loop, [&] { return !t.seen.rows.empty(); }));
+  // The other rows are taken.
+  CHECK(t.seen.rows.at("a").text.empty());
+  CHECK(t.seen.rows.at("b").value() == 7);
+}
+
+// Guards against bounds that keep the largest documents out.
+TEST_CASE("store_answers: the size designed for fits, and ten times that") {
+  store_limits least = StoreLimits({0, 160 * 1024 * 1024});
+  nlohmann::json route = {{"name", "stock-check-of-usual-length"},
+                          {"hostname", "desk.example"},
+                          {"path_prefix", "/parts-of-usual-length/"},
+                          {"kind", "non_idempotent"},
+                          {"timeout_ms", 1500},
+                          {"target_latency_ms", 60},
+                          {"priority", 0},
+                          {"service", "parts"},
+                          {"max_attempts", 2},
+                          {"stretch", 1.6},
+                          {"recommendation", {{"decision_ms", 5}}}};
+  nlohmann::json routes = nlohmann::json::array();
+  for (int i = 0; i < 10'000; ++i)
+    routes.push_back(route);
+  std::string configuration = nlohmann::json{{"routes", routes}}.dump();
+  CHECK(BeyondBounds(configuration, {least.parsed_bytes}) == nullptr);
+  CHECK(ToBase64(configuration).size() < least.answer_bytes);
+}
+
 }  // namespace jasminedyke
