Store: an answer without progress doesn't lead to the next call at once

What operators saw: a whole core, and tens of thousands of calls to the store a second of all instances, while the store answers at once and with 200.

Cause: each answer of a watched table led to the next call without a pause. A page with the same last key was read on and on, changes with an old version came again and again, a store that didn't wait was asked again at once, and one that had forgotten its history was read whole each time.

All rows of a table have a bound.

--- a/tests/platform/store_answers_test.cc
+++ b/tests/platform/store_answers_test.cc
@@ -108,4 +108,63 @@
   CHECK(ToBase64(configuration).size() < least.answer_bytes);
 }
 
+// Guards against pages that are read on and on, of which each is the last one
+// again.
+TEST_CASE("store_answers: pages without progress") {
+  const std::string kPages[][2] = {{"k", "k"}, {"k", "a"}};
+  for (const auto& keys : kPages) {
+    int page = 0;
+    odd_store s([&](const std::string& path) {
+      std::string key = keys[path.find("from=") == std::string::npos ? 0 : 1];
+      ++page;
+      return odd_answer{
+          200, R"({"row_version":5,"has_more":true,"rows":[{"key":")" + key +
+                   "\"}]}"};
+    });
+    CHECK(s.WatchUntilRefused("no_progress", 2));
+    // Read from the start again, not on.
+    CHECK(page == 4);
+    CHECK(s.client->metrics().snapshots == 0);
+  }
+}
+
+// Guards against pages that rise without an end.
+TEST_CASE("store_answers: a table beyond the process's share") {
+  int page = 100;
+  odd_store s(
+      [&](const std::string&) {
+        return odd_answer{
+            200, R"({"row_version":5,"has_more":true,"rows":[{"key":"k)" +
+                     std::to_string(++page) + R"(","value":")" +
+                     ToBase64(std::string(600'000, '1')) + "\"}]}"};
+      },
+      StoreLimits({0, 64 * 1024 * 1024}));
+  CHECK(s.WatchUntilRefused("table_too_large"));
+  CHECK(page < 110);
+}
+
+// Guards against changes that are told again and again.
+TEST_CASE("store_answers: changes that don't rise, and history that is gone") {
+  struct odd_case {
+    odd_answer answer;
+    const char* why;
+  };
+  const odd_case kCases[] = {
+      {{200, R"({"row_version":5,"rows":[{"key":"a","row_version":5}]})"},
+       "no_progress"},
+      {{200, R"({"rows":[{"key":"a"}]})"}, "no_progress"},
+      {{410, "{}"}, "history_gone"},
+  };
+  for (const odd_case& each : kCases) {
+    CAPTURE(each.why);
+    odd_store s([&](const std::string& path) {
+      bool feed = path.find("rows-feed") != std::string::npos;
+      return feed ? each.answer : odd_answer{200, R"({"row_version":5})"};
+    });
+    CHECK(s.WatchUntilRefused(each.why, 2));
+    // At most a page and a call for changes each time.
+    CHECK(s.calls <= 4);
+  }
+}
+
 }  // namespace jasminedyke
