A refused request in chunks keeps nothing

Callers who send bodies in chunks and stay after the refusal took memory beyond the bound of requests in progress: 128 MB after 700 refusals beside a bound of 32 MB.

Cause: evhttp moves each chunk into its request and keeps it until the connection ends. At a refusal only what the connection had not yet handed to evhttp was thrown away, and the connection no longer counted.

At a refusal the connection ends for evhttp, which frees the request. The socket (its duplicate) goes to refused_callers, which reads until the caller closes and keeps nothing; it has the connection's place and its time. Amid an earlier reply the connection is closed at once: a refusal would be sent in the middle of it.

--- a/src/http/connection_places.cc
+++ b/src/http/connection_places.cc
@@ -56,6 +56,16 @@
   places_.erase(connection);
 }
 
+void connection_places::Rename(connection_key connection, connection_key name) {
+  auto node = places_.extract(connection);
+  if (!node)
+    return;
+  if (ListOf(node.mapped().now_in))
+    *node.mapped().at = name;
+  node.key() = name;
+  places_.insert(std::move(node));
+}
+
 connection_places::place* connection_places::Find(connection_key connection) {
   auto found = places_.find(connection);
   return found == places_.end() ? nullptr : &found->second;
--- a/src/http/connection_places.h
+++ b/src/http/connection_places.h
@@ -60,6 +60,8 @@
   // is here already.
   void OnReplySent(connection_key connection, bool bytes_ahead);
   void OnClosed(connection_key connection);
+  // From now on it goes by another name.
+  void Rename(connection_key connection, connection_key name);
 
   size_t open() const { return places_.size(); }
   const place_limits& limits() const { return limits_; }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -169,10 +169,14 @@
       limits_(limits),
       places_(loop,
               limits.places,
-              [](connection_key lost) {
+              [this](connection_key lost) {
+                if (refused_callers_.Close(lost))
+                  return;
                 evhttp_connection_free(const_cast<evhttp_connection*>(
                     static_cast<const evhttp_connection*>(lost)));
               }),
+      refused_callers_(loop,
+                       [this](connection_key gone) { places_.OnClosed(gone); }),
       newcomers_event_(event_new(
           loop.base(),
           -1,
@@ -291,7 +295,7 @@
                                  const evbuffer_cb_info* info,
                                  void* entry) {
   auto* open = static_cast<open_connection*>(entry);
-  if (info->n_added == 0 || open->discards)
+  if (info->n_added == 0)
     return;
   http_server* server = open->server;
   server->places_.OnBytes(open->connection);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -16,6 +16,7 @@
 #include "http/connection_places.h"
 #include "http/heap_trimmer.h"
 #include "http/http_types.h"
+#include "http/refused_callers.h"
 #include "http/server_socket.h"
 
 struct bufferevent;
@@ -161,8 +162,6 @@
     size_t bytes = 0;
     // With this status, as it is too much; 0: it is not.
     int refuse_with = 0;
-    // Has got it; what still comes is thrown away.
-    bool discards = false;
   };
 
   static bufferevent* MakeBufferevent(event_base* base, void* self);
@@ -179,7 +178,7 @@
   void Release(open_connection& entry);
   int RefusalOf(const open_connection& entry) const;
   void RefuseAll();
-  void Refuse(open_connection& entry);
+  void Refuse(const open_connection& entry);
   void TakeNewcomers();
   void Take(evhttp_connection* connection);
 
@@ -192,6 +191,7 @@
   size_t open_exchanges_ = 0;
   std::unordered_map<evhttp_connection*, open_connection> connections_;
   connection_places places_;
+  refused_callers refused_callers_;
   // Made for connections that were just accepted, each with a reference.
   std::vector<bufferevent*> newcomers_;
   std::unique_ptr<event, event_deleter> newcomers_event_;
--- a/src/http/http_server_memory.cc
+++ b/src/http/http_server_memory.cc
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 
 namespace jasminedyke {
@@ -29,11 +30,6 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-void Discard(bufferevent* bev, void*) {
-  evbuffer* input = bufferevent_get_input(bev);
-  evbuffer_drain(input, evbuffer_get_length(input));
-}
-
 }  // namespace
 
 void http_server::Hold(open_connection& entry, size_t bytes) {
@@ -56,30 +52,33 @@
 }
 
 void http_server::RefuseAll() {
-  for (auto& [connection, entry] : connections_) {
-    if (entry.refuse_with != 0 && !entry.waiting && !entry.discards)
-      Refuse(entry);
+  std::vector<const open_connection*> refused;
+  for (const auto& [connection, entry] : connections_) {
+    if (entry.refuse_with != 0 && !entry.waiting)
+      refused.push_back(&entry);
   }
+  for (const open_connection* entry : refused)
+    Refuse(*entry);
 }
 
-// evhttp replies to whole requests only. The connection is closed when the
-// caller has, so that it gets to read why, or as one that is too slow.
-void http_server::Refuse(open_connection& entry) {
+// evhttp replies to whole requests only, and keeps what it has read of one
+// until the connection ends. So the connection ends for it, and the socket
+// lives on until the caller has read why, or as one that is too slow.
+void http_server::Refuse(const open_connection& entry) {
   ++refused_[entry.refuse_with];
-  entry.discards = true;
-  Release(entry);
-  bufferevent* bev = evhttp_connection_get_bufferevent(entry.connection);
-  std::string text = RefusalText(entry.refuse_with);
-  int fd = bufferevent_getfd(bev);
-  // Nothing else is on its way: the socket's buffer holds it.
-  (void)send(fd, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-  shutdown(fd, SHUT_WR);
-  bufferevent_data_cb on_write = nullptr;
-  bufferevent_event_cb on_event = nullptr;
-  void* argument = nullptr;
-  bufferevent_getcb(bev, nullptr, &on_write, &on_event, &argument);
-  bufferevent_setcb(bev, Discard, on_write, on_event, argument);
-  Discard(bev, nullptr);
+  evhttp_connection* connection = entry.connection;
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+  bool amid_reply = evbuffer_get_length(bufferevent_get_output(bev)) > 0;
+  int socket =
+      amid_reply ? -1 : fcntl(bufferevent_getfd(bev), F_DUPFD_CLOEXEC, 0);
+  if (socket >= 0) {
+    std::string text = RefusalText(entry.refuse_with);
+    // Nothing else is on its way: the socket's buffer holds it.
+    (void)send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    shutdown(socket, SHUT_WR);
+    places_.Rename(connection, refused_callers_.Take(socket));
+  }
+  evhttp_connection_free(connection);
 }
 
 }  // namespace jasminedyke
--- a/tests/connection_places/connection_places_test.cc
+++ b/tests/connection_places/connection_places_test.cc
@@ -130,5 +130,19 @@
   CHECK(t.closed.empty());
 }
 
+// Guards against a place that is lost, or kept for ever, with its first name.
+TEST_CASE("connection_places: a renamed connection keeps its place and turn") {
+  places_of_two t;
+  connection_key sends = t.Connect();
+  t.places.OnBytes(sends);
+  connection_key name = &t.names[t.next++];
+  t.places.Rename(sends, name);
+  t.places.OnClosed(sends);
+  CHECK(t.places.open() == 1);
+  t.clock.Advance(std::chrono::seconds(60));
+  CHECK(t.closed == std::vector<connection_key>{name});
+  CHECK(t.places.open() == 0);
+}
+
 }  // namespace
 }  // namespace jasminedyke
--- a/tests/http_server/request_memory_test.cc
+++ b/tests/http_server/request_memory_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 
 #include "fakes/raw_socket.h"
 #include "http/http.h"
@@ -98,6 +99,37 @@
   CHECK(s.exchanges.empty());
 }
 
+// What the process has of the heap. Sanitizers, which have a heap of their own,
+// say 0.
+size_t HeapBytes() {
+  struct mallinfo2 heap = mallinfo2();
+  return heap.uordblks + heap.hblkhd;
+}
+
+// Guards against refused requests whose parts are kept for as long as their
+// callers stay.
+TEST_CASE("http_server: bodies in chunks keep nothing once they are refused") {
+  bounded_server s;
+  constexpr size_t kChunk = 0x2000;
+  std::string head =
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string body;
+  for (size_t sent = 0; sent + kChunk < kBody; sent += kChunk)
+    body += "2000\r\n" + std::string(kChunk, 'x') + "\r\n";
+  for (size_t held : {190'000, 380'000}) {
+    s.Send(head + body);
+    REQUIRE(s.Holds(held));
+  }
+  size_t before = HeapBytes();
+  constexpr size_t kCallers = 40;
+  for (size_t i = 0; i < kCallers; ++i)
+    REQUIRE(s.Gets(s.Send(head + body), "503 "));
+  CHECK(s.http.metrics().refused.at(503) == kCallers);
+  CHECK(s.http.metrics().held_bytes < 600'000);
+  CHECK(s.http.connections() == kCallers + 2);
+  CHECK(HeapBytes() < before + 600'000);
+}
+
 // Guards against memory that counts as taken after its request is over.
 TEST_CASE("http_server: what a request holds is given back") {
   bounded_server s;
