A frame's containers are no larger than the frame

Cause: generated code makes all elements that a container claims before it reads the first one. Thrift's own check takes structures as having no bytes, and the limit of a message as 100 MB. Nested containers of a long frame had no bound.

A claim must fit what is left of the frame, as each element has a byte in this protocol, and a frame's containers may claim 300,000 elements in all (a job has 100,000 tasks, in as many groups at most). A string may be as long as its frame. Nesting was bounded by Thrift already (64); a test says so now.

Tests "a list is no longer than its frame" and "a frame's elements are bounded in all" fail on the code before.

--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -23,12 +23,46 @@
 
 using apache::thrift::TException;
 using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::protocol::TList;
+using apache::thrift::protocol::TMap;
+using apache::thrift::protocol::TProtocolException;
+using apache::thrift::protocol::TSet;
 using apache::thrift::transport::TMemoryBuffer;
-using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
 
 // Enough for the largest job body that callers may send.
 constexpr int32_t kMaxString = 32 * 1024 * 1024;
 constexpr int32_t kMaxElements = 100'000;
+// In all containers of a frame: a job's tasks, the groups that they are in, and
+// as much again.
+constexpr uint32_t kMaxElementsInAll = 300'000;
+
+using compact_protocol = TCompactProtocolT<TMemoryBuffer>;
+
+// Generated code makes all elements that a container claims before it reads the
+// first one. Thrift takes a claim on trust, since an empty structure may have
+// no bytes in other protocols; in this one each element has a byte.
+class frame_reader : public compact_protocol {
+ public:
+  frame_reader(const std::shared_ptr<TMemoryBuffer>& frame, int32_t max_string)
+      : compact_protocol(frame, max_string, kMaxElements) {}
+
+ private:
+  void checkReadBytesAvailable(TList& list) override { Claim(list.size_); }
+  void checkReadBytesAvailable(TSet& set) override { Claim(set.size_); }
+  void checkReadBytesAvailable(TMap& map) override { Claim(map.size_); }
+
+  void Claim(uint32_t elements) {
+    if (elements > trans_->available_read())
+      throw TProtocolException(TProtocolException::SIZE_LIMIT,
+                               "a container is larger than the frame");
+    elements_ += elements;
+    if (elements_ > kMaxElementsInAll)
+      throw TProtocolException(TProtocolException::SIZE_LIMIT,
+                               "too many elements");
+  }
+
+  uint32_t elements_ = 0;
+};
 
 template <class From, class Convert>
 auto ConvertAll(const std::vector<From>& from, Convert convert) {
@@ -489,7 +523,10 @@
     auto buffer = std::make_shared<TMemoryBuffer>(
         reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data())),
         static_cast<uint32_t>(bytes.size()));
-    compact_protocol protocol(buffer, kMaxString, kMaxElements);
+    // 0 would be no limit.
+    auto max_string =
+        static_cast<int32_t>(std::clamp<size_t>(bytes.size(), 1, kMaxString));
+    frame_reader protocol(buffer, max_string);
     wire::frame wire;
     wire.read(&protocol);
     return FromWire(wire, names);
--- a/tests/frame_codec/frame_codec_test.cc
+++ b/tests/frame_codec/frame_codec_test.cc
@@ -152,5 +152,61 @@
           .ok());
 }
 
+// A field that is a structure, a list of `elements` structures in it, and what
+// follows. Numbers are varints of up to 21 bits.
+std::string FrameWithList(int field, int elements, const std::string& rest) {
+  auto varint = [](int number) {
+    std::string bytes;
+    for (; number >= 0x80; number >>= 7)
+      bytes += static_cast<char>((number & 0x7f) | 0x80);
+    return bytes + static_cast<char>(number);
+  };
+  constexpr char kStruct = 12;
+  constexpr char kList = 9;
+  constexpr char kLongListOfStructs = static_cast<char>(0xfc);
+  // Lists begin the numbers of their fields at 3 in a demand.
+  std::string bytes = {static_cast<char>(field << 4 | kStruct),
+                       static_cast<char>(3 << 4 | kList), kLongListOfStructs};
+  return bytes + varint(elements) + rest;
+}
+
+// Guards against strangers who have 100,000 structures made by ten bytes.
+TEST_CASE("frame_codec: a list is no longer than its frame") {
+  for (int elements : {20, 100'000}) {
+    auto frame = DecodeFrame(FrameWithList(3, elements, "123456789"), Names());
+    REQUIRE(!frame.ok());
+    CHECK(frame.error().ToString().find("larger than the frame") !=
+          std::string::npos);
+  }
+}
+
+// Guards against a peer's frame that takes hundreds of times its size.
+TEST_CASE("frame_codec: a frame's elements are bounded in all") {
+  // Empty structures, and the ends of the message and of the frame.
+  auto decode = [](int lists) {
+    constexpr int kElements = 100'000;
+    std::string list(kElements, '\0');
+    std::string frame = FrameWithList(3, kElements, list);
+    std::string again = frame.substr(1, frame.size() - 1);
+    // The same field again, with its number in full.
+    again.replace(0, 1, std::string{9, 6});
+    for (int i = 1; i < lists; ++i)
+      frame += again;
+    frame += std::string(2, '\0');
+    return DecodeFrame(frame, Names()).ok();
+  };
+  CHECK(decode(3));
+  CHECK(!decode(4));
+}
+
+// Guards against strings that are said to be longer than the frame, and
+// structures in structures without an end.
+TEST_CASE("frame_codec: claimed lengths and nesting end a frame") {
+  // An unknown field that is a string of 31 MB.
+  CHECK(!DecodeFrame("\xf8\x80\x80\xc0\x0e", Names()).ok());
+  for (char nested : {'\x1c', '\xfc'})
+    CHECK(!DecodeFrame(std::string(1'000'000, nested), Names()).ok());
+}
+
 }  // namespace
 }  // namespace jasminedyke
