All links to peers share a bound

A peer that reads too slowly could make an instance keep 64 MB unsent, each of many links so much, and each peer send frames of 40 MB: memory over the limit with two links of an instance of 256 MB.

Cause: both bounds were constants of one link, whatever memory the process has.

All links together get a quarter of memory_mb (32 MB at least) for parts of frames that arrive and for what waits to be sent, a frame a sixteenth (4 to 40 MB); the largest job takes 21 MB of frames, in many messages. Beyond the sum the link that holds the most ends, so that others don't suffer for it, and jobs on it go on as after any other end of a link. Logged as peer_memory_full; links' ends are in the metrics on the platform too, with what is held and the bound.

Test "beyond the bound of all links the largest one ends" fails with the check of the sum taken out (trial); "a frame beyond the bound ends its link" can't be compiled before, as the bound can't be set. Not measured on real processes.

--- a/src/admin/metrics_report.cc
+++ b/src/admin/metrics_report.cc
@@ -67,8 +67,7 @@
               {{"direction", "in"}});
   out.Counter("peer_messages_total", traffic.messages_out,
               {{"direction", "out"}});
-  for (const auto& [cause, count] : view.peers.ends())
-    out.Counter("peer_links_ended_total", count, {{"cause", ToString(cause)}});
+  WriteLinks(out, view.peers);
 }
 
 // `process_peak_memory_bytes` is the name that older dashboards have.
--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -155,6 +155,14 @@
                 {{"use", use}, {"status", std::to_string(status)}});
 }
 
+void WriteLinks(prometheus_writer& out, const peer_mesh& links) {
+  out.Gauge("peer_bytes_held", static_cast<double>(links.held_bytes()));
+  out.Gauge("peer_bytes_most", static_cast<double>(links.limits().max_held));
+  for (const auto& [cause, count] : links.ends())
+    out.Counter("peer_links_ended_total", static_cast<double>(count),
+                {{"cause", ToString(cause)}});
+}
+
 void WriteOwnConnections(prometheus_writer& out,
                          size_t peers,
                          uint64_t peer_accept_failures,
--- a/src/admin/run_metrics_report.h
+++ b/src/admin/run_metrics_report.h
@@ -18,6 +18,8 @@
                          size_t peers,
                          uint64_t peer_accept_failures,
                          size_t upstreams);
+// What links hold of the memory, and their ends.
+void WriteLinks(prometheus_writer& out, const peer_mesh& links);
 // Of the process itself, and of its log.
 void WriteProcessMetrics(prometheus_writer& out);
 
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -120,7 +120,9 @@
   config_.OnChange([this] { OnConfigurationChanged(); });
   membership_.OnChange([this] { OnMembershipChanged(); });
   mesh_.SetListener(&router_);
-  mesh_.SetMostUnproven(MostUnprovenPeers(OwnLimits(settings.memory_mb)));
+  process_limits process = OwnLimits(settings.memory_mb);
+  mesh_.SetMostUnproven(MostUnprovenPeers(process));
+  mesh_.SetLimits(PeersLimits(process));
   documents_.SetRoomSource([this] { return slots_->free_slots_in_domain(); });
   documents_.OnRoom([this](const domain_room& r) { slots_->SetRoom(r); });
   documents_.Start();
--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -18,6 +18,10 @@
 constexpr size_t kMostUnproven = 64;
 constexpr size_t kFewest = 2;
 constexpr size_t kHeldPart = 8;
+constexpr size_t kLinksPart = 4;
+constexpr size_t kSmallestLinks = 32 * kMegabyte;
+constexpr size_t kFramePart = 16;
+constexpr size_t kSmallestFrame = 4 * kMegabyte;
 // A text of empty objects takes 30 times its size when it is parsed.
 constexpr size_t kBodyPart = 128;
 // What operators usually allow callers.
@@ -58,6 +62,16 @@
   return limits;
 }
 
+link_limits PeersLimits(const process_limits& process) {
+  link_limits limits;
+  if (process.memory_bytes == 0)
+    return limits;
+  limits.max_held = std::max(kSmallestLinks, process.memory_bytes / kLinksPart);
+  limits.max_frame = std::clamp(process.memory_bytes / kFramePart,
+                                kSmallestFrame, limits.max_frame);
+  return limits;
+}
+
 size_t MostUnprovenPeers(const process_limits& process) {
   return std::clamp(process.descriptors / kUnprovenPart, kFewest,
                     kMostUnproven);
--- a/src/daemon/process_limits.h
+++ b/src/daemon/process_limits.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 
 #include "http/http.h"
+#include "protocol/protocol.h"
 
 namespace jasminedyke {
 
@@ -27,6 +28,10 @@
 // For the few that watch or administrate the daemon.
 http_server_limits WatchersLimits(const process_limits& process);
 
+// All links to peers get a quarter of the memory, a sixteenth is the longest
+// frame: the largest job takes 21 MB of frames, the longest of them 0.5 MB.
+link_limits PeersLimits(const process_limits& process);
+
 // Peers that have yet to prove who they are.
 size_t MostUnprovenPeers(const process_limits& process);
 
--- a/src/protocol/peer_link.cc
+++ b/src/protocol/peer_link.cc
@@ -20,7 +20,6 @@
 constexpr size_t kNonceBytes = 16;
 // What a stranger may make us buffer.
 constexpr size_t kMaxHandshakeFrame = 1024;
-constexpr size_t kMaxFrame = 40 * 1024 * 1024;
 constexpr size_t kMaxUnsent = 64 * 1024 * 1024;
 constexpr duration kHandshakeTime = std::chrono::seconds(2);
 
@@ -45,6 +44,10 @@
       return "malformed";
     case link_end::kOverflow:
       return "overflow";
+    case link_end::kTooLarge:
+      return "too_large";
+    case link_end::kMemory:
+      return "memory";
     case link_end::kRefused:
       return "refused";
   }
@@ -72,6 +75,9 @@
       nonce_(FromHex(RandomHex(kNonceBytes))),
       last_use_(loop.now()),
       end_timer_(loop) {
+  for (evbuffer* buffer :
+       {bufferevent_get_input(connection), bufferevent_get_output(connection)})
+    evbuffer_add_cb(buffer, &peer_link::OnBufferChanged, this);
   bufferevent_setcb(
       connection,
       [](bufferevent*, void* self) {
@@ -91,7 +97,32 @@
   SendFrame(peer_hello{kProtocolVersion, own_.self, nonce_});
 }
 
-peer_link::~peer_link() = default;
+peer_link::~peer_link() {
+  Forget();
+}
+
+size_t peer_link::held() const {
+  bufferevent* bev = connection_.get();
+  return evbuffer_get_length(bufferevent_get_input(bev)) +
+         evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+void peer_link::OnBufferChanged(evbuffer*,
+                                const evbuffer_cb_info* info,
+                                void* self) {
+  static_cast<peer_link*>(self)->owner_.OnHeld(info->n_added, info->n_deleted);
+}
+
+void peer_link::Forget() {
+  if (forgotten_)
+    return;
+  forgotten_ = true;
+  bufferevent* bev = connection_.get();
+  for (evbuffer* buffer :
+       {bufferevent_get_input(bev), bufferevent_get_output(bev)})
+    evbuffer_remove_cb(buffer, &peer_link::OnBufferChanged, this);
+  owner_.OnHeld(0, held());
+}
 
 void peer_link::Send(const peer_message& message) {
   if (ended_)
@@ -141,8 +172,8 @@
     return false;
   evbuffer_copyout(input, &length, kLengthBytes);
   length = ntohl(length);
-  if (length > (established_ ? kMaxFrame : kMaxHandshakeFrame)) {
-    End(link_end::kMalformed);
+  if (length > (established_ ? own_.limits.max_frame : kMaxHandshakeFrame)) {
+    End(established_ ? link_end::kTooLarge : link_end::kMalformed);
     return false;
   }
   if (evbuffer_get_length(input) < kLengthBytes + length)
@@ -247,6 +278,7 @@
   established_ = false;
   end_timer_.Stop();
   bufferevent_disable(connection_.get(), EV_READ | EV_WRITE);
+  Forget();
   owner_.OnEnded(*this, end);
 }
 
--- a/src/protocol/peer_link.h
+++ b/src/protocol/peer_link.h
@@ -15,6 +15,8 @@
 #include "protocol/wire_names.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace jasminedyke {
 
@@ -25,6 +27,8 @@
   kUnauthorized,  // the peer has not the shared key
   kMalformed,     // bytes that are no frame
   kOverflow,      // the peer does not read what is sent to it
+  kTooLarge,      // a frame beyond the bound
+  kMemory,        // the links together hold too much, this one the most
   kRefused,       // nobody listens at the peer's address
 };
 
@@ -42,6 +46,15 @@
   traffic_meter by_kind;
 };
 
+// What frames may take of a process's memory.
+struct link_limits {
+  // One that is longer is no frame.
+  size_t max_frame = 40 * 1024 * 1024;
+  // Of all links together: parts of frames that arrive, and what waits to be
+  // sent. 0: no bound.
+  size_t max_held = 0;
+};
+
 // Both sides send a hello with a fresh nonce and then prove that they know the
 // shared key, by a MAC over both nonces and their own name. A replayed or
 // mirrored proof fails, as our nonce and the name are in it. The frames that
@@ -58,6 +71,8 @@
     virtual void OnMessage(peer_link& link, const peer_message& message) = 0;
     // Once; nothing comes after it.
     virtual void OnEnded(peer_link& link, link_end end) = 0;
+    // Bytes came to what the link holds, or left; often.
+    virtual void OnHeld(size_t added, size_t gone) = 0;
   };
 
   struct settings {
@@ -65,6 +80,7 @@
     std::string key;
     // A link that brings nothing for so long has ended. Several heartbeats.
     duration silence = std::chrono::seconds(4);
+    link_limits limits = link_limits();
   };
 
   // Takes over `connection`, which is connected or connecting; `outgoing` if
@@ -80,6 +96,11 @@
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
 
+  // From the owner's own turn, not amid a call of the link.
+  void End(link_end end);
+  // Its owner is told no more of what it holds; all of that counts as gone.
+  void Forget();
+
   // Only when established.
   void Send(const peer_message& message);
 
@@ -88,12 +109,17 @@
   // Known once established.
   const peer_identity& peer() const { return peer_; }
   time_point last_use() const { return last_use_; }
+  // Bytes that arrived or wait to be sent.
+  size_t held() const;
 
  private:
   struct bufferevent_deleter {
     void operator()(bufferevent* connection) const;
   };
 
+  static void OnBufferChanged(evbuffer* buffer,
+                              const evbuffer_cb_info* info,
+                              void* self);
   void OnReadable();
   void OnEvent(short what);
   bool TakeFrame(std::string* bytes);
@@ -104,7 +130,6 @@
                       const std::string& receiver_nonce,
                       const std::string& sender_nonce) const;
   size_t SendFrame(const peer_frame& frame);
-  void End(link_end end);
 
   event_loop& loop_;
   const settings& own_;
@@ -118,6 +143,7 @@
   peer_identity peer_;
   bool established_ = false;
   bool ended_ = false;
+  bool forgotten_ = false;
   time_point last_use_;
   // Ends a link whose handshake or output does not get on.
   scoped_timer end_timer_;
--- a/src/protocol/peer_mesh.cc
+++ b/src/protocol/peer_mesh.cc
@@ -1,5 +1,6 @@
 #include "protocol/peer_mesh.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -46,7 +47,8 @@
       own_(own),
       names_(names),
       address_(listens.address()),
-      maintain_timer_(loop) {
+      maintain_timer_(loop),
+      memory_timer_(loop) {
   socket_.reset(evconnlistener_new(
       loop.base(),
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
@@ -61,7 +63,10 @@
   Maintain();
 }
 
-peer_mesh::~peer_mesh() = default;
+// Links tell of what they give back.
+peer_mesh::~peer_mesh() {
+  links_.clear();
+}
 
 void peer_mesh::SetWanted(const std::map<instance_id, socket_address>& peers) {
   wanted_ = peers;
@@ -168,6 +173,7 @@
   auto found = links_.find(&link);
   if (found == links_.end())
     return;
+  link.Forget();
   auto doomed = std::make_shared<link_ptr>(std::move(found->second));
   links_.erase(found);
   targets_.erase(&link);
@@ -233,6 +239,31 @@
     Connect(wanted->second);
 }
 
+// Later, as the link is amid a call.
+void peer_mesh::OnHeld(size_t added, size_t gone) {
+  held_bytes_ += added;
+  held_bytes_ -= gone;
+  size_t most = own_.limits.max_held;
+  if (most > 0 && held_bytes_ > most && !memory_timer_.active())
+    memory_timer_.StartAfter(duration::zero(), [this] { EndLargest(); });
+}
+
+// Others must not suffer for a peer that reads nothing or sends too much. What
+// was on its way is made up for as after any other end of a link.
+void peer_mesh::EndLargest() {
+  while (held_bytes_ > own_.limits.max_held && !links_.empty()) {
+    auto largest = std::ranges::max_element(
+        links_, {}, [](const auto& each) { return each.first->held(); });
+    peer_link* link = largest->first;
+    LogEvent(log_level::kWarning, "peer_memory_full",
+             {{"peer", link->peer().instance.str()},
+              {"link_bytes", std::to_string(link->held())},
+              {"all_bytes", std::to_string(held_bytes_)},
+              {"most", std::to_string(own_.limits.max_held)}});
+    link->End(link_end::kMemory);
+  }
+}
+
 void peer_mesh::TellRefused(const peer_link& link) {
   auto target = targets_.find(&link);
   if (target == targets_.end() || !listener_)
--- a/src/protocol/peer_mesh.h
+++ b/src/protocol/peer_mesh.h
@@ -39,6 +39,10 @@
 
   // Accepted links whose other side has yet to prove who it is.
   void SetMostUnproven(size_t most) { most_unproven_ = most; }
+  // Beyond its sum the link that holds the most is ended.
+  void SetLimits(const link_limits& limits) { own_.limits = limits; }
+  const link_limits& limits() const { return own_.limits; }
+  size_t held_bytes() const { return held_bytes_; }
   size_t links() const { return links_.size(); }
   uint64_t accept_failures() const { return accept_pause_->failures(); }
 
@@ -65,6 +69,8 @@
   void OnEstablished(peer_link& link) override;
   void OnMessage(peer_link& link, const peer_message& message) override;
   void OnEnded(peer_link& link, link_end end) override;
+  void OnHeld(size_t added, size_t gone) override;
+  void EndLargest();
 
   event_loop& loop_;
   peer_link::settings own_;
@@ -74,6 +80,8 @@
   std::unique_ptr<evconnlistener, listener_deleter> socket_;
   std::unique_ptr<accept_pause> accept_pause_;
   size_t most_unproven_ = 64;
+  // By all links.
+  size_t held_bytes_ = 0;
   std::map<instance_id, socket_address> wanted_;
   // Of wanted peers without a link, since when.
   std::map<instance_id, time_point> missing_since_;
@@ -87,6 +95,7 @@
   peer_traffic traffic_;
   std::map<link_end, uint64_t> ends_;
   scoped_timer maintain_timer_;
+  scoped_timer memory_timer_;
 };
 
 }  // namespace jasminedyke
--- a/tests/peer_link/peer_link_test.cc
+++ b/tests/peer_link/peer_link_test.cc
@@ -145,5 +145,51 @@
   CHECK(a.mesh.peers_up().size() == 1);
 }
 
+peer_document Document(size_t bytes) {
+  return {document_kind::kMembership, 1, std::string(bytes, 'x')};
+}
+
+// Guards against peers that read too little and together take all of the
+// memory, and against the others' links ending for it.
+TEST_CASE("peer_mesh: beyond the bound of all links the largest one ends") {
+  event_loop loop;
+  node a(loop, "e0", kKey);
+  node b(loop, "e1", kKey);
+  node c(loop, "e2", kKey);
+  a.mesh.SetLimits({.max_held = 1'000'000});
+  a.mesh.SetWanted({{instance_id("e1"), b.mesh.address()},
+                    {instance_id("e2"), c.mesh.address()}});
+  REQUIRE(RunUntil(loop, [&] {
+    return a.mesh.peers_up().size() == 2 && !c.seen.up.empty();
+  }));
+  for (int i = 0; i < 2; ++i)
+    a.mesh.Send(instance_id("e1"), Document(400'000));
+  a.mesh.Send(instance_id("e2"), Document(300'000));
+  CHECK(a.mesh.held_bytes() > 1'000'000);
+  REQUIRE(RunUntil(loop, [&] { return !c.seen.messages.empty(); }));
+  CHECK(Ends(a, link_end::kMemory) == 1);
+  CHECK(a.seen.down == std::vector<instance_id>{instance_id("e1")});
+  REQUIRE(RunUntil(loop, [&] { return a.mesh.held_bytes() == 0; }));
+  // The peer is back over a new link.
+  a.mesh.Send(instance_id("e2"), Document(10));
+  CHECK(RunUntil(loop, [&] { return a.seen.up.size() == 3; }));
+}
+
+// Guards against a peer's frame that takes all of the memory.
+TEST_CASE("peer_mesh: a frame beyond the bound ends its link") {
+  event_loop loop;
+  node a(loop, "e0", kKey);
+  node b(loop, "e1", kKey);
+  a.mesh.SetLimits({.max_frame = 100'000});
+  a.mesh.SetWanted({{instance_id("e1"), b.mesh.address()}});
+  REQUIRE(RunUntil(
+      loop, [&] { return a.seen.up.size() == 1 && b.seen.up.size() == 1; }));
+  b.mesh.Send(instance_id("e0"), Document(90'000));
+  b.mesh.Send(instance_id("e0"), Document(110'000));
+  REQUIRE(RunUntil(loop, [&] { return Ends(a, link_end::kTooLarge) == 1; }));
+  CHECK(a.seen.messages.size() == 1);
+  CHECK(a.seen.down.size() == 1);
+}
+
 }  // namespace
 }  // namespace jasminedyke
--- a/tests/process_limits/process_limits_test.cc
+++ b/tests/process_limits/process_limits_test.cc
@@ -43,6 +43,17 @@
   CHECK(CallersLimits({1024, 0}).max_held_bytes == 0);
 }
 
+// Guards against peers' frames that take all of the memory.
+TEST_CASE("process_limits: links to peers get a part of the memory") {
+  link_limits usual = PeersLimits({1024, 256 * kMegabyte});
+  CHECK(usual.max_held == 64 * kMegabyte);
+  CHECK(usual.max_frame == 16 * kMegabyte);
+  link_limits small = PeersLimits({1024, 16 * kMegabyte});
+  CHECK(small.max_held == 32 * kMegabyte);
+  CHECK(small.max_frame == 4 * kMegabyte);
+  CHECK(PeersLimits({1024, 0}).max_held == 0);
+}
+
 // Guards against a daemon on the operators' platform that has no bound.
 TEST_CASE("process_limits: memory has a default on the platform") {
   CHECK(platform_settings().memory_mb == 256);
