All jobs whose callers wait at an instance share a bound

A body of 200 bytes may ask for 100,000 tasks, 42 MB at owner and home, so the bound on what requests hold doesn't bound their jobs: a few such callers took all of the memory.

The ingress counts the tasks of its open jobs, by a claim that lives as long as the owner's callback for the job. All together may have as many as fit a quarter of memory_mb at 420 bytes, and 100,000 at least, so that the largest job fits alone. The next job gets 503 at once (too_many_tasks); Retry-After is the time until enough of the others are over at the latest.

The tests can't be compiled before, as there is no such bound. Not measured on real processes. The home has no such bound of all jobs together yet.

--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -28,6 +28,9 @@
 constexpr size_t kSmallestBody = 256 * 1024;
 constexpr size_t kLargestBody = 64 * kMegabyte;
 constexpr size_t kSmallestHeld = 4 * kMegabyte;
+constexpr size_t kTasksPart = 4;
+constexpr size_t kBytesOfTask = 420;
+constexpr uint64_t kLargestJob = 100'000;
 constexpr size_t kWatchersBody = 2 * kMegabyte;
 
 }  // namespace
@@ -72,6 +75,13 @@
   return limits;
 }
 
+uint64_t MostOpenTasks(const process_limits& process) {
+  if (process.memory_bytes == 0)
+    return 0;
+  return std::max<uint64_t>(kLargestJob,
+                            process.memory_bytes / kTasksPart / kBytesOfTask);
+}
+
 size_t MostUnprovenPeers(const process_limits& process) {
   return std::clamp(process.descriptors / kUnprovenPart, kFewest,
                     kMostUnproven);
--- a/src/daemon/process_limits.h
+++ b/src/daemon/process_limits.h
@@ -4,6 +4,7 @@
 #define SRC_DAEMON_PROCESS_LIMITS_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "http/http.h"
 #include "protocol/protocol.h"
@@ -32,6 +33,10 @@
 // frame: the largest job takes 21 MB of frames, the longest of them 0.5 MB.
 link_limits PeersLimits(const process_limits& process);
 
+// Of all jobs whose callers wait here: a quarter of the memory at what a task
+// takes of the owner and the home, and at least the largest job. 0: no bound.
+uint64_t MostOpenTasks(const process_limits& process);
+
 // Peers that have yet to prove who they are.
 size_t MostUnprovenPeers(const process_limits& process);
 
--- a/tests/platform/job_ingress_test.cc
+++ b/tests/platform/job_ingress_test.cc
@@ -209,6 +209,26 @@
   }
 }
 
+// Guards against many jobs in small bodies that together take all of the
+// memory.
+TEST_CASE("job_ingress: the tasks of all open jobs are bounded") {
+  ingress_fixture f;
+  f.cluster.OnConfigDocument(kConfig, "store");
+  f.ingress.SetMostTasks(7);
+  const std::string fits =
+      R"({"best_effort": true, "steps": [{"task_count": 7}]})";
+  const std::string more =
+      R"({"best_effort": true, "steps": [{"task_count": 7}, {}]})";
+  std::string answer = f.Post("/q/00000000000000aa", more);
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  CHECK(Has(answer, "Retry-After: 1"));
+  CHECK(f.Rejected("too_many_tasks") == 1);
+  // Twice, as what has been answered counts no more.
+  f.Post("/q/00000000000000bb", fits);
+  f.Post("/q/00000000000000cc", fits);
+  CHECK(f.Rejected("too_many_tasks") == 1);
+}
+
 TEST_CASE("job_ingress: a caller that sends slowly holds up nobody") {
   // It stops in the middle of its request. Another caller is answered
   // meanwhile, and then so is the first.
--- a/tests/process_limits/process_limits_test.cc
+++ b/tests/process_limits/process_limits_test.cc
@@ -54,6 +54,14 @@
   CHECK(PeersLimits({1024, 0}).max_held == 0);
 }
 
+// Guards against jobs that together take all of the memory, and against a bound
+// that the largest job doesn't pass.
+TEST_CASE("process_limits: all jobs together get a part of the memory") {
+  CHECK(MostOpenTasks({1024, 256 * kMegabyte}) == 159'783);
+  CHECK(MostOpenTasks({1024, 16 * kMegabyte}) == 100'000);
+  CHECK(MostOpenTasks({1024, 0}) == 0);
+}
+
 // Guards against a daemon on the operators' platform that has no bound.
 TEST_CASE("process_limits: memory has a default on the platform") {
   CHECK(platform_settings().memory_mb == 256);
