Homes: a store that fails is asked for the row less and less often

What operators saw: a store in trouble is called 20 times a second by each instance that has no home, for as long as it fails, also if it answers.

Cause: the next tick of the election, 50 ms later, asked again, whatever came.

Attempts that fail one after the other are 50, 100, 200 and then 400 ms apart, counted from when the store was asked: the first failure delays nothing, calls that time out are followed up at once, and a store that is back is noticed within 400 ms. A read that is answered and shows a row that may not be taken yet is watched as before. Renewals, and the beginning without the store, don't depend on the pause.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -16,6 +16,9 @@
 // Short enough that a successor that detects a silent home only by its row
 // waits hardly longer than the upstreams' leases last.
 constexpr duration kRenewInterval = std::chrono::milliseconds(500);
+// A store that fails is asked for the row less and less often. One that is back
+// is noticed well within a second.
+constexpr duration kLongestAskPause = std::chrono::milliseconds(400);
 // Three missed renewals, as one may be lost and another one slow.
 constexpr duration kRowExpiry = std::chrono::milliseconds(1500);
 // Time of one store write: each candidate waits for the better ones to take the
@@ -70,6 +73,7 @@
       group_(group),
       self_(self),
       handlers_(std::move(handlers)),
+      ask_pause_(kTick, kLongestAskPause),
       tick_timer_(clock) {
   tick_timer_.StartAfter(kTick, [this] { Tick(); });
 }
@@ -316,6 +320,7 @@
     asked_in_vain_ = false;
     logged_obstacle_ = nullptr;
     without_home_since_.reset();
+    ForgetAskedInVain();
     return;
   }
   if (!without_home_since_)
@@ -327,17 +332,31 @@
   duration wait = kWaitPerRank * OwnRank();
   if (!home && homes_.HighestToken(group_).value() == 0)
     wait += kSettleTime;
-  if (call_in_flight_ || clock_.now() - *without_home_since_ < wait)
+  if (call_in_flight_ || clock_.now() - *without_home_since_ < wait ||
+      clock_.now() < ask_again_at_)
     return;
   call_in_flight_ = true;
+  asked_at_ = clock_.now();
   store_.Read(kTable, group_.ToString(),
               [this](const auto& row) { OnRowRead(row); });
 }
 
+// From when it was asked, so that the first attempt that fails delays nothing.
+void home_election::OnAskedInVain() {
+  ask_again_at_ = asked_at_ + ask_pause_.Next();
+}
+
+void home_election::ForgetAskedInVain() {
+  ask_pause_.Reset();
+  ask_again_at_ = time_point();
+}
+
 void home_election::OnRowRead(const outcome<table_row, store_error>& result) {
   call_in_flight_ = false;
   bool is_missing = !result.ok() && result.error() == store_error::kNotFound;
   asked_in_vain_ = !result.ok() && !is_missing;
+  if (asked_in_vain_)
+    OnAskedInVain();
   if (holding_ || leaving_ || (!result.ok() && !is_missing))
     return;
   if (is_missing) {
@@ -347,6 +366,8 @@
   auto row = ParseRow(result.value().value);
   if (!row || MayTakeOver(*row, result.value().version))
     TakeOver(result.value().version);
+  else
+    ForgetAskedInVain();
 }
 
 bool home_election::MayTakeOver(const home_row& row, uint64_t version) {
@@ -384,6 +405,8 @@
                    return;
                  }
                  call_in_flight_ = false;
+                 if (!result.ok())
+                   OnAskedInVain();
                  if (!result.ok() || leaving_)
                    return;
                  row_version_unknown_ = false;
@@ -467,6 +490,7 @@
   yielding_ = false;
   token_ = token;
   without_home_since_.reset();
+  ForgetAskedInVain();
   LogEvent(
       log_level::kInfo, "home_begins",
       {{"group", group_.ToString()}, {"token", token.value()}, {"how", how}});
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "base/growing_pause.h"
 #include "protocol/protocol.h"
 #include "runs/runs.h"
 #include "store/store.h"
@@ -129,6 +130,9 @@
   // refused a connection, it announced that it is leaving, or another process
   // has replaced it.
   bool HasEnded(const home_row& row) const;
+  // The store gave no row, or refused it; the next attempt waits longer.
+  void OnAskedInVain();
+  void ForgetAskedInVain();
   void OnRowRead(const outcome<table_row, store_error>& row);
   // Takes the row over and begins.
   void TakeOver(uint64_t expected_version);
@@ -189,6 +193,10 @@
   std::optional<time_point> without_home_since_;
   // The store was asked for the row in vain since the group lost its home.
   bool asked_in_vain_ = false;
+  // While watching: between attempts at the row that fail one after the other.
+  growing_pause ask_pause_;
+  time_point asked_at_;
+  time_point ask_again_at_;
   // The last obstacle that was logged; null if there was none.
   const char* logged_obstacle_ = nullptr;
   time_point last_renewal_;
--- a/tests/fakes/fake_tables.h
+++ b/tests/fakes/fake_tables.h
@@ -31,6 +31,7 @@
   void Read(const std::string& table,
             const std::string& key,
             read_callback done) override {
+    ++calls;
     clock_.CallAfter(delay, [this, k = std::pair(table, key), done] {
       if (outage)
         done(store_error::kUnavailable);
@@ -43,6 +44,7 @@
 
   void Write(const std::vector<table_write>& writes,
              write_callback done) override {
+    ++calls;
     clock_.CallAfter(delay, [this, writes, done] { WriteNow(writes, done); });
   }
 
@@ -58,6 +60,7 @@
   write_fate outage_fate = write_fate::kRefusedAtOnce;
   std::function<write_fate()> fate = [] { return write_fate::kAnswered; };
   int writes_in_effect = 0;
+  int calls = 0;
 
  private:
   void WriteNow(const std::vector<table_write>& writes,
