--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -150,6 +150,20 @@
                            [](call_result) {}));
 }
 
+// Guards against an upstream whose answers take the processor to be read.
+TEST_CASE("run_calls: a nested answer, and one of very many small values") {
+  std::string nested = R"({"clock_ms":5,"running":)" + std::string(20, '[') +
+                       std::string(20, ']') + "}";
+  std::string many = R"({"clock_ms":5,"running":[)";
+  for (int i = 0; i < 300'000; ++i)
+    many += "[],";
+  many += "[]]}";
+  for (const std::string& body : {nested, many}) {
+    canned_upstream u({200, {}, body});
+    CHECK(u.Hold().result == call_result::kUnknown);
+  }
+}
+
 TEST_CASE("run_calls: an upstream that is not there") {
   // Nobody listens: no byte left, so the task may start elsewhere at once.
   event_loop loop;
