Connections to upstreams that a burst has left are closed

Each call to an upstream that finds all connections busy opens one more, up to 64 for starts, and none was ever closed: after a burst, or a time of late answers, an instance kept as many descriptors per upstream as it had needed at its worst. On an owner that sends starts for homes nobody drops an upstream at all: each id that it was ever told kept its connections, also those to machines that are gone.

--- a/tests/platform/run_calls_test.cc
+++ b/tests/platform/run_calls_test.cc
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -176,6 +177,39 @@
   CHECK(result->result == start_result::kNotSent);
 }
 
+// Guards against descriptors that are never given back: a burst of starts opens
+// a connection for each, also to upstreams that nobody drops.
+TEST_CASE("run_calls: connections that a burst has left are closed") {
+  constexpr size_t kStarts = 5;
+  event_loop loop;
+  std::vector<http_exchange_ptr> waiting;
+  http_server server(loop, http_server_limits(),
+                     [&](const http_exchange_ptr& e) { waiting.push_back(e); });
+  std::string address = server.Listen({"127.0.0.1", 0}).ToString();
+  run_calls calls(loop, [&](const upstream_id&) { return address; });
+  size_t answered = 0;
+  auto start = [&] {
+    calls.Start(kUpstream, {kTask, run_number(1), "5", fencing_token(1), {9}},
+                [&](const start_reply&) { ++answered; });
+  };
+  for (size_t i = 0; i < kStarts; ++i)
+    start();
+  REQUIRE(RunUntil(loop, [&] { return waiting.size() == kStarts; }));
+  calls.CloseUnused(loop.now());
+  CHECK(calls.open_connections() == kStarts);
+  for (const http_exchange_ptr& each : waiting)
+    each->Reply({200, {}, R"({"clock_ms":5})"});
+  REQUIRE(RunUntil(loop, [&] { return answered == kStarts; }));
+  CHECK(calls.open_connections() == kStarts);
+  calls.CloseUnused(loop.now());
+  CHECK(calls.open_connections() == 0);
+  CHECK(RunUntil(loop, [&] { return server.connections() == 0; }));
+  start();
+  REQUIRE(RunUntil(loop, [&] { return waiting.size() == kStarts + 1; }));
+  waiting.back()->Reply({200, {}, R"({"clock_ms":5})"});
+  CHECK(RunUntil(loop, [&] { return answered == kStarts + 1; }));
+}
+
 TEST_CASE("run_calls: a dropped upstream answers nobody") {
   event_loop loop;
   worker_standin worker(loop, "u1", {});
