A home that refuses connections and lives keeps its role

What callers saw: two instances of a failure domain whose ports for peers refuse connections, both with the store in reach, take the role from each other each 0.1 to 0.5 s without end; the domain serves hardly a job.

Cause: a refused connection was taken as the end of the holder for good, so its row was taken over as soon as it was written.

A process that has ended writes no row.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -100,7 +100,7 @@
 }
 
 void home_election::OnPeerRefused(const instance_id& peer) {
-  refused_.insert(peer);
+  refused_.try_emplace(peer, 0);
   if (!holding_)
     Watch();
 }
@@ -371,7 +371,8 @@
 }
 
 bool home_election::MayTakeOver(const home_row& row, uint64_t version) {
-  bool gone = row.holder == self_.instance || row.released || HasEnded(row);
+  bool gone =
+      row.holder == self_.instance || row.released || HasEnded(row, version);
   if (gone)
     return true;
   if (version != watched_version_) {
@@ -385,14 +386,28 @@
 // A refused connection or an announced stop applies to the last known process
 // of the holder only. A row with an unknown incarnation was written by another
 // process, about which neither says anything.
-bool home_election::HasEnded(const home_row& row) const {
+bool home_election::HasEnded(const home_row& row, uint64_t version) {
   auto known = processes_.find(row.holder);
   bool is_known =
       known == processes_.end() || known->second.incarnation == row.incarnation;
   if (!is_known)
     return peers_up_.contains(row.holder);
   // A home that is leaving keeps serving until its successor's status arrives.
-  return refused_.contains(row.holder) || leaving_peers_.contains(row.holder);
+  return leaving_peers_.contains(row.holder) ||
+         HasEndedByRefusal(row.holder, version);
+}
+
+// A process that has ended writes no row. One that refuses connections and
+// still writes is alive, but out of reach; two such would take the group from
+// each other without end.
+bool home_election::HasEndedByRefusal(const instance_id& holder,
+                                      uint64_t version) {
+  auto refused = refused_.find(holder);
+  if (refused == refused_.end())
+    return false;
+  if (refused->second == 0)
+    refused->second = version;
+  return refused->second == version;
 }
 
 void home_election::TakeOver(uint64_t expected_version) {
@@ -437,8 +452,8 @@
     return "no_upstreams";
   if (!IsConnectedToHalf())
     return "few_links";
-  bool known_ended = std::ranges::any_of(refused_, [&](const auto& id) {
-    auto member = members_.find(id);
+  bool known_ended = std::ranges::any_of(refused_, [&](const auto& entry) {
+    auto member = members_.find(entry.first);
     return member != members_.end() && member->second.domain == group_.domain;
   });
   duration wait =
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -129,7 +129,8 @@
   // Whether the process that wrote the row has ended or is leaving: its address
   // refused a connection, it announced that it is leaving, or another process
   // has replaced it.
-  bool HasEnded(const home_row& row) const;
+  bool HasEnded(const home_row& row, uint64_t version);
+  bool HasEndedByRefusal(const instance_id& holder, uint64_t version);
   // The store gave no row, or refused it; the next attempt waits longer.
   void OnAskedInVain();
   void ForgetAskedInVain();
@@ -165,7 +166,9 @@
   std::map<instance_id, time_point> peers_up_;
   // The latest known process of each peer that was ever connected.
   std::map<instance_id, peer_process> processes_;
-  std::set<instance_id> refused_;
+  // Peers that refused a connection, with the version of the row that was the
+  // first to be read since with the peer as its holder; 0: none yet.
+  std::map<instance_id, uint64_t> refused_;
   std::set<instance_id> leaving_peers_;
   // Linked peers that could begin without the store.
   std::set<instance_id> able_peers_;
