JSON from outside nests at most 16 levels

Cause: a row's value was copied as it was returned. A parsed value is copied, written and compared by recursion, and the stack has 8 MB.

The same cause acted wherever JSON from outside is copied or written: what operators, peers, callers and the product's own platform send. All of it is read by ParseJson now, which looks at the depth first, and a row's value is returned without a copy.

--- a/src/admin/admin_api.cc
+++ b/src/admin/admin_api.cc
@@ -6,6 +6,7 @@
 
 #include "admin/metrics_report.h"
 #include "admin/state_report.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 
@@ -187,7 +188,7 @@
                "is based on");
     return;
   }
-  json wanted = json::parse(request.body, nullptr, false);
+  json wanted = ParseJson(request.body);
   if (!wanted.is_object()) {
     ReplyError(exchange, 400, "malformed", "the body is no JSON object");
     return;
@@ -229,7 +230,7 @@
     ReplyError(exchange, 404, "unknown_path", "takes GET, PUT and DELETE");
     return;
   }
-  json wanted = json::parse(request.body, nullptr, false);
+  json wanted = ParseJson(request.body);
   if (!wanted.is_object()) {
     ReplyError(exchange, 400, "malformed", "the body is no JSON object");
     return;
--- a/src/cluster/document_sync.cc
+++ b/src/cluster/document_sync.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "store/store.h"
+
 namespace jasminedyke {
 
 namespace {
@@ -85,7 +87,7 @@
       membership_.Offer(list.value());
     return;
   }
-  auto json = nlohmann::json::parse(document.json, nullptr, false);
+  auto json = ParseJson(document.json);
   if (!json.is_discarded())
     config_.Offer(config_version(document.version), json);
 }
--- a/src/entry/job_json.cc
+++ b/src/entry/job_json.cc
@@ -81,7 +81,7 @@
 }  // namespace
 
 outcome<job_submission, bad_submission> ParseJob(const std::string& body) {
-  json document = json::parse(body, nullptr, false);
+  json document = ParseJson(body);
   if (document.is_discarded())
     return Malformed({"", "the body is not valid JSON"});
   json_reader reader(document, "");
--- a/src/store/http_platform.cc
+++ b/src/store/http_platform.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "store/json_bounds.h"
 #include "store/membership_json.h"
 
 namespace jasminedyke {
@@ -44,7 +45,7 @@
 outcome<table_row, store_error> ParseRow(const http_result& result) {
   if (!IsOk(result))
     return ReadError(result);
-  json body = json::parse(result.value().body, nullptr, false);
+  json body = ParseJson(result.value().body);
   bool valid = body.is_object() && body.contains("value") &&
                body.contains("version") && body["version"].is_number_unsigned();
   if (!valid)
@@ -57,7 +58,7 @@
     size_t writes) {
   if (!IsOk(result))
     return WriteError(result);
-  json body = json::parse(result.value().body, nullptr, false);
+  json body = ParseJson(result.value().body);
   std::vector<uint64_t> versions;
   if (body.is_object() && body.contains("versions") &&
       body["versions"].is_array()) {
@@ -88,7 +89,7 @@
     const http_result& result) {
   if (!IsOk(result))
     return WriteError(result);
-  json body = json::parse(result.value().body, nullptr, false);
+  json body = ParseJson(result.value().body);
   if (!body.is_object() || !body.contains("version") ||
       !body["version"].is_number_unsigned()) {
     return store_error::kUnknown;
--- a/src/store/json_bounds.cc
+++ b/src/store/json_bounds.cc
@@ -1,5 +1,7 @@
 #include "store/json_bounds.h"
 
+#include <limits>
+
 namespace jasminedyke {
 
 namespace {
@@ -48,4 +50,11 @@
   return nullptr;
 }
 
+nlohmann::json ParseJson(std::string_view text) {
+  constexpr json_bounds kAnySize = {std::numeric_limits<size_t>::max()};
+  if (BeyondBounds(text, kAnySize))
+    return nlohmann::json::value_t::discarded;
+  return nlohmann::json::parse(text, nullptr, false);
+}
+
 }  // namespace jasminedyke
--- a/src/store/json_bounds.h
+++ b/src/store/json_bounds.h
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include <nlohmann/json.hpp>
+
 namespace jasminedyke {
 
 struct json_bounds {
@@ -24,6 +26,10 @@
 // ends at the bound; whether it is JSON at all is the parser's to say.
 const char* BeyondBounds(std::string_view text, const json_bounds& bounds);
 
+// A discarded value if the text is no JSON or too deep: values are copied and
+// written by recursion, which takes stack for each level.
+nlohmann::json ParseJson(std::string_view text);
+
 }  // namespace jasminedyke
 
 #endif  // SRC_STORE_JSON_BOUNDS_H_
--- a/src/store/membership_json.cc
+++ b/src/store/membership_json.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "http/http.h"
+#include "store/json_bounds.h"
 #include "store/json_reader.h"
 
 namespace jasminedyke {
@@ -65,7 +66,7 @@
 }  // namespace
 
 outcome<membership_list> ParseMembership(const std::string& text) {
-  json body = json::parse(text, nullptr, false);
+  json body = ParseJson(text);
   json_reader reader(body, "");
   membership_list list;
   list.version = membership_version(static_cast<uint64_t>(
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -7,6 +7,7 @@
 #include "store/configuration_json.h"
 #include "store/configuration_store.h"
 #include "store/http_platform.h"
+#include "store/json_bounds.h"
 #include "store/json_fields.h"
 #include "store/json_reader.h"
 #include "store/membership_json.h"
--- a/src/store/table_feed.h
+++ b/src/store/table_feed.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/base.h"
+#include "store/json_bounds.h"
 
 namespace jasminedyke {
 
@@ -21,10 +22,12 @@
   // whoever needs a row parses it.
   std::string text;
 
-  // Null if the text is no JSON.
+  // Null if the text is no JSON, or too deep.
   nlohmann::json value() const {
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
-    return parsed.is_discarded() ? nlohmann::json(nullptr) : parsed;
+    nlohmann::json parsed = ParseJson(text);
+    if (parsed.is_discarded())
+      return nullptr;
+    return parsed;
   }
 };
 
--- a/tests/json_bounds/json_bounds_test.cc
+++ b/tests/json_bounds/json_bounds_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "store/json_bounds.h"
+#include "store/store.h"
 
 namespace jasminedyke {
 namespace {
@@ -54,4 +54,21 @@
   CHECK(Text(BeyondBounds("", bounds)).empty());
 }
 
+// Guards against an end by SIGSEGV at each start: a row of the store whose
+// value is nested as deep as its size allows was copied.
+TEST_CASE("json_bounds: a row that is nested too deep has no value") {
+  std::string nested = Repeated("[", 200'000) + Repeated("]", 200'000);
+  CHECK(feed_row{1, nested}.value().is_null());
+  CHECK(feed_row{1, "{\"a\":" + nested + "}"}.value().is_null());
+  CHECK(feed_row{1, "[[1]]"}.value().size() == 1);
+}
+
+// Guards against the same by what callers, operators and peers send.
+TEST_CASE("json_bounds: a nested text is not parsed") {
+  CHECK(ParseJson(Repeated("[", 100'000)).is_discarded());
+  CHECK(ParseJson(Repeated("[", 17) + Repeated("]", 17)).is_discarded());
+  CHECK(ParseJson(Repeated("[", 16) + Repeated("]", 16)).is_array());
+  CHECK(ParseJson("{").is_discarded());
+}
+
 }  // namespace jasminedyke
