A daemon that waits for a value outlives a file that is being written

A daemon that had waited for more than two seconds for a value of its settings ended with 2 if it read the file at the moment in which the platform wrote it.

Cause: broken settings were borne for two seconds from the start on.

The two seconds count from when the file could last be used, and a broken file is read again each 50 ms then.

Test "settings that are cut after a long wait": by reading, the code before ends with "bad settings" there; not run on it.

--- a/src/daemon/daemon_start.cc
+++ b/src/daemon/daemon_start.cc
@@ -27,7 +27,7 @@
       timer_(clock) {}
 
 void daemon_start::Begin() {
-  began_ = clock_.now();
+  began_ = usable_at_ = clock_.now();
   timer_.StartAfter(duration::zero(), [this] { Load(); });
 }
 
@@ -43,7 +43,7 @@
   auto addresses = steps_.load();
   if (addresses.ok())
     GoOn(addresses.value());
-  else if (clock_.now() - began_ < kSettingsWait)
+  else if (clock_.now() - usable_at_ < kSettingsWait)
     WaitForSettings(addresses.error());
   else
     steps_.on_bad_settings(addresses.error());
@@ -51,6 +51,7 @@
 
 void daemon_start::GoOn(const std::vector<listen_address>& addresses) {
   timer_.Stop();
+  usable_at_ = clock_.now();
   settings_problems lacking;
   if (steps_.awaited)
     lacking = steps_.awaited();
@@ -70,8 +71,10 @@
               {"problems", problems.size()},
               {"waiting_ms", WholeMilliseconds(waits)}});
   }
-  timer_.StartAfter(waits < kSettingsWait ? kReadAgain : kReadAgainLater,
-                    [this] { Load(); });
+  bool usable = now == usable_at_;
+  timer_.StartAfter(
+      usable && waits >= kSettingsWait ? kReadAgainLater : kReadAgain,
+      [this] { Load(); });
 }
 
 // Called from the loop, which no exception may pass.
--- a/src/daemon/daemon_start.h
+++ b/src/daemon/daemon_start.h
@@ -60,6 +60,8 @@
   start_steps steps_;
   address_opener opener_;
   time_point began_;
+  // When the settings were last in a form that can be used; the start before.
+  time_point usable_at_;
   settings_problems logged_;
   time_point logged_at_;
   scoped_timer timer_;
--- a/tests/daemon_start/daemon_start_test.cc
+++ b/tests/daemon_start/daemon_start_test.cc
@@ -97,6 +97,28 @@
   CHECK(f.seen == std::vector<std::string>{"made"});
 }
 
+// Guards against an instance that has long waited for a value and ends since
+// the file is read while the value is being written.
+TEST_CASE("daemon_start: settings that are cut after a long wait") {
+  start_fixture f;
+  f.lacking = {{0, "store.address", "is missing"}};
+  f.start.Begin();
+  f.clock.Advance(std::chrono::seconds(10));
+  f.problems = kCut;
+  f.clock.Advance(std::chrono::seconds(1) + kMoment);
+  CHECK(f.seen.empty());
+  f.problems.reset();
+  f.lacking.clear();
+  f.clock.Advance(kMoment);
+  CHECK(f.seen == std::vector<std::string>{"made"});
+  start_fixture broken;
+  broken.lacking = f.lacking;
+  broken.problems = kCut;
+  broken.start.Begin();
+  broken.clock.Advance(std::chrono::seconds(4));
+  CHECK(broken.seen == std::vector<std::string>{"bad settings"});
+}
+
 // Guards against two daemons made of one start, and none.
 TEST_CASE("daemon_start: a reload in each step") {
   start_fixture f;
