A history that is gone is no loss of contact with the store

A store that forgets its history right after a table was read counted as one that doesn't answer, and as back with the next page: instances that had just lost an upstream from their list waited anew each time before they believed it.

Cause: the pause before such a table is read anew went through the way of calls that fail.

Test "a history that is gone is no loss of contact": by reading, the code before tells of a loss each time; not run on it.

--- a/tests/platform/store_answers_test.cc
+++ b/tests/platform/store_answers_test.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -167,4 +168,21 @@
   }
 }
 
+// Guards against a store that answers, and whose list counts as unreachable
+// since it forgets its history again and again.
+TEST_CASE("store_answers: a history that is gone is no loss of contact") {
+  odd_store s([](const std::string& path) {
+    bool feed = path.find("rows-feed") != std::string::npos;
+    return feed ? odd_answer{410, "{}"}
+                : odd_answer{200, R"({"row_version":5})"};
+  });
+  std::vector<bool> contacts;
+  s.client->Watch("t",
+                  {std::chrono::seconds(1), duration::zero(),
+                   [&](bool contact) { contacts.push_back(contact); }},
+                  [](const table_snapshot&) {});
+  CHECK(RunUntil(s.loop, [&] { return s.Refused("history_gone") >= 3; }));
+  CHECK(contacts == std::vector<bool>{true});
+}
+
 }  // namespace jasminedyke
