Homes without the store: a refusal that a row has disproved proves nothing

Two instances that refuse each other's connections and live, while the store is silent, began after 0.7 instead of 1.5 s, as a refusal was still taken for the other one's end.

Cause: the row that showed the peer alive was remembered for the way with the store only.

Such a peer is noted as living; links that come up clear it as before.

--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -19,6 +19,9 @@
 // A store that fails is asked for the row less and less often. One that is back
 // is noticed well within a second.
 constexpr duration kLongestAskPause = std::chrono::milliseconds(400);
+// For the version of a row, of which there is none so high: its writer has
+// written again after it refused a connection.
+constexpr uint64_t kLives = UINT64_MAX;
 // Three missed renewals, as one may be lost and another one slow.
 constexpr duration kRowExpiry = std::chrono::milliseconds(1500);
 // Time of one store write: each candidate waits for the better ones to take the
@@ -407,6 +410,8 @@
     return false;
   if (refused->second == 0)
     refused->second = version;
+  if (refused->second != version)
+    refused->second = kLives;
   return refused->second == version;
 }
 
@@ -454,7 +459,8 @@
     return "few_links";
   bool known_ended = std::ranges::any_of(refused_, [&](const auto& entry) {
     auto member = members_.find(entry.first);
-    return member != members_.end() && member->second.domain == group_.domain;
+    return entry.second != kLives && member != members_.end() &&
+           member->second.domain == group_.domain;
   });
   duration wait =
       known_ended ? kStorelessWaitAfterEnd : kStorelessWaitAfterSilence;
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -127,8 +127,8 @@
   bool IsMuchStrongerThan(const instance_id& other) const;
   bool MayTakeOver(const home_row& row, uint64_t version);
   // Whether the process that wrote the row has ended or is leaving: its address
-  // refused a connection, it announced that it is leaving, or another process
-  // has replaced it.
+  // refused a connection and it hasn't written since, it announced that it is
+  // leaving, or another process has replaced it. Notes that it has written.
   bool HasEnded(const home_row& row, uint64_t version);
   bool HasEndedByRefusal(const instance_id& holder, uint64_t version);
   // The store gave no row, or refused it; the next attempt waits longer.
@@ -167,7 +167,8 @@
   // The latest known process of each peer that was ever connected.
   std::map<instance_id, peer_process> processes_;
   // Peers that refused a connection, with the version of the row that was the
-  // first to be read since with the peer as its holder; 0: none yet.
+  // first to be read since with the peer as its holder; 0: none yet, or that it
+  // has written a newer one.
   std::map<instance_id, uint64_t> refused_;
   std::set<instance_id> leaving_peers_;
   // Linked peers that could begin without the store.
