A signal that a daemon's parent ignores stays ignored

A daemon started by a shell in the background (SIGQUIT ignored) logged `ended signal=SIGQUIT` at the signal and ran on. Found as the unit tests, run in the background, waited for the end of such a daemon for seven minutes.

Cause: the handler puts back what was there before, which was to ignore the signal, and raises it.

What is ignored at the start stays so. Tests start daemons with the defaults of all signals now, as their verdict depended on how they were started.

Test "a signal that a daemon's parent ignores changes nothing": with the daemon of the code before it fails (`ended signal=SIGQUIT` is in the log), with the change it passes, and so does "a fault or an order to leave a core dump" under a parent that ignores SIGQUIT. All 26 tests of the daemon as a process pass.

--- a/src/daemon/process_end.cc
+++ b/src/daemon/process_end.cc
@@ -86,8 +86,12 @@
   action.sa_sigaction = &OnEndingSignal;
   action.sa_flags = static_cast<int>(SA_ONSTACK | SA_NODEFER | SA_SIGINFO);
   sigemptyset(&action.sa_mask);
-  for (size_t i = 0; i < kEnding.size(); ++i)
+  for (size_t i = 0; i < kEnding.size(); ++i) {
     sigaction(kEnding[i].number, &action, &g_before[i]);
+    // As by a shell for what it starts in the background.
+    if (g_before[i].sa_handler == SIG_IGN)
+      sigaction(kEnding[i].number, &g_before[i], nullptr);
+  }
 }
 
 std::string CurrentException() {
--- a/tests/daemon_process/signals_test.cc
+++ b/tests/daemon_process/signals_test.cc
@@ -75,6 +75,19 @@
   }
 }
 
+// Guards against a daemon that says it has ended and runs on, since the program
+// that started it, such as a shell in the background, ignores the signal.
+TEST_CASE("a signal that a daemon's parent ignores changes nothing") {
+  daemon_parent parent;
+  parent.ignored_signals = {SIGQUIT};
+  daemon_process daemon(SettingsText({}), parent);
+  REQUIRE_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+  daemon.Signal(SIGQUIT);
+  daemon.Signal(SIGHUP);
+  REQUIRE_MESSAGE(daemon.WaitForLine("event=reload"), daemon.log());
+  CHECK_MESSAGE(daemon.log().find("ended") == std::string::npos, daemon.log());
+}
+
 // Guards against a daemon that says it has ended and runs on, since nobody sent
 // the signal but the kernel did.
 TEST_CASE("a key that asks for a core dump ends a daemon in a terminal") {
--- a/tests/fakes/daemon_process.cc
+++ b/tests/fakes/daemon_process.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <stdexcept>
 
 #include <fcntl.h>
@@ -35,6 +36,24 @@
   return folder + "/settings.toml";
 }
 
+// A child begins with what its parent ignores.
+class ignored_for_child {
+ public:
+  explicit ignored_for_child(const std::vector<int>& signals) {
+    for (int each : signals)
+      before_[each] = std::signal(each, SIG_IGN);
+  }
+  ~ignored_for_child() {
+    for (const auto& [number, handler] : before_)
+      std::signal(number, handler);
+  }
+  ignored_for_child(const ignored_for_child&) = delete;
+  ignored_for_child& operator=(const ignored_for_child&) = delete;
+
+ private:
+  std::map<int, void (*)(int)> before_;
+};
+
 }  // namespace
 
 std::string SettingsText(const daemon_addresses& addresses) {
@@ -71,9 +90,16 @@
   for (int each : parent.blocked_signals)
     sigaddset(&blocked, each);
   posix_spawnattr_setsigmask(&attributes, &blocked);
+  sigset_t defaults;
+  sigfillset(&defaults);
+  ignored_for_child ignored(parent.ignored_signals);
+  for (int each : parent.ignored_signals)
+    sigdelset(&defaults, each);
+  posix_spawnattr_setsigdefault(&attributes, &defaults);
   int session = parent.terminal.empty() ? 0 : POSIX_SPAWN_SETSID;
-  posix_spawnattr_setflags(
-      &attributes, static_cast<short>(POSIX_SPAWN_SETSIGMASK | session));
+  posix_spawnattr_setflags(&attributes,
+                           static_cast<short>(POSIX_SPAWN_SETSIGMASK |
+                                              POSIX_SPAWN_SETSIGDEF | session));
   std::string program = JASMINEDYKED;
   std::string option = "--platform";
   std::string variable = "JASMINEDYKE_BOOT=" + SettingsFile(folder_);
--- a/tests/fakes/daemon_process.h
+++ b/tests/fakes/daemon_process.h
@@ -28,6 +28,8 @@
 // What a daemon inherits from the program that starts it.
 struct daemon_parent {
   std::vector<int> blocked_signals;
+  // All others have their default.
+  std::vector<int> ignored_signals;
   std::vector<int> closed_descriptors;
   // The path of a terminal that becomes its own, as if it was started there.
   std::string terminal;
