--- a/tests/fakes/odd_store.h
+++ b/tests/fakes/odd_store.h
@@ -21,8 +21,9 @@
 
 struct odd_store {
   // `limits` are those of the client.
-  explicit odd_store(std::function<odd_answer(const std::string& path)> answer,
-                     const store_limits& limits = StoreLimits({}))
+  explicit odd_store(
+      const std::function<odd_answer(const std::string& path)>& answer,
+      const store_limits& limits = StoreLimits({}))
       : server(loop,
                http_server_limits(),
                [this, answer](const http_exchange_ptr& exchange) {
--- a/tests/upstream_session/eager_upstream_test.cc
+++ b/tests/upstream_session/eager_upstream_test.cc
@@ -28,7 +28,7 @@
   info.capacity = {32'000, 65'536, 0};
   upstream_session session(clock, port, info, fencing_token(1),
                            upstream_session::limits(), times, log);
-  auto answer_for = [&](duration time, std::vector<listed_run> running) {
+  auto answer_for = [&](duration time, const std::vector<listed_run>& running) {
     size_t before = port.holds.size();
     for (duration passed{}; passed < time; passed += milliseconds(1)) {
       for (auto& done : std::exchange(port.holds, {}))
