--- a/src/cluster/home_election.cc
+++ b/src/cluster/home_election.cc
@@ -19,8 +19,8 @@
 // A store that fails is asked for the row less and less often. One that is back
 // is noticed well within a second.
 constexpr duration kLongestAskPause = std::chrono::milliseconds(400);
-// For the version of a row, of which there is none so high: its writer has
-// written again after it refused a connection.
+// Stands for a version in `refused_`, as no row has one so high: the peer has
+// written a row after it refused a connection, so it lives.
 constexpr uint64_t kLives = UINT64_MAX;
 // Three missed renewals, as one may be lost and another one slow.
 constexpr duration kRowExpiry = std::chrono::milliseconds(1500);
