Tests of lent ports try a few connections

What was seen: once, three sanitized runs at once beside other tests: outgoing_ports_test.cc:56 fails, as the kernel had given the connection's port to another program's connection, too.

Cause: a listener can't have a port on which any connection doesn't lend it, and the tests asked for the port of one connection.

Why it is equally strict: the fault they guard against is that no port of an own connection can be listened on. Not run: beside programs that share ports on purpose.

--- a/tests/outgoing_ports/outgoing_ports_test.cc
+++ b/tests/outgoing_ports/outgoing_ports_test.cc
@@ -1,8 +1,11 @@
 // Ports that the kernel gives to outgoing connections, and that a daemon may be
 // told to listen on.
 
+#include <functional>
+#include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <netinet/in.h>
@@ -51,36 +54,52 @@
   int connection_ = -1;
 };
 
-void CheckMayListen(const socket_address& address) {
-  auto bound = server_socket::Bind(address);
-  REQUIRE_MESSAGE(bound.ok(), bound.error().ToString());
-  CHECK(!bound.value().Listen());
+// Whether a listener may have the port of one of a few connections, each of
+// which `connect` makes to the far end that it is given. The kernel may have
+// given the port of a single one to another program's connection, too.
+bool MayListenOnOneOf(
+    const std::function<socket_address(far_end& peer)>& connect) {
+  constexpr int kConnections = 10;
+  for (int i = 0; i < kConnections; ++i) {
+    far_end peer;
+    auto bound = server_socket::Bind(connect(peer));
+    if (!bound.ok())
+      MESSAGE(bound.error().ToString());
+    else if (!bound.value().Listen())
+      return true;
+  }
+  return false;
 }
 
 // Guards against a daemon that can't start for as long as a call of another one
 // on its machine has its port.
 TEST_CASE("http_connection: its own port can be listened on beside it") {
   event_loop loop;
-  far_end upstream;
-  http_connection connection(loop, upstream.address(), http_client_limits());
-  connection.Send({http_method::kGet, "/", {}, {}}, std::chrono::seconds(60),
-                  [](const http_result&) {});
-  CheckMayListen(upstream.WaitForCaller(loop));
+  std::vector<std::unique_ptr<http_connection>> connections;
+  CHECK(MayListenOnOneOf([&](far_end& upstream) {
+    connections.push_back(std::make_unique<http_connection>(
+        loop, upstream.address(), http_client_limits()));
+    connections.back()->Send({http_method::kGet, "/", {}, {}},
+                             std::chrono::seconds(60),
+                             [](const http_result&) {});
+    return upstream.WaitForCaller(loop);
+  }));
 }
 
 // Guards against a daemon that can't start for as long as a link between two
 // others on its machine has its port.
 TEST_CASE("peer_mesh: the port of a link to a peer can be listened on") {
   event_loop loop;
-  far_end peer;
   wire_names names;
   peer_mesh mesh(
       loop,
       {{instance_id("e0"), incarnation_id("aa"), failure_domain_id("d")},
        std::string(32, 'k')},
       server_socket::Open({"127.0.0.1", 0}), names);
-  mesh.SetWanted({{instance_id("e1"), peer.address()}});
-  CheckMayListen(peer.WaitForCaller(loop));
+  CHECK(MayListenOnOneOf([&](far_end& peer) {
+    mesh.SetWanted({{instance_id("e1"), peer.address()}});
+    return peer.WaitForCaller(loop);
+  }));
 }
 
 }  // namespace
