A waiting instance answers the balancer and tells what it waits for

Seen: while an instance waited for an address that another program had, or for a value of its settings, neither the balancer's port nor that of metrics answered. Operators couldn't tell it from one that hangs; only its log said `address_unavailable` or `settings_awaited`.

Cause: no address was listened on before all could be had, and the servers of balancer and metrics were parts of the daemon, which isn't made before.

Change: an address says when it is listened on. Those of callers and peers wait for all others, as before. Their servers (`status_ports`) live from the first settings to the end of the process. Until the daemon is made they answer 503 "not ready" and metrics of the process with `address_awaited{address}` and `setting_awaited{setting}`; then only the handler changes, so neither the listener nor a connection is closed. A reload that names other addresses closes those that it no longer names. An instance without the platform opens its operators' address with the others, as before.

Of two daemons on the same addresses the one that listens for the balancer first gets the rest; the other one holds bound sockets until the balancer's address is free.

The fake client closes its socket when it can't connect, as tests try again.

--- a/src/daemon/address_opener.cc
+++ b/src/daemon/address_opener.cc
@@ -40,47 +40,70 @@
   Try();
 }
 
+std::vector<std::string> address_opener::awaited() const {
+  std::vector<std::string> uses;
+  for (const entry& each : entries_) {
+    if (each.awaited())
+      uses.push_back(each.wanted.use);
+  }
+  return uses;
+}
+
 void address_opener::Try() {
   timer_.Stop();
-  bool bound = BindAll();
-  if (bound && !may_end_)
+  if (!BindAll() || !ListenEarly())
     return;
-  bool all = bound && ListenOnAll();
-  if (over_)
-    return;
-  if (all) {
+  bool may_open =
+      !over_ && may_end_ && std::ranges::none_of(entries_, &entry::awaited);
+  if (may_open && ListenOnOthers())
     HandOver();
+  if (std::ranges::none_of(entries_, &entry::lacking))
     return;
-  }
   timer_.StartAfter(pause_, [this] { Try(); });
   pause_ = std::min(2 * pause_, kLongestPause);
 }
 
 bool address_opener::BindAll() {
-  bool all = true;
   for (entry& each : entries_) {
-    if (each.socket)
+    if (!each.lacking())
       continue;
     auto bound = bind_(each.wanted.address);
-    if (bound.ok()) {
+    if (bound.ok())
       each.socket = std::move(bound.value());
+    else if (!OnError(each, bound.error()))
+      return false;
+  }
+  return true;
+}
+
+bool address_opener::ListenEarly() {
+  for (entry& each : entries_) {
+    if (!each.socket || each.wanted.when == listen_when::kWithOthers)
+      continue;
+    if (std::optional<socket_error> error = each.socket->Listen()) {
+      each.socket.reset();
+      if (!OnError(each, *error))
+        return false;
       continue;
     }
-    all = false;
-    if (!OnError(each, bound.error()))
-      return false;
+    each.done = true;
+    then_.on_early(each.wanted, Take(each));
   }
-  return all;
+  return true;
 }
 
 // Two sockets may be bound to one address while neither listens. The one that
-// is late lets go of everything, so that nobody reaches half a daemon.
-bool address_opener::ListenOnAll() {
+// is late lets go of all that callers and peers use, so that nobody reaches
+// half a daemon.
+bool address_opener::ListenOnOthers() {
   for (entry& each : entries_) {
+    if (!each.socket)
+      continue;
     std::optional<socket_error> error = each.socket->Listen();
     if (!error)
       continue;
-    OnError(each, *error);
+    if (!OnError(each, *error))
+      return false;
     for (entry& held : entries_)
       held.socket.reset();
     return false;
@@ -93,9 +116,15 @@
     LogWaiting(failed, error);
     return true;
   }
-  over_ = true;
   std::string reason = "can't listen on " + failed.wanted.address.ToString() +
                        " for " + failed.wanted.use + ": " + error.ToString();
+  if (failed.wanted.when == listen_when::kOptional) {
+    failed.done = true;
+    LogEvent(log_level::kError, "no_" + failed.wanted.use,
+             {{"reason", reason}});
+    return true;
+  }
+  over_ = true;
   entries_.clear();
   then_.on_failed(reason);
   return false;
@@ -117,19 +146,29 @@
             {"waiting_ms", WholeMilliseconds(now - *waiting.waits_since)}});
 }
 
+server_socket address_opener::Take(entry& open) {
+  if (open.waits_since)
+    LogEvent(
+        log_level::kInfo, "address_available",
+        {{"use", open.wanted.use},
+         {"address", open.wanted.address.ToString()},
+         {"waited_ms", WholeMilliseconds(clock_.now() - *open.waits_since)}});
+  server_socket taken = std::move(*open.socket);
+  open.socket.reset();
+  return taken;
+}
+
 void address_opener::HandOver() {
   over_ = true;
   open_sockets open;
   for (entry& each : entries_) {
-    if (each.waits_since)
-      LogEvent(
-          log_level::kInfo, "address_available",
-          {{"use", each.wanted.use},
-           {"address", each.wanted.address.ToString()},
-           {"waited_ms", WholeMilliseconds(clock_.now() - *each.waits_since)}});
-    open.emplace(each.wanted.use, std::move(*each.socket));
+    if (each.socket)
+      open.emplace(each.wanted.use, Take(each));
   }
-  entries_.clear();
+  // Optional ones that lack are tried further.
+  std::erase_if(entries_, [](const entry& each) {
+    return each.wanted.when != listen_when::kOptional;
+  });
   then_.on_open(std::move(open));
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -12,5 +12,6 @@
 #include "daemon/process_limits.h"
 #include "daemon/settings.h"
 #include "daemon/settings_rules.h"
+#include "daemon/status_ports.h"
 
 #endif  // SRC_DAEMON_DAEMON_H_
--- a/src/daemon/daemon_start.cc
+++ b/src/daemon/daemon_start.cc
@@ -21,8 +21,13 @@
     : clock_(clock),
       steps_(std::move(steps)),
       opener_(clock,
-              {[this](open_sockets sockets) { Make(std::move(sockets)); },
-               [this](const std::string& reason) { steps_.on_failed(reason); }},
+              {[this](open_sockets sockets) {
+                 Guard([&] { steps_.make(std::move(sockets)); });
+               },
+               [this](const std::string& reason) { steps_.on_failed(reason); },
+               [this](const listen_address& address, server_socket socket) {
+                 Guard([&] { steps_.on_early(address, std::move(socket)); });
+               }},
               std::move(bind)),
       timer_(clock) {}
 
@@ -77,10 +82,9 @@
       [this] { Load(); });
 }
 
-// Called from the loop, which no exception may pass.
-void daemon_start::Make(open_sockets sockets) {
+void daemon_start::Guard(const std::function<void()>& step) {
   try {
-    steps_.make(std::move(sockets));
+    step();
   } catch (const std::exception& error) {
     steps_.on_failed(error.what());
   }
--- a/src/daemon/daemon_start.h
+++ b/src/daemon/daemon_start.h
@@ -22,6 +22,8 @@
   std::function<settings_problems()> awaited;
   // Makes the daemon by the settings that `load` took last. May throw.
   std::function<void(open_sockets)> make;
+  // An address can be had that isn't `listen_when::kWithOthers`. May throw.
+  std::function<void(const listen_address&, server_socket)> on_early;
   // The settings can't be used.
   std::function<void(const settings_problems&)> on_bad_settings;
   // Anything else keeps the daemon from being made; with the reason.
@@ -49,12 +51,18 @@
   // nothing.
   bool Reload();
 
+  // The uses of the addresses that keep the daemon from being made.
+  std::vector<std::string> awaited_addresses() const {
+    return opener_.awaited();
+  }
+
  private:
   void Load();
   // By the settings that were loaded.
   void GoOn(const std::vector<listen_address>& addresses);
   void WaitForSettings(const settings_problems& problems);
-  void Make(open_sockets sockets);
+  // Called from the loop, which no exception may pass.
+  void Guard(const std::function<void()>& step);
 
   scheduler& clock_;
   start_steps steps_;
--- a/src/jasminedyked/main.cc
+++ b/src/jasminedyked/main.cc
@@ -64,13 +64,32 @@
   return kExitOk;
 }
 
+void Make(std::optional<instance>& made,
+          event_loop& loop,
+          const daemon_settings& settings,
+          open_sockets sockets,
+          status_ports&) {
+  made.emplace(loop, settings, std::move(sockets));
+}
+
+void Make(std::optional<platform_daemon>& made,
+          event_loop& loop,
+          const platform_settings& settings,
+          open_sockets sockets,
+          status_ports& status) {
+  made.emplace(loop, settings, std::move(sockets), status);
+}
+
 // A daemon from its start to its end. `Load` reads and checks the settings and
 // says from which file: at the start, and again on each reload.
 template <class Daemon, class Load>
 class daemon_life {
  public:
   daemon_life(event_loop& loop, const Load& load)
-      : loop_(loop), load_(load), start_(loop, Steps()) {}
+      : loop_(loop),
+        load_(load),
+        ports_(loop, [this] { return Awaited(); }),
+        start_(loop, Steps()) {}
 
   // Returns the exit status.
   int Run() {
@@ -98,7 +117,12 @@
     steps.load = [this] { return ReadSettings(); };
     steps.awaited = [this] { return settings_->awaited; };
     steps.make = [this](open_sockets sockets) {
-      served_.emplace(loop_, *settings_, std::move(sockets));
+      Make(served_, loop_, *settings_, std::move(sockets), ports_);
+    };
+    steps.on_early = [this](const listen_address& address,
+                            server_socket socket) {
+      ports_.Serve(address, std::move(socket),
+                   WatchersLimits(OwnLimits(settings_->memory_mb)));
     };
     steps.on_bad_settings = [this](const settings_problems& problems) {
       PrintProblems(file_, problems);
@@ -113,9 +137,20 @@
     settings_outcome read = load_(&file_);
     if (!read.ok())
       return read.error();
-    if (!served_)
+    std::vector<listen_address> addresses = Daemon::Addresses(read.value());
+    if (!served_) {
       Use(read.value());
-    return Daemon::Addresses(read.value());
+      ports_.Keep(addresses);
+    }
+    return addresses;
+  }
+
+  awaited_at_start Awaited() const {
+    awaited_at_start awaited;
+    awaited.addresses = start_.awaited_addresses();
+    for (const settings_problem& problem : settings_->awaited)
+      awaited.settings.push_back(problem.key);
+    return awaited;
   }
 
   void Use(const settings_type& settings) {
@@ -163,6 +198,7 @@
   std::string file_;
   // Those by which the daemon is made.
   std::optional<settings_type> settings_;
+  status_ports ports_;
   std::optional<Daemon> served_;
   int status_ = kExitOk;
   daemon_start start_;
--- a/tests/address_opener/address_opener_test.cc
+++ b/tests/address_opener/address_opener_test.cc
@@ -18,6 +18,12 @@
 const socket_address kAnyPort{"127.0.0.1", 0};
 const listen_address kCallers{"callers", {"10.0.0.1", 80}};
 const listen_address kPeers{"peers", {"10.0.0.1", 81}};
+const listen_address kBalancer{"balancer",
+                               {"10.0.0.1", 83},
+                               listen_when::kAtOnce};
+const listen_address kMetrics{"metrics",
+                              {"10.0.0.1", 84},
+                              listen_when::kOptional};
 constexpr duration kLongestPause = std::chrono::seconds(1);
 
 // Addresses fail as the test says; others are any free port of this machine.
@@ -27,10 +33,14 @@
   std::map<socket_address, int> tries;
   std::optional<open_sockets> opened;
   std::vector<std::string> failed;
+  std::vector<std::string> early;
   address_opener opener{
       clock,
       {[this](open_sockets s) { opened = std::move(s); },
-       [this](const std::string& reason) { failed.push_back(reason); }},
+       [this](const std::string& reason) { failed.push_back(reason); },
+       [this](const listen_address& address, const server_socket&) {
+         early.push_back(address.use);
+       }},
       [this](const socket_address& a) { return Bind(a); }};
 
   outcome<server_socket, socket_error> Bind(const socket_address& address) {
@@ -111,6 +121,67 @@
   CHECK(f.tries[kPeers.address] == 1);
 }
 
+// Guards against an instance that can't be asked what it waits for, and against
+// ports that are opened twice or closed when the last one is free.
+TEST_CASE("address_opener: some addresses are opened while others lack") {
+  opener_fixture f;
+  f.errors[kPeers.address] = EADDRINUSE;
+  f.opener.Open({kCallers, kBalancer, kPeers, kMetrics});
+  CHECK(f.early == std::vector<std::string>{"balancer", "metrics"});
+  CHECK(f.opener.awaited() == std::vector<std::string>{"peers"});
+  f.clock.Advance(std::chrono::minutes(1));
+  CHECK_FALSE(f.opened);
+  f.errors.clear();
+  f.clock.Advance(kLongestPause);
+  REQUIRE(f.opened);
+  CHECK(f.opened->size() == 2);
+  CHECK(f.early.size() == 2);
+  CHECK(f.tries[kBalancer.address] == 1);
+  CHECK(f.opener.awaited().empty());
+}
+
+// Guards against a daemon that is made before the balancer can ask it.
+TEST_CASE("address_opener: an address that is opened at once is needed") {
+  opener_fixture f;
+  f.errors[kBalancer.address] = EADDRINUSE;
+  f.opener.Open({kCallers, kBalancer});
+  f.clock.Advance(std::chrono::minutes(1));
+  CHECK_FALSE(f.opened);
+  CHECK(f.opener.awaited() == std::vector<std::string>{"balancer"});
+  f.errors.clear();
+  f.clock.Advance(kLongestPause);
+  CHECK(f.opened);
+  CHECK(f.early == std::vector<std::string>{"balancer"});
+}
+
+// Guards against an instance that serves nobody for want of its metrics, and
+// against one that never has them once their port is free.
+TEST_CASE("address_opener: an optional address is tried further") {
+  opener_fixture f;
+  f.errors[kMetrics.address] = EADDRINUSE;
+  f.opener.Open({kCallers, kMetrics});
+  REQUIRE(f.opened);
+  CHECK(f.opened->size() == 1);
+  CHECK(f.opener.awaited().empty());
+  f.clock.Advance(std::chrono::minutes(1));
+  CHECK(f.early.empty());
+  f.errors.clear();
+  f.clock.Advance(kLongestPause);
+  CHECK(f.early == std::vector<std::string>{"metrics"});
+}
+
+// Guards against an instance that ends, or tries for ever, since the address of
+// its metrics can never be had.
+TEST_CASE("address_opener: an optional address that can never be had") {
+  opener_fixture f;
+  f.errors[kMetrics.address] = EACCES;
+  f.opener.Open({kMetrics, kCallers});
+  f.clock.Advance(std::chrono::minutes(1));
+  CHECK(f.opened);
+  CHECK(f.failed.empty());
+  CHECK(f.tries[kMetrics.address] == 1);
+}
+
 server_socket BindNow(const socket_address& address) {
   auto bound = server_socket::Bind(address);
   REQUIRE(bound.ok());
--- a/tests/daemon_process/start_test.cc
+++ b/tests/daemon_process/start_test.cc
@@ -1,12 +1,15 @@
 // The start of a daemon as a process on a machine that others use too.
 
 #include <csignal>
+#include <memory>
+#include <stdexcept>
 #include <string>
 
 #include <doctest/doctest.h>
 
 #include "fakes/daemon_process.h"
 #include "fakes/left_port.h"
+#include "fakes/raw_socket.h"
 
 namespace jasminedyke {
 namespace {
@@ -28,6 +31,150 @@
   return waits && starts;
 }
 
+// Null if nobody listens.
+std::unique_ptr<raw_client> Connect(const socket_address& address) {
+  try {
+    return std::make_unique<raw_client>(address);
+  } catch (const std::runtime_error&) {
+    return nullptr;
+  }
+}
+
+// Whether all of an answer is there, which tells its length.
+bool IsWhole(const std::string& answer) {
+  const std::string length = "Content-Length: ";
+  size_t found = answer.find(length);
+  size_t body = answer.find("\r\n\r\n");
+  if (found == std::string::npos || body == std::string::npos)
+    return false;
+  return answer.size() - body - 4 ==
+         std::stoul(answer.substr(found + length.size()));
+}
+
+// Sends a request on the connection, which stays open.
+std::string Ask(raw_client& client, const std::string& path) {
+  event_loop loop;
+  client.received.clear();
+  client.Write("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  RunUntil(loop, [&] {
+    client.Read();
+    return client.ended || IsWhole(client.received);
+  });
+  return client.received;
+}
+
+// Waits until somebody listens.
+std::unique_ptr<raw_client> ConnectOnceOpen(const socket_address& address) {
+  event_loop loop;
+  std::unique_ptr<raw_client> client;
+  RunUntil(loop, [&] {
+    client = Connect(address);
+    return client != nullptr;
+  });
+  REQUIRE_MESSAGE(client, address.ToString());
+  return client;
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Free ports for the balancer and metrics, which the test asks.
+daemon_addresses WithKnownStatusPorts() {
+  daemon_addresses addresses;
+  addresses.balancer = port_holder().address();
+  addresses.metrics = port_holder().address();
+  return addresses;
+}
+
+// Guards against an instance that looks like one that hangs, as neither its
+// metrics nor the balancer's port answer while another address is awaited, and
+// against one that closes them when it begins to serve.
+TEST_CASE("a daemon that waits for an address tells what it waits for") {
+  for (daemon_address taken :
+       {&daemon_addresses::callers, &daemon_addresses::peers}) {
+    port_holder other;
+    daemon_addresses addresses = WithKnownStatusPorts();
+    addresses.*taken = other.address();
+    std::string awaited = taken == &daemon_addresses::callers
+                              ? "address_awaited{address=\"callers\"} 1"
+                              : "address_awaited{address=\"peers\"} 1";
+    daemon_process daemon(SettingsText(addresses));
+    REQUIRE(daemon.WaitForLine("event=address_unavailable"));
+    auto balancer = ConnectOnceOpen(addresses.balancer);
+    CHECK(Ask(*balancer, "/").starts_with("HTTP/1.1 503"));
+    auto metrics = ConnectOnceOpen(addresses.metrics);
+    std::string text = Ask(*metrics, "/metrics");
+    INFO(text);
+    CHECK(text.starts_with("HTTP/1.1 200"));
+    CHECK(Has(text, awaited));
+    CHECK(Has(text, "process_resident_bytes"));
+    other.Release();
+    REQUIRE(daemon.WaitForLine("event=started"));
+    // On the connections from before.
+    CHECK(Ask(*balancer, "/").starts_with("HTTP/1.1 503"));
+    std::string later = Ask(*metrics, "/metrics");
+    INFO(later);
+    CHECK(Has(later, "jobs_accepted_total"));
+    CHECK_FALSE(Has(later, "address_awaited"));
+  }
+}
+
+// Guards against an instance whose balancer's port is taken and that can't be
+// asked why nobody is sent to it.
+TEST_CASE("a daemon that waits for the balancer's port answers metrics") {
+  port_holder other;
+  daemon_addresses addresses = WithKnownStatusPorts();
+  addresses.balancer = other.address();
+  daemon_process daemon(SettingsText(addresses));
+  REQUIRE(daemon.WaitForLine("event=address_unavailable"));
+  auto metrics = ConnectOnceOpen(addresses.metrics);
+  CHECK(Has(Ask(*metrics, "/metrics"),
+            "address_awaited{address=\"balancer\"} 1"));
+  other.Release();
+  CHECK_MESSAGE(daemon.WaitForLine("event=started"), daemon.log());
+  CHECK(ConnectOnceOpen(addresses.balancer));
+}
+
+// Guards against an instance that can't be asked why it doesn't serve while a
+// value of its settings lacks.
+TEST_CASE("a daemon that waits for a value tells what it waits for") {
+  daemon_addresses addresses = WithKnownStatusPorts();
+  std::string whole = SettingsText(addresses);
+  std::string lacking = whole;
+  const std::string store = "address = \"127.0.0.1:1\"\n";
+  lacking.replace(lacking.find(store), store.size(), "address = \"\"\n");
+  daemon_process daemon(lacking);
+  REQUIRE(daemon.WaitForLine("event=settings_awaited"));
+  auto balancer = ConnectOnceOpen(addresses.balancer);
+  CHECK(Ask(*balancer, "/").starts_with("HTTP/1.1 503"));
+  auto metrics = ConnectOnceOpen(addresses.metrics);
+  std::string text = Ask(*metrics, "/metrics");
+  INFO(text);
+  CHECK(Has(text, "setting_awaited{setting=\"store.address\"} 1"));
+  daemon.WriteSettings(whole);
+  REQUIRE(daemon.WaitForLine("event=started"));
+  CHECK_FALSE(Has(Ask(*metrics, "/metrics"), "setting_awaited"));
+}
+
+// Guards against a port that an instance keeps after its settings name another
+// one.
+TEST_CASE("a daemon that waits is given another port for the balancer") {
+  port_holder other;
+  daemon_addresses addresses = WithKnownStatusPorts();
+  addresses.callers = other.address();
+  daemon_process daemon(SettingsText(addresses));
+  REQUIRE(daemon.WaitForLine("event=address_unavailable"));
+  REQUIRE(ConnectOnceOpen(addresses.balancer));
+  daemon_addresses moved = addresses;
+  moved.balancer = port_holder().address();
+  daemon.WriteSettings(SettingsText(moved));
+  daemon.Signal(SIGHUP);
+  REQUIRE(daemon.WaitForLine("event=reload"));
+  CHECK(Ask(*ConnectOnceOpen(moved.balancer), "/").starts_with("HTTP/1.1 503"));
+  CHECK_FALSE(Connect(addresses.balancer));
+}
+
 // Guards against a daemon that ends because one of its ports is in use at the
 // moment of its start.
 TEST_CASE("a daemon waits for a port that another program has") {
--- a/tests/fakes/raw_socket.cc
+++ b/tests/fakes/raw_socket.cc
@@ -120,8 +120,10 @@
 raw_client::raw_client(const socket_address& address) {
   socket_ = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in to = Loopback(address.port);
-  if (connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0)
+  if (connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0) {
+    Close();
     throw std::runtime_error("can't connect");
+  }
   SetNonBlocking(socket_);
 }
 
