Series: who holds the port that an instance waits for

Callers saw nothing; readers of a series did: a line told of an instance that waits for an address had no word of what has it. The holders were looked up only for a daemon that ends because of an address, and most wait since.

Each line that is told now looks up the address that the log named last, with the state, the other end's port and the program of each socket. A socket whose program is gone is told as `none`.

No check changes: what is told and when is as before.

--- a/bench/process_life.py
+++ b/bench/process_life.py
@@ -1,6 +1,7 @@
 """One process of an instance, from its start to its end, as bench/starts_and_ends.py sees it."""
 
 import contextlib
+import glob
 import os
 import re
 import signal
@@ -10,15 +11,27 @@
 ASKED = {0: {signal.SIGTERM, signal.SIGINT}, -signal.SIGKILL: {signal.SIGKILL}}
 
 
+def owner(inode):
+    """The process that has this socket, by its program's name; none once the connection has ended."""
+    for link in glob.glob("/proc/[0-9]*/fd/*"):
+        with contextlib.suppress(OSError):
+            if os.readlink(link) == f"socket:[{inode}]":
+                pid = link.split("/")[2]
+                with open(f"/proc/{pid}/comm") as file:
+                    return f"{file.read().strip()}-{pid}"
+    return "none"
+
+
 def holders(log):
-    """The kernel's sockets on the port that the log tells of: state (in hex), the other end's port."""
-    wanted = re.search(r"can't listen on [\d.]+:(\d+)", log)
+    """The kernel's sockets on the port that the log tells of last: state (in hex), the other end's port, owner."""
+    wanted = re.findall(r"(?:can't listen on |address_unavailable .*address=)[\d.]+:(\d+)", log)
     found = set()
     with open("/proc/net/tcp") as table:
-        for line in table.readlines()[1:]:
-            port, other = (int(end.split(":")[1], 16) for end in line.split()[1:3])
-            if wanted and port == int(wanted[1]):
-                found.add((line.split()[3], other))
+        for line in table.readlines()[1:] if wanted else []:
+            fields = line.split()
+            port, other = (int(end.split(":")[1], 16) for end in fields[1:3])
+            if port == int(wanted[-1]):
+                found.add((fields[3], other, owner(fields[9])))
     return sorted(found)
 
 
--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -124,7 +124,8 @@
         asked = ",".join(f"{which.name}@{at * 1000:.0f}ms" for which, at in life.asked[-6:])
         line = (f"seed={self.seed} instance=entry-{life.number} what='{what}' {words} "
                 f"age_s={time.monotonic() - life.began:.2f} asked={asked} kinds={','.join(its)} "
-                f"beside={','.join(beside)} ports={self.ports[life.number]} log={' | '.join(lines)!r}")
+                f"beside={','.join(beside)} ports={self.ports[life.number]} "
+                f"held={holders(life.text())} log={' | '.join(lines)!r}")
         self.told.append(what)
         self.note(line)
         print(line, flush=True)
@@ -178,8 +179,7 @@
         self.note("ended", f"entry-{life.number}", life.child.returncode, reason or "as asked")
         if reason:
             self.ends[reason] += 1
-            held = holders(life.text()) if reason == "port" else ""
-            self.tell(life, f"end: {reason}", status=life.child.returncode, held=held)
+            self.tell(life, f"end: {reason}", status=life.child.returncode)
         if not self.ending:
             wait_s = RESTART_S if reason else self.next[life.number].wait_s
             self.begin(self.again(life.number, wait_s))
