Series: starts of the whole system, with and without the store

What callers see: no request is served after all instances have been ended and started again. The series played starts and ends of single instances and `herd`, and looked at each instance once, at the end; how long nobody was served after a start of all was not seen, nor a start while the store is away.

restart_all ends all instances by SIGTERM or SIGKILL, holds their starts until all are gone, and starts them at once or within 0.3 or 2 s. restart_all_no_store does so while the store refuses, resets, holds or is silent, and brings it back 2 to 6 s after the last start. After each, every failure domain must serve a job within RECOVER_S (12 s, as before), counted from when the store answers and no kind holds an instance of the domain down; beyond that `no request is served` is told. The line of a series has the longest of each domain, so counted (`served_again_s`) and without any allowance for other kinds (`since_start_s`).

Both are off unless asked for and drawn apart.

check_serving moves to bench/served_again.py, unchanged, with its bound.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -1,7 +1,8 @@
 """What bench/starts_and_ends.py does to its daemons: a row in KINDS for each kind.
 
 Each is played as (series, luck, instance); all of its choices come from `luck`. A
-kind that ends a process tells in `series.next` how the next one is started.
+kind that ends a process tells in `series.next` how the next one is started. Kinds that
+start the whole system are played by bench/served_again.py, which checks what follows.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import signal
 import socket
 import struct
+import time
 
 ROUTES = 350
 # A process that is still being loaded can't hold signals.
@@ -125,18 +127,68 @@
         await asyncio.sleep(0.33)
 
 
-async def store(series, luck, _):
-    mode = luck.choice(["refuse", "silent", "reset", "delay", "one_way", "held"])
+def take_store(series, mode):
     if mode == "refuse":
         series.proxy.refuse()
         series.proxy.set_mode("reset")
     else:
         series.proxy.set_mode(mode)
-    await asyncio.sleep(luck.uniform(0.5, 4.5))
+
+
+async def bring_store_back(series):
     series.proxy.set_mode("pass")
     await series.proxy.start()
 
 
+async def store(series, luck, _):
+    take_store(series, luck.choice(["refuse", "silent", "reset", "delay", "one_way", "held"]))
+    await asyncio.sleep(luck.uniform(0.5, 4.5))
+    await bring_store_back(series)
+
+
+async def restart_all(series, luck, _):
+    await end_all(series, luck)
+    await start_all(series, luck)
+
+
+async def restart_all_no_store(series, luck, _):
+    """Back once the instances are up; away since their ends or since before."""
+    mode, away_s = luck.choice(["refuse", "reset", "held", "silent"]), luck.uniform(2, 6)
+    if luck.random() < 0.5:
+        take_store(series, mode)
+    await end_all(series, luck)
+    take_store(series, mode)
+    series.note("store", mode)
+    await start_all(series, luck)
+    end = time.monotonic() + away_s
+    while time.monotonic() < end:
+        # Another kind may have brought it back.
+        if series.proxy.mode == "pass":
+            take_store(series, mode)
+        await asyncio.sleep(0.02)
+    await bring_store_back(series)
+
+
+async def end_all(series, luck):
+    """None is started before all have ended."""
+    which = luck.choice([signal.SIGKILL, signal.SIGTERM])
+    for number in series.lives:
+        series.gates[number] += 1
+        series.next[number] = Start(wait_s=0)
+        series.send(number, signal.SIGCONT)
+        series.send(number, which)
+    while any(series.lives.values()):
+        await asyncio.sleep(0.01)
+
+
+async def start_all(series, luck):
+    """At once, or one after the other in a short time."""
+    spread_s, begun = luck.choice([0, RESTART_S, 2]), time.monotonic()
+    for wait_s, number in sorted((luck.uniform(0, spread_s), number) for number in series.lives):
+        await asyncio.sleep(max(0, begun + wait_s - time.monotonic()))
+        series.gates[number] -= 1
+
+
 async def crash(series, luck, _):
     """Of a sixth of the upstreams."""
     for worker in luck.sample(range(series.args.upstreams), series.args.upstreams // 6):
@@ -242,6 +294,8 @@
     of_all: bool = False
     # Whether it is played unless asked for; some take an instance away for long.
     on: bool = True
+    # Starts the whole system: one at a time, each until jobs are served again.
+    whole: bool = False
 
 
 KINDS = {
@@ -266,6 +320,9 @@
     "unread": Kind(unread, 1),
     "huge": Kind(huge, 0.3),
     "log_sink": Kind(log_sink, 1),
+    # Drawn apart from the others, so that these stay the same for a seed.
+    "restart_all": Kind(restart_all, 0, of_all=True, on=False, whole=True),
+    "restart_all_no_store": Kind(restart_all_no_store, 0, of_all=True, on=False, whole=True),
     # Of the whole run: the first two instances have one address of metrics.
     "shared_metrics": Kind(None, 0, of_all=True, on=False),
 }
--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -12,7 +12,11 @@
   while the process is not paused, stopping or waiting for a processor;
 - memory over the limit;
 - after all that: an instance that serves no job within the recovery time, or that
-  uses its processor's share while it has nothing to do.
+  uses its processor's share while it has nothing to do;
+- with --also restart_all restart_all_no_store, which end all instances and start them
+  at once or in a short time, the latter while the store refuses or resets connections,
+  holds bytes back or is silent: a failure domain that serves no job within the recovery
+  time once the store is back and no kind in force holds an instance of it down.
 
 Exit status 1 if anything was told. Only processes that it started are ended, by id.
 """
@@ -34,6 +38,7 @@
 import tempfile
 import time
 
+import served_again
 import soak
 from disturbances import BALANCER_PORT, KINDS, METRICS_PORT, RESTART_S, Start
 from process_life import Life, holders
@@ -42,7 +47,6 @@
 GRACE_S = 6.0
 GRACE_SLACK_S = 1.0
 CONTACT_S = 3.0
-RECOVER_S = 12.0
 CPU_SHARE = 0.25
 
 # The callers' jobs: milliseconds of a task, and how often.
@@ -83,6 +87,7 @@
         self.in_force, self.told, self.counts = [], [], collections.Counter()
         self.ends, self.by_kind = collections.Counter(), collections.Counter()
         self.peak_kib, self.idle_share, self.ending = 0, 0.0, False
+        self.whole_starts = served_again.WholeStarts(self)
         given = set()
         args.port = take_ports(given, "below", 1 + soak.ADVERTISE_OFFSET)[0]
         self.ports = [sum((take_ports(given, args.ports) for _ in range(4)), []) for _ in self.lives]
@@ -243,6 +248,11 @@
         self.note(which.name, f"entry-{life.number}")
         life.send(which)
 
+    def held_down(self, number):
+        """By a kind: it is about to end or to be started, or may not be, or is paused."""
+        life = self.lives[number]
+        return bool(self.gates[number] or number in self.next or life and (life.paused or life.stop_at))
+
     # The series.
 
     async def start(self):
@@ -282,8 +292,9 @@
     async def disturbances(self):
         names = [name for name in self.args.kinds if KINDS[name].weight]
         weights = [KINDS[name].weight for name in names]
-        end, begun = time.monotonic() + self.args.seconds, []
-        while time.monotonic() < end:
+        end = time.monotonic() + self.args.seconds
+        begun = [asyncio.create_task(self.whole_starts.play(end))]
+        while names and time.monotonic() < end:
             name = self.luck.choices(names, weights)[0]
             begun.append(asyncio.create_task(self.disturb(name, self.luck.randrange(len(self.lives)))))
             await asyncio.sleep(self.luck.expovariate(self.args.kinds_per_s))
@@ -292,20 +303,6 @@
                 self.note("disturbance failed", repr(each))
                 self.counts["failed"] += 1
 
-    async def check_serving(self, number):
-        end, attempt = time.monotonic() + RECOVER_S, 0
-        while time.monotonic() < end:
-            attempt += 1
-            with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError):
-                if await self.post(number, f"{self.seed % 2**32:08x}f{number:03x}{attempt:04x}") == "succeeded":
-                    return
-            await asyncio.sleep(0.3)
-        if life := self.lives[number]:
-            self.tell(life, "serves no job")
-        else:
-            self.told.append("not up")
-            self.note("not up", number)
-
     async def check_idle(self):
         await asyncio.sleep(2)
         before = {life: life.processor_s() for life in self.lives.values() if life}
@@ -327,7 +324,7 @@
         for number in self.lives:
             self.send(number, signal.SIGCONT)
         callers.cancel()
-        await asyncio.gather(*(self.check_serving(number) for number in self.lives))
+        await asyncio.gather(*(served_again.check_instance(self, number) for number in self.lives))
         await self.check_idle()
         self.ending = True
         for number in self.lives:
@@ -357,7 +354,7 @@
         counter.update(of_run)
     answers = collections.Counter(outcomes[-1] for outcomes in run.answers.values() if outcomes)
     print(f"seed={seed} starts={run.counts['starts']} own_ends={dict(run.ends)} told={len(run.told)} "
-          f"jobs={run.jobs} answers={dict(answers)} idle_share={run.idle_share:.3f} "
+          f"jobs={run.jobs} answers={dict(answers)} {run.whole_starts.figures()}idle_share={run.idle_share:.3f} "
           f"peak_mb={run.peak_kib / 1024:.0f} promises={run.promises.broken[:2]} logs={run.folder}", flush=True)
     return not run.told and not run.promises.broken
 
@@ -376,7 +373,8 @@
     parser.add_argument("--ports", choices=PORTS, default="below",
                         help="of instances: below outgoing connections', among them, or as the kernel gives")
     parser.add_argument("--without", nargs="*", default=[], metavar="KIND", help=f"of {', '.join(KINDS)}")
-    parser.add_argument("--also", nargs="*", default=[], metavar="KIND", help="those that are left out otherwise")
+    parser.add_argument("--also", nargs="*", default=[], metavar="KIND", help="those that are left out otherwise: "
+                        + ", ".join(name for name, row in KINDS.items() if not row.on))
     parser.add_argument("--only", nargs="*", default=[], metavar="KIND")
     parser.add_argument("--build", default="build")
     args = parser.parse_args()
