Series: signals go to a program that has begun, not to a library that loads

A sanitized daemon ended by SIGTERM 136 ms after its start with an empty log. The series sends signals only once the process holds them. It took a mask in /proc/PID/status for that, and libcrypto, a shared library in a sanitized build, blocks all signals but faults for about 0.1 ms while it is loaded (it tries an instruction under SIGILL), some 60 ms before the program blocks them for good. A signal sent in that moment was delivered when libcrypto restored the mask.

Shown with gdb (the caller of the first sigprocmask is libcrypto, from the loader) and strace.

Now the process must also handle SIGUSR1, which only the program does, just after it has blocked the others.

--- a/bench/process_life.py
+++ b/bench/process_life.py
@@ -64,10 +64,16 @@
         return int(self.read("schedstat").split()[1]) / 1e9
 
     def handles(self, which):
-        """Holds or handles it; true if the process is gone."""
+        """Holds or handles it; true if the process is gone.
+
+        A library may hold all signals for a moment while it is loaded. The program itself
+        has begun once it has a handler for SIGUSR1.
+        """
         with contextlib.suppress(OSError):
             masks = dict(line.split(":") for line in self.read("status").splitlines())
-            return any(int(masks[name], 16) >> (which - 1) & 1 for name in ("SigBlk", "SigCgt"))
+            begun = int(masks["SigCgt"], 16) >> (signal.SIGUSR1 - 1) & 1
+            held = any(int(masks[name], 16) >> (which - 1) & 1 for name in ("SigBlk", "SigCgt"))
+            return bool(begun and held)
         return True
 
     def processor_s(self):
