Metrics don't take the address of callers or peers

What callers would have met: an instance whose settings name one address for metrics and for callers (or peers, or the balancer) serves nobody.

Cause: metrics are listened on before all addresses that are needed, and two sockets may be bound to one address until one of them listens.

Why it works: an optional address that a needed one has is given up with `no_metrics` and the reason, as one that can never be had.

The new case of address_opener fails on the code before (metrics are opened early, the address is bound twice) and passes now.

--- a/src/daemon/address_opener.cc
+++ b/src/daemon/address_opener.cc
@@ -13,6 +13,17 @@
 // Between two lines on one address, unless the error changes.
 constexpr duration kLogPause = std::chrono::seconds(30);
 
+// The one of `addresses` that the daemon can't be without and that is where
+// this one is; null if there is none.
+const listen_address* FindNeeded(const std::vector<listen_address>& addresses,
+                                 const socket_address& where) {
+  auto found = std::ranges::find_if(addresses, [&](const listen_address& each) {
+    return each.when != listen_when::kOptional && each.address == where &&
+           where.port != 0;
+  });
+  return found == addresses.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 address_opener::address_opener(scheduler& clock, handlers then, bind_call bind)
@@ -34,6 +45,10 @@
       entries_.push_back({each, {}, {}, {}, {}});
     else
       entries_.push_back(std::move(*same));
+    const listen_address* needed = FindNeeded(addresses, each.address);
+    if (each.when == listen_when::kOptional && needed)
+      GiveUp(entries_.back(),
+             each.address.ToString() + " is for " + needed->use);
   }
   before.clear();
   pause_ = kFirstPause;
@@ -119,9 +134,7 @@
   std::string reason = "can't listen on " + failed.wanted.address.ToString() +
                        " for " + failed.wanted.use + ": " + error.ToString();
   if (failed.wanted.when == listen_when::kOptional) {
-    failed.done = true;
-    LogEvent(log_level::kError, "no_" + failed.wanted.use,
-             {{"reason", reason}});
+    GiveUp(failed, reason);
     return true;
   }
   over_ = true;
@@ -130,6 +143,14 @@
   return false;
 }
 
+void address_opener::GiveUp(entry& optional, const std::string& reason) {
+  if (optional.done)
+    return;
+  optional.done = true;
+  LogEvent(log_level::kError, "no_" + optional.wanted.use,
+           {{"reason", reason}});
+}
+
 void address_opener::LogWaiting(entry& waiting, const socket_error& error) {
   time_point now = clock_.now();
   if (!waiting.waits_since)
--- a/src/daemon/address_opener.h
+++ b/src/daemon/address_opener.h
@@ -89,6 +89,8 @@
   bool BindAll();
   bool ListenEarly();
   bool OnError(entry& failed, const socket_error& error);
+  // The daemon serves without it.
+  static void GiveUp(entry& optional, const std::string& reason);
   // Returns false if it failed.
   bool ListenOnOthers();
   void LogWaiting(entry& waiting, const socket_error& error);
--- a/tests/address_opener/address_opener_test.cc
+++ b/tests/address_opener/address_opener_test.cc
@@ -182,6 +182,20 @@
   CHECK(f.tries[kMetrics.address] == 1);
 }
 
+// Guards against an instance that serves nobody, as its metrics got the port
+// that its callers were to have.
+TEST_CASE("address_opener: an optional address that a needed one has") {
+  opener_fixture f;
+  listen_address metrics = kMetrics;
+  metrics.address = kCallers.address;
+  f.opener.Open({kCallers, kBalancer, metrics});
+  REQUIRE(f.opened);
+  CHECK(f.opened->count("callers") == 1);
+  CHECK(f.opened->size() == 1);
+  CHECK(f.early == std::vector<std::string>{"balancer"});
+  CHECK(f.tries[kCallers.address] == 1);
+}
+
 server_socket BindNow(const socket_address& address) {
   auto bound = server_socket::Bind(address);
   REQUIRE(bound.ok());
--- a/tests/daemon_process/start_test.cc
+++ b/tests/daemon_process/start_test.cc
@@ -117,6 +117,9 @@
     INFO(later);
     CHECK(Has(later, "jobs_accepted_total"));
     CHECK_FALSE(Has(later, "address_awaited"));
+    // Beside connections that stay open.
+    daemon.Signal(SIGTERM);
+    CHECK_MESSAGE(daemon.WaitForEnd() == 0, daemon.log());
   }
 }
 
@@ -171,8 +174,12 @@
   daemon.WriteSettings(SettingsText(moved));
   daemon.Signal(SIGHUP);
   REQUIRE(daemon.WaitForLine("event=reload"));
-  CHECK(Ask(*ConnectOnceOpen(moved.balancer), "/").starts_with("HTTP/1.1 503"));
+  auto balancer = ConnectOnceOpen(moved.balancer);
+  CHECK(Ask(*balancer, "/").starts_with("HTTP/1.1 503"));
   CHECK_FALSE(Connect(addresses.balancer));
+  // Beside a connection that stays open.
+  daemon.Signal(SIGTERM);
+  CHECK_MESSAGE(daemon.WaitForEnd() == 0, daemon.log());
 }
 
 // Guards against a daemon that ends because one of its ports is in use at the
