Series: told what a waiting instance's answers would hide

- An instance that waits for an address was told after 3 s as "no answer", as neither port answered.
Since it answers, it passed if the port was free at the end.
Metrics that tell of an awaited address don't count as an answer now.
- No test saw the balancer's answer become 200 when the daemon is made.
Each instance must be ready within the recovery time, besides serving a job.
The checks before saw any answer as one, by reading.
- An answer that can't be read ended the check of whole starts, which then told nothing; it counts as not served, and a series without one checked start fails.

--- a/bench/served_again.py
+++ b/bench/served_again.py
@@ -1,7 +1,7 @@
 """Whether jobs are served again, as bench/starts_and_ends.py checks it.
 
-After all disturbances each instance must serve one within the recovery time. After
-a start of the whole system each failure domain must: counted from when the store
+After all disturbances each instance must serve one within the recovery time, and be
+ready for the balancer. After a start of the whole system each failure domain must: counted from when the store
 answers and no kind in force holds an instance of the domain down.
 """
 
@@ -11,7 +11,7 @@
 import random
 import time
 
-from disturbances import KINDS
+from disturbances import BALANCER_PORT, KINDS
 
 # What operators expect of a deployment.
 RECOVER_S = 12.0
@@ -19,20 +19,34 @@
 
 
 async def serves(series, number, job):
-    with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError):
+    # The last two: an answer that isn't one.
+    with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError, ValueError, LookupError):
         return await series.post(number, f"{series.seed % 2**32:08x}{job}") == "succeeded"
     return False
 
 
+async def is_ready(series, number):
+    """By what the balancer is told."""
+    with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError):
+        reader, writer = await asyncio.open_connection("127.0.0.1", series.port(number, BALANCER_PORT))
+        try:
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n")
+            return b" 200 " in await asyncio.wait_for(reader.readline(), 1)
+        finally:
+            writer.transport.abort()
+    return False
+
+
 async def check_instance(series, number):
-    end, attempt = time.monotonic() + RECOVER_S, 0
+    end, attempt, served = time.monotonic() + RECOVER_S, 0, False
     while time.monotonic() < end:
         attempt += 1
-        if await serves(series, number, f"f{number:03x}{attempt:04x}"):
+        served = served or await serves(series, number, f"f{number:03x}{attempt:04x}")
+        if served and await is_ready(series, number):
             return
         await asyncio.sleep(0.3)
     if life := series.lives[number]:
-        series.tell(life, "serves no job")
+        series.tell(life, "isn't ready" if served else "serves no job")
     else:
         series.told.append("not up")
         series.note("not up", number)
@@ -53,8 +67,8 @@
         while self.names and time.monotonic() < end:
             await asyncio.sleep(luck.uniform(*PAUSE_S))
             await self.series.disturb(luck.choice(self.names), 0)
-            self.count += 1
             await asyncio.gather(*(self.check_domain(i) for i in range(len(self.series.domains))))
+            self.count += 1
 
     def held_down(self, numbers):
         proxy = self.series.proxy
@@ -96,6 +110,10 @@
             self.series.told.append("no request is served")
             self.series.note("no request is served", name, "no instance is up")
 
+    def missed(self):
+        """Without a check nothing can be told."""
+        return ["no start of the whole system was checked"] if self.names and not self.count else []
+
     def figures(self):
         if not self.names:
             return ""
--- a/bench/starts_and_ends.py
+++ b/bench/starts_and_ends.py
@@ -8,10 +8,10 @@
 
 - an end by itself: one that no signal asked for, or with another status than asked;
 - no end within the grace period after SIGTERM;
-- no answer on the balancer's or the metrics' port for longer than the contact time,
+- no answer on the balancer's or the metrics' port, or an address that is awaited, for longer than the contact time,
   while the process is not paused, stopping or waiting for a processor;
 - memory over the limit;
-- after all that: an instance that serves no job within the recovery time, or that
+- after all that: an instance that serves no job or isn't ready within the recovery time, or
   uses its processor's share while it has nothing to do;
 - with --also restart_all restart_all_no_store, which end all instances and start them
   at once or in a short time, the latter while the store refuses or resets connections,
@@ -213,7 +213,7 @@
                     self.tell(life, "memory", kib=life.peak_kib)
 
     async def probe(self, number, offset, path):
-        """How long this port stays unanswered, less what the process waits for a processor."""
+        """How long it's unanswered, or an address awaited, less what the process waits for a processor."""
         what = f"no answer: {path}"
         while not self.ending:
             life = self.lives[number]
@@ -222,7 +222,8 @@
                     asyncio.open_connection("127.0.0.1", self.port(number, offset)), 1)
                 try:
                     writer.write(f"GET {path} HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n".encode())
-                    if await asyncio.wait_for(reader.readline(), 1) and life:
+                    answer = await asyncio.wait_for(reader.read(), 1)
+                    if answer and b"_address_awaited{" not in answer and life:
                         life.answered[what] = time.monotonic(), life.waited_s()
                 finally:
                     writer.transport.abort()
@@ -302,6 +303,7 @@
             if isinstance(each, Exception):
                 self.note("disturbance failed", repr(each))
                 self.counts["failed"] += 1
+        self.told += self.whole_starts.missed()
 
     async def check_idle(self):
         await asyncio.sleep(2)
