Comments: what a newcomer would have stumbled over

Found by reading the whole change once more: a member's comment said 0 for a peer that has written a newer row, which `kLives` stands for; `load` was said to tell only the addresses that are needed, but it tells that of metrics, too; three others were fragments or needed the code below. No code changes.

--- a/bench/served_again.py
+++ b/bench/served_again.py
@@ -19,7 +19,7 @@
 
 
 async def serves(series, number, job):
-    # The last two: an answer that isn't one.
+    # ValueError and LookupError: the answer can't be read.
     with contextlib.suppress(OSError, asyncio.TimeoutError, EOFError, ValueError, LookupError):
         return await series.post(number, f"{series.seed % 2**32:08x}{job}") == "succeeded"
     return False
--- a/src/cluster/home_election.h
+++ b/src/cluster/home_election.h
@@ -167,8 +167,8 @@
   // The latest known process of each peer that was ever connected.
   std::map<instance_id, peer_process> processes_;
   // Peers that refused a connection, with the version of the row that was the
-  // first to be read since with the peer as its holder; 0: none yet, or that it
-  // has written a newer one.
+  // first to be read since with the peer as its holder. 0: none yet; `kLives`:
+  // the peer has written a newer one.
   std::map<instance_id, uint64_t> refused_;
   std::set<instance_id> leaving_peers_;
   // Linked peers that could begin without the store.
--- a/src/daemon/daemon_start.h
+++ b/src/daemon/daemon_start.h
@@ -15,7 +15,7 @@
 
 // What differs between kinds of daemons.
 struct start_steps {
-  // Reads the settings; the addresses that the daemon can't be without.
+  // Reads the settings; the addresses that the daemon is to listen on.
   std::function<outcome<std::vector<listen_address>, settings_problems>()> load;
   // What the settings lack that `load` took last; the daemon isn't made before
   // it is there. Not called if empty.
--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -29,7 +29,7 @@
 constexpr size_t kLargestBody = 64 * kMegabyte;
 constexpr size_t kSmallestHeld = 4 * kMegabyte;
 constexpr size_t kTasksPart = 4;
-// Of an open job, at its owner and its home together.
+// Memory that a task of an open job takes, at its owner and its home together.
 constexpr size_t kBytesOfTask = 420;
 constexpr uint64_t kLargestJob = 100'000;
 constexpr size_t kWatchersBody = 2 * kMegabyte;
--- a/src/daemon/status_ports.h
+++ b/src/daemon/status_ports.h
@@ -17,7 +17,8 @@
 
 namespace jasminedyke {
 
-// Of the one port that tells of a waiting instance more than that it waits.
+// The use of the port at which a waiting instance tells what it waits for; at
+// the others it tells only that it isn't ready.
 inline constexpr char kMetricsUse[] = "metrics";
 
 // What an instance waits for at its start: uses of addresses, and keys of the
