--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -634,12 +634,15 @@
 
 
 def main(case):
-    """Runs `case(trouble)`, which returns 0, 1 or 2."""
+    """Runs `case(trouble)`, which returns 0, 1 or 2. It ends its processes also if it is itself ended."""
+
+    async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await case(os.environ.get("TROUBLE", "1") != "0")
+
     try:
-        status = asyncio.run(case(os.environ.get("TROUBLE", "1") != "0"))
-    except Exception as error:  # pylint: disable=broad-except
-        import traceback
-        traceback.print_exc()
-        print("could not run:", error)
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
+        print(f"could not run: {error!r}", file=sys.stderr)
         status = 2
     sys.exit(status)
