--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases of this review: the platform's store, workers, clients and proxies, all in
+"""Stand-ins for the cases of this review: the platform's store, workers, clients and ways between them, all in
 one process, and the daemons as processes of their own. They follow ../given's PROTOCOL.md. All
 addresses are loopback addresses."""
 
@@ -25,6 +25,9 @@
 }
 
 
+HEARTBEAT_S = 1.5
+
+
 def now():
     return time.monotonic()
 
@@ -120,6 +123,11 @@
             writer.transport.abort()
 
 
+def raw_message(first, headers, body):
+    lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
 def parse_query(path):
     from urllib.parse import parse_qs, urlsplit
     parts = urlsplit(path)
@@ -267,8 +275,6 @@
         self.labels, self.guards, self.says_born, self.rate = list(labels), guards, born, rate
         self.duration = duration or (lambda task, spec: (float(spec.split()[0]), "done"))
         self.state, self.sequence, self.up, self.address = "ready", 0, True, None
-        # A coroutine that may delay or drop a call: (path, order) -> None, or "late" seconds.
-        self.meddle = None
         self.http = HttpServer(self.handle)
         self.live()
 
@@ -326,12 +332,6 @@
         if headers.get("expected-instance", self.id) != self.id:
             return 421, {"clock_ms": self.clock()}
         order = json.loads(body)
-        if self.meddle:
-            late = await self.meddle(path, order)
-            if late is not None:
-                # Carried out later, by whoever lives here then; no answer.
-                asyncio.get_running_loop().call_later(late, self.carry_out, path, order, True)
-                await asyncio.sleep(3600)
         life = self.life
         status, answer = self.carry_out(path, order)
         if path == "/api/hold" and status == 200:
@@ -353,9 +353,7 @@
     def percent(self, run):
         return min(99, int(100 * (now() - run["at"]) / max(run["s"], 0.001)))
 
-    def carry_out(self, path, order, late=False):
-        if not self.up:
-            return 503, {}
+    def carry_out(self, path, order):
         if order.get("fencing_token", 0) < self.token:
             return 409, {"reason": "fence"}
         self.token = max(self.token, order.get("fencing_token", 0))
@@ -395,77 +393,75 @@
         self.running[task]["timer"] = asyncio.get_running_loop().call_later(
             ms / 1000, lambda: life is self.life and task in self.running and self.running[task]["run"] == run
             and self.end(task, how))
-        self.watch("begin", task, self, run, "late" if late else "")
+        self.watch("begin", task, self, run, "")
         return 200, {}
 
 
-class Proxy:
-    """Passes bytes on to a port, as its mode says: pass, reset, silent (a cut: nothing comes through, and the
-    connections that tried end with it), held (bytes wait until the mode changes). `hush` makes the connections
-    that are open now silent for good, while new ones work."""
+class Way:
+    """The way to a worker, outside of it: passes each call on. A call for which `hold_back(path, order)` returns
+    seconds gets no answer, and reaches whoever listens at the worker's address so much later."""
 
-    def __init__(self, target):
-        self.target, self.mode, self.pairs, self.server, self.hushed = target, "pass", set(), None, set()
+    def __init__(self, target, record):
+        self.target, self.record, self.hold_back = target, record, None
+        self.server, self.writers, self.held = None, set(), set()
 
     async def start(self, port):
         self.port = port
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
 
-    def set_mode(self, mode):
-        self.mode = mode
-        if mode == "reset":
-            for pair in list(self.pairs):
-                for writer in pair:
-                    writer.transport.abort()
-
-    def hush(self):
-        self.hushed |= self.pairs
+    def close(self):
+        """Nobody listens; calls that are held back stay on their way."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def serve(self, reader, writer):
-        await self.while_silent()
-        if self.mode == "reset":
-            writer.transport.abort()
-            return
+        writers = {writer}
+        self.writers |= writers
         try:
             up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
-        except OSError:
-            writer.transport.abort()
-            return
-        for each in (writer, up_writer):
-            each.transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pair = (writer, up_writer)
-        self.pairs.add(pair)
-        try:
-            await asyncio.gather(self.pump(reader, up_writer, pair), self.pump(up_reader, writer, pair))
-        except asyncio.CancelledError:
-            pass
-        self.pairs.discard(pair)
-
-    async def while_silent(self):
-        while self.mode == "silent":
-            await asyncio.sleep(0.01)
-
-    async def pump(self, reader, writer, pair):
-        try:
+            writers.add(up_writer)
+            for each in writers:
+                each.transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while True:
-                data = await reader.read(65536)
-                while self.mode == "held":
-                    await asyncio.sleep(0.005)
-                if self.mode == "silent":
-                    # Nobody hears of the end of a connection behind a cut either.
-                    await self.while_silent()
-                    return
-                if not data:
+                first, headers, body = await read_message(reader)
+                path = first.split(" ")[1]
+                seconds = self.hold_back(path, json.loads(body)) if self.hold_back else None
+                if seconds is not None:
+                    task = asyncio.create_task(self.deliver(first, headers, body, seconds))
+                    self.held.add(task)
+                    task.add_done_callback(self.held.discard)
+                    # No answer: the connection stays as it is until the caller ends it.
+                    while await reader.read(4096):
+                        pass
                     return
-                if pair in self.hushed:
-                    continue
-                writer.write(data)
+                up_writer.write(raw_message(first, headers, body))
+                answer = raw_message(*await read_message(up_reader))
+                writer.write(answer)
                 await writer.drain()
+        except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers -= writers
+            for each in writers:
+                each.transport.abort()
+
+    async def deliver(self, first, headers, body, seconds):
+        await asyncio.sleep(seconds)
+        order = json.loads(body)
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
+            self.record("held back, nobody there:", order["task"], "run", order["run_id"])
+            return
+        try:
+            writer.write(raw_message(first, headers, body))
+            status, _, answer = await read_message(reader)
+            self.record("held back, arrives:", order["task"], "run", order["run_id"], status, answer.decode())
+        except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         finally:
-            if pair not in self.hushed:
-                writer.close()
+            writer.transport.abort()
 
 
 class Daemon:
@@ -548,31 +544,59 @@
     def next_port(self):
         return self.free.pop(0)
 
-    async def start_store(self, proxy=False):
-        self.store_proxy = None
-        if proxy:
-            inner = self.next_port()
-            await self.store.http.start(inner)
-            self.store_proxy = Proxy(inner)
-            await self.store_proxy.start(self.store_port)
-        else:
-            await self.store.http.start(self.store_port)
+    async def start_store(self):
+        await self.store.http.start(self.store_port)
 
-    async def add_worker(self, worker, proxy=False):
+    async def add_worker(self, worker, way=False):
         port = self.next_port()
         await worker.http.start(port)
-        worker.port, worker.proxy = port, None
-        if proxy:
-            worker.proxy = Proxy(port)
-            await worker.proxy.start(self.next_port())
-        worker.address = f"127.0.0.1:{worker.proxy.port if proxy else port}"
+        worker.port, worker.way = port, None
+        if way:
+            worker.way = Way(port, self.record)
+            await worker.way.start(self.next_port())
+        worker.address = f"127.0.0.1:{worker.way.port if way else port}"
         self.workers.append(worker)
         self.register(worker)
         return worker
 
     def register(self, worker):
+        worker.registered_at = now()
+        # Each worker has a rhythm of its own.
+        worker.next_beat = now() + HEARTBEAT_S * random.uniform(0.9, 1.1)
         self.store.put("servers", worker.id, worker.registration())
 
+    async def crash(self, worker, away_s):
+        """The worker is back under its id after `away_s`, and registers as it starts."""
+        worker.crash()
+        if worker.way:
+            worker.way.close()
+        self.record("crashed", worker.id)
+        await asyncio.sleep(away_s)
+        worker.live()
+        worker.up = True
+        await worker.http.start(worker.port)
+        if worker.way:
+            await worker.way.start(worker.way.port)
+        self.register(worker)
+        self.record("back", worker.id)
+
+    async def submit(self, key, body, daemon, deadline_ms, attempts=5):
+        """As clients do: again after no answer, a 502 or a 504, to any daemon. Returns the statuses."""
+        statuses = []
+        while True:
+            self.record("sent", key, daemon.name)
+            try:
+                answer = await request(daemon.ports[0], "POST", f"/parts/{key}", body,
+                                       {"Host": self.HOST, "Deadline-Ms": str(deadline_ms)}, timeout=deadline_ms / 1000)
+            except (OSError, EOFError, asyncio.TimeoutError) as error:
+                answer = (0, repr(error))
+            self.record("answered", key, answer)
+            statuses.append(answer[0])
+            if answer[0] not in (0, 502, 504) or len(statuses) == attempts:
+                return statuses
+            await asyncio.sleep(BOUNDS["resend_ms"] / 1000)
+            daemon = random.choice(self.daemons)
+
     def configure(self, routes, services, version=None):
         """Returns when the store has confirmed it."""
         self.config_version = version or self.config_version + 1
@@ -596,17 +620,16 @@
         self.tasks.append(asyncio.create_task(self.tick()))
 
     async def tick(self):
-        beat = now()
         while True:
             await asyncio.sleep(0.004)
             for worker in self.workers:
-                if worker.up:
-                    worker.tick()
-            if now() - beat > 1.5:
-                beat = now()
-                for worker in self.workers:
-                    if worker.up and worker.state not in ("gone", "cut"):
-                        self.register(worker)
+                if not worker.up:
+                    if now() - worker.registered_at > 3 * HEARTBEAT_S:
+                        self.store.remove("servers", worker.id)
+                    continue
+                worker.tick()
+                if now() >= worker.next_beat:
+                    self.register(worker)
 
     async def wait_ready(self, seconds=15):
         until = now() + seconds
@@ -633,16 +656,17 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(case):
+def main(case, longest_s=112):
     """Runs `case(trouble)`, which returns 0, 1 or 2. It ends its processes also if it is itself ended."""
 
     async def run():
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-        return await case(os.environ.get("TROUBLE", "1") != "0")
+        for which in (signal.SIGTERM, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(which, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(os.environ.get("TROUBLE", "1") != "0"), longest_s)
 
     try:
         status = asyncio.run(run())
-    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # pylint: disable=broad-except
         print(f"could not run: {error!r}", file=sys.stderr)
         status = 2
     sys.exit(status)
