A task stays where an order for it may still arrive

A start goes unanswered, its run is stopped and the upstream confirms, so the task runs elsewhere. The upstream crashes and is back under its id. The order reaches that incarnation before the home does, which knows neither the stop nor the home's token, and whose clock makes the order's limit lie far ahead.

Cause: a confirmed stop counted as proof for good. It proves something of the incarnation that gave it only, and nothing in an order tells incarnations apart.

Change: the home keeps the unanswered orders of all upstreams for as long as they may arrive (late_starts), and a task with such an order runs on that upstream or not at all; no upstream runs a task twice. So that this costs little, an unanswered start is sent again under its number instead of being stopped and moved, which also saves the stop, its answer and a poll. It is stopped as before if it can't be repeated: it was refused, the upstream leaves, the job is cancelled. Upstreams that tell no birth get another id with each incarnation: their promise holds for good, tasks move as before, after three orders.

--- a/src/admin/run_metrics_report.cc
+++ b/src/admin/run_metrics_report.cc
@@ -64,6 +64,8 @@
   for (const auto& [evidence, count] : metrics.stuck)
     out.Counter("runs_stuck_total", static_cast<double>(count),
                 {{"evidence", ToString(evidence)}});
+  out.Counter("starts_repeated_total",
+              static_cast<double>(metrics.repeated_starts));
   out.Counter("upstream_trials_total", static_cast<double>(metrics.trials));
   out.Counter("upstreams_lost_total",
               static_cast<double>(metrics.upstreams_lost));
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -59,6 +59,9 @@
   std::vector<task_pace> paces;
   // A task has begun, or may have begun under an earlier home.
   bool may_have_run = false;
+  // An order for a task went unanswered and may yet be carried out, by an
+  // incarnation of its upstream that has not refused it.
+  bool may_start_late = false;
   // False only if upstreams have refused none of the tasks as malformed.
   bool any_rejected = false;
   // Ends of tasks that have not been reported to the owner yet. These tasks are
@@ -72,7 +75,8 @@
   // It was logged that runs of the cancelled job go on.
   bool overdue_logged = false;
 
-  // True if no task has begun and none has been ordered from an upstream.
+  // True if no task has begun and none can begin unless it is ordered from an
+  // upstream again.
   bool HasNotStarted() const;
   // The expected run time of the task on a healthy upstream: the caller's
   // estimate, scaled by the pace of the job's finished tasks.
--- a/src/runs/incarnation_state.cc
+++ b/src/runs/incarnation_state.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "runs/refused_starts.h"
+#include "runs/late_starts.h"
 
 namespace jasminedyke {
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -35,6 +35,11 @@
 // as malformed this many times.
 constexpr int kMaxRejections = 2;
 
+// The size of the specification, which each start of a task of the job carries.
+size_t SpecBytes(const home_job& job) {
+  return job.request.kept_spec_bytes.value_or(job.request.spec.size());
+}
+
 }  // namespace
 
 run_home::run_home(scheduler& clock,
@@ -108,7 +113,7 @@
     }
     upstreams_.Add(std::make_unique<upstream_session>(
         clock_, port_, info, token_, settings_.upstreams, answer_times_,
-        *this));
+        late_starts_, *this));
   }
   upstreams_.MarkUnregistered(upstreams);
   PublishCrashNews();
@@ -172,6 +177,11 @@
     job.tasks.SetDemand(task, demand);
     if (is_new)
       task.queued_at = clock_.now();
+    // The orders of an earlier submission of the job.
+    if (auto late = LatePlaceOf(name)) {
+      job.may_start_late = true;
+      task.last_run = std::max(task.last_run, late->last_run.value());
+    }
     // A home that has had a task since it was first sent knows whether it
     // started it.
     bool known_queued = !is_new && task.phase() == task_phase::kQueued;
@@ -481,10 +491,31 @@
     job->any_rejected = true;
     task->avoided_upstream = session.info().id;
   }
+  if (LatePlaceOf(name))
+    job->may_start_late = true;
   Requeue(*job, *task);
   EraseIfFinished(name.job);
 }
 
+bool run_home::OnStartUnanswered(upstream_session& session,
+                                 const task_name& name,
+                                 run_number run) {
+  home_job* job = nullptr;
+  home_task* task = FindTask(name, &job);
+  bool wanted = task && task->phase() == task_phase::kOrdered &&
+                task->upstream() == session.info().id &&
+                task->last_run == run.value() && !task->stopping &&
+                !job->orphaned && owner_links_.MayStart(*job) &&
+                gate_.Decide(true, clock_.now()) == start_decision::kStart;
+  if (!wanted)
+    return false;
+  task->submission = job->request.submission;
+  ++metrics_.repeated_starts;
+  spec_rate_.Add(clock_.now(), SpecBytes(*job));
+  session.RepeatStart(name, job->request.spec, DelegateOf(*job));
+  return true;
+}
+
 void run_home::OnFound(upstream_session& session,
                        const task_name& name,
                        run_number run) {
@@ -635,21 +666,43 @@
 bool run_home::PlaceTasks(home_job& job) {
   if (job.tasks.Count(task_phase::kQueued) == 0)
     return true;
+  bool all_placed = true;
   for (auto& [position, task] : job.tasks) {
-    bool waits = task.phase() == task_phase::kQueued &&
-                 !claims_.IsFound({job.key, 0, position});
-    if (waits && !PlaceTask(job, task))
+    task_name name{job.key, 0, position};
+    bool waits = task.phase() == task_phase::kQueued && !claims_.IsFound(name);
+    if (!waits || PlaceTask(job, task))
+      continue;
+    all_placed = false;
+    // A task that waits for one upstream says nothing of the others' room.
+    if (!LatePlaceOf(name))
       return false;
   }
-  return true;
+  return all_placed;
+}
+
+std::optional<late_starts::place> run_home::LatePlaceOf(
+    const task_name& task) const {
+  return late_starts_.PlaceOf(task, clock_.now());
+}
+
+// While an order for the task may arrive late, the task runs on that order's
+// upstream or not at all. A run there must not meet an order of a lower number
+// that the upstream does not refuse.
+std::pair<upstream_session*, bool> run_home::ChoosePlace(home_job& job,
+                                                         home_task& task) {
+  if (auto late = LatePlaceOf({job.key, 0, task.demand().position}))
+    return {
+        late->refused ? placer_.PlaceOn(late->upstream, job, task) : nullptr,
+        false};
+  if (SuspicionOf(job, task) != crash_suspicion::kNone) {
+    if (upstream_session* session = placer_.PlaceAlone(job, task))
+      return {session, true};
+  }
+  return {placer_.Place(job, task), false};
 }
 
 bool run_home::PlaceTask(home_job& job, home_task& task) {
-  bool suspect = SuspicionOf(job, task) != crash_suspicion::kNone;
-  upstream_session* session = suspect ? placer_.PlaceAlone(job, task) : nullptr;
-  bool alone = session != nullptr;
-  if (!alone)
-    session = placer_.Place(job, task);
+  auto [session, alone] = ChoosePlace(job, task);
   if (!session)
     return false;
   upstream_standing& standing = upstreams_.Standing(session->info().id);
@@ -679,13 +732,15 @@
                 task.ordered_at - task.queued_at, task.ordered_at);
   ++task.last_run;
   ++metrics_.started;
-  std::optional<start_delegate> delegate;
-  if (job.request.kept_spec_bytes)
-    delegate = start_delegate{job.owner, job.request.submission};
-  spec_rate_.Add(clock_.now(),
-                 job.request.kept_spec_bytes.value_or(job.request.spec.size()));
+  spec_rate_.Add(clock_.now(), SpecBytes(job));
   session.Start({job.key, 0, task.demand().position}, run_number(task.last_run),
-                job.request.spec, need, delegate);
+                job.request.spec, need, DelegateOf(job));
+}
+
+std::optional<start_delegate> run_home::DelegateOf(const home_job& job) const {
+  if (!job.request.kept_spec_bytes)
+    return std::nullopt;
+  return start_delegate{job.owner, job.request.submission};
 }
 
 crash_suspicion run_home::SuspicionOf(const home_job& job,
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -21,6 +21,7 @@
 #include "runs/home_room.h"
 #include "runs/home_upstreams.h"
 #include "runs/job_order.h"
+#include "runs/late_starts.h"
 #include "runs/owner_links.h"
 #include "runs/queue_latency.h"
 #include "runs/return_bound.h"
@@ -54,6 +55,8 @@
   uint64_t orphans_cancelled = 0;
   // Cancelled jobs whose runs went on for much longer than a stop takes.
   uint64_t overdue_stops = 0;
+  // Orders to start that were sent again, as they went unanswered.
+  uint64_t repeated_starts = 0;
   std::map<start_result, uint64_t> refused_starts;
   // The time from a task's arrival until a start request for it, recorded at
   // every start of the task.
@@ -165,6 +168,9 @@
                     const task_name& task,
                     run_number run,
                     start_result why) override;
+  bool OnStartUnanswered(upstream_session& session,
+                         const task_name& task,
+                         run_number run) override;
   // A run that an earlier home started was found on an upstream.
   void OnFound(upstream_session& session,
                const task_name& task,
@@ -208,6 +214,14 @@
   void ReturnToOwner(home_job& job, run_refusal reason, duration retry_after);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
+  // Returns the upstream to start the task on, and whether the task must not
+  // share it; null if no upstream is suitable now.
+  std::pair<upstream_session*, bool> ChoosePlace(home_job& job,
+                                                 home_task& task);
+  // Returns where the task must run while orders for it may arrive late.
+  std::optional<late_starts::place> LatePlaceOf(const task_name& task) const;
+  // The instance that sends the starts of the job, if that is its owner.
+  std::optional<start_delegate> DelegateOf(const home_job& job) const;
   void StartOn(upstream_session& session,
                home_job& job,
                home_task& task,
@@ -236,6 +250,8 @@
   fencing_token token_;
   start_gate gate_;
   upstream_registry registry_;
+  // Kept when this instance ceases to be home. The sessions refer to it.
+  late_starts late_starts_;
   home_upstreams upstreams_;
   task_placer placer_;
   home_job_map jobs_;
--- a/src/runs/runs.h
+++ b/src/runs/runs.h
@@ -20,6 +20,7 @@
 #include "runs/incarnation_state.h"
 #include "runs/job_order.h"
 #include "runs/job_owner.h"
+#include "runs/late_starts.h"
 #include "runs/owner_links.h"
 #include "runs/placement.h"
 #include "runs/return_bound.h"
--- a/src/runs/task_placer.cc
+++ b/src/runs/task_placer.cc
@@ -207,6 +207,21 @@
   return available[*chosen]->session;
 }
 
+upstream_session* task_placer::PlaceOn(const upstream_id& upstream,
+                                       const home_job& job,
+                                       const home_task& task) {
+  auto open = std::ranges::find_if(available_,
+                                   [&upstream](const available_upstream& each) {
+                                     return each.session->info().id == upstream;
+                                   });
+  if (open == available_.end() || open->starts_left == 0 ||
+      !task.demand().need.Fits(open->room) ||
+      !MayRun(*open->session, job, task))
+    return nullptr;
+  Take(*open, task.demand().need);
+  return open->session;
+}
+
 upstream_session* task_placer::PlaceAlone(const home_job& job,
                                           const home_task& task) {
   auto chosen =
--- a/src/runs/task_placer.h
+++ b/src/runs/task_placer.h
@@ -46,6 +46,10 @@
   // Returns the upstream to start the task on and reserves its room; null if no
   // upstream is suitable now.
   upstream_session* Place(const home_job& job, const home_task& task);
+  // Like `Place`, but for a task that may run only on this upstream.
+  upstream_session* PlaceOn(const upstream_id& upstream,
+                            const home_job& job,
+                            const home_task& task);
   // Like `Place`, but reserves all room of an idle upstream, for a task that
   // must not share it.
   upstream_session* PlaceAlone(const home_job& job, const home_task& task);
--- a/src/runs/upstream_runs.h
+++ b/src/runs/upstream_runs.h
@@ -36,17 +36,18 @@
   run_number run;
   resource_amount need;
   run_phase phase = run_phase::kStarting;
-  // Local time at which the start request was sent or, for `kRunning`, at which
-  // the run was learnt to be running. Only the reply to a hold sent after this
-  // time can prove, by not listing the run, that the run ended. The time at
-  // which the hold that listed the run was sent is too early: a hold that
+  // Local time at which the start request was last sent or, for `kRunning`, at
+  // which the run was learnt to be running. Only the reply to a hold sent after
+  // this time can prove, by not listing the run, that the run ended. The time
+  // at which the hold that listed the run was sent is too early: a hold that
   // waited may list a run that began long after the hold was sent.
   time_point since;
-  // Lower bound of the upstream's clock when the start request was sent. A
-  // reply to the request with an earlier clock is from a later incarnation.
-  upstream_time ordered;
-  // The upstream ignores the start request after this time.
+  // The upstream ignores all start requests for the run after this time.
   upstream_time not_after;
+  // How often the start request was sent.
+  int sends = 1;
+  // The start request may be sent again if it stays unanswered.
+  bool may_repeat = true;
   // When the upstream confirmed that the run is stopped. The run can't begin
   // after that.
   std::optional<time_point> stop_confirmed_at;
@@ -75,8 +76,8 @@
 struct ended_run {
   task_name task;
   run_number run;
-  // The run is proven never to have begun: no incarnation of the upstream can
-  // have carried out the start request. Set only by `EndedRuns`.
+  // The run has not begun: no incarnation of the upstream so far can have
+  // carried out the start request. Set only by `EndedRuns`.
   bool never_began = false;
   // The run is known to have begun. Set only by
   // `incarnation_state::RemoveEndedRuns`.
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -33,6 +33,13 @@
 // flooded.
 constexpr duration kMinStartCheckInterval = std::chrono::milliseconds(40);
 constexpr duration kMaxStartCheckInterval = std::chrono::milliseconds(320);
+// How often an order to start is sent to an upstream that answers other calls,
+// if the task may then be moved. Faults that lose orders last for seconds, and
+// may affect one upstream only.
+constexpr int kMaxSends = 3;
+// The time after which an order is sent again doubles with each second one, up
+// to this many times.
+constexpr int kMaxRepeatDoublings = 3;
 // Pause after a failed hold. The first retry must come well within the lease.
 // Also the interval between checks whether the lease has expired.
 constexpr duration kHoldRetryPause = std::chrono::milliseconds(60);
@@ -58,6 +65,7 @@
                                    fencing_token token,
                                    const limits& session_limits,
                                    answer_times& times,
+                                   late_starts& late,
                                    owner& session_owner)
     : clock_(clock),
       port_(port),
@@ -68,6 +76,7 @@
       times_(times),
       owner_(session_owner),
       created_at_(clock.now()),
+      late_starts_(late),
       incarnation_(std::make_unique<incarnation_state>(clock, info.birth)) {
   SendHold(incarnation_->hold);
 }
@@ -118,7 +127,7 @@
   incarnation_ = std::make_unique<incarnation_state>(clock_, birth, *old);
   if (incarnation_->runs.Unconfirmed() > 0)
     ScheduleStartCheck(times_.Timeout(kStartReplyTimeout));
-  refused_starts_.OnNewIncarnation();
+  late_starts_.OnNewIncarnation(info_.id);
   RefuseStarts();
   upstream_loss loss{{info_.id, old->birth}, true, {}};
   for (const auto& [task, record] : old->runs.all()) {
@@ -161,25 +170,11 @@
                              const std::string& spec,
                              const resource_amount& need,
                              const std::optional<start_delegate>& delegate) {
-  run_order order;
-  order.task = task;
-  order.run = run;
-  order.spec = spec;
-  order.token = token_;
-  order.delegate = delegate;
   run_record record;
   record.run = run;
   record.need = need;
   record.since = clock_.now();
-  record.ordered = incarnation_->clock.LowerBound();
   incarnation_->runs.Put(task, record);
-  // The order prolongs the lease of the upstream's other runs as well.
-  order.not_after =
-      std::max(incarnation_->clock.LowerBound(),
-               std::min(incarnation_->clock.OrderLimit(kStartTimeLimit),
-                        NextLeaseEnd()));
-  incarnation_->runs.Find(task)->not_after = order.not_after;
-  RecordRequestedLease(order.not_after);
   // An idle upstream's next hold may be due only later, and the report of this
   // run's end must not wait for it.
   if (!incarnation_->hold.in_flight && incarnation_->failed_holds == 0)
@@ -188,18 +183,70 @@
   SendSecondHold();
   if (!incarnation_->start_timer.active())
     ScheduleStartCheck(times_.Timeout(kStartReplyTimeout));
+  SendStart(task, *incarnation_->runs.Find(task), spec, delegate);
+}
+
+void upstream_session::SendStart(
+    const task_name& task,
+    run_record& record,
+    const std::string& spec,
+    const std::optional<start_delegate>& delegate) {
+  run_order order;
+  order.task = task;
+  order.run = record.run;
+  order.spec = spec;
+  order.token = token_;
+  order.delegate = delegate;
+  upstream_time now = incarnation_->clock.LowerBound();
+  // The order prolongs the lease of the upstream's other runs as well.
+  order.not_after =
+      std::max(now, std::min(incarnation_->clock.OrderLimit(kStartTimeLimit),
+                             NextLeaseEnd()));
+  record.not_after = std::max(record.not_after, order.not_after);
+  RecordRequestedLease(order.not_after);
   port_.Start(info_.id, order,
-              [this, task, run, number = incarnation_number_,
-               sent = clock_.now()](const start_reply& reply) {
+              [this, task, run = record.run, number = incarnation_number_,
+               sent = clock_.now(), now](const start_reply& reply) {
                 if (number == incarnation_number_)
-                  OnStarted(task, run, sent, reply);
+                  OnStarted(task, run, sent, now, reply);
               });
 }
 
+void upstream_session::RepeatStart(
+    const task_name& task,
+    const std::string& spec,
+    const std::optional<start_delegate>& delegate) {
+  run_record& record = *incarnation_->runs.Find(task);
+  AddLateStart(task, record.run, record.since);
+  record.since = clock_.now();
+  AddLateStart(task, record.run, record.since);
+  ++record.sends;
+  SendStart(task, record, spec, delegate);
+}
+
+void upstream_session::AddLateStart(const task_name& task,
+                                    run_number run,
+                                    time_point sent) {
+  if (incarnation_->birth != upstream_birth())
+    late_starts_.Add(info_.id, {task, run}, sent, clock_.now());
+}
+
+bool upstream_session::MayRepeat(const run_record& record) const {
+  bool may_move = incarnation_->birth == upstream_birth();
+  return record.may_repeat && !record.carried && !record.stop_wanted &&
+         !record.stop_in_flight && !record.stop_confirmed_at && registered_ &&
+         !incarnation_->gone && !info_.draining &&
+         incarnation_->MatchesRegistration(info_.birth) &&
+         (!may_move || record.sends < kMaxSends);
+}
+
 void upstream_session::OnStarted(const task_name& task,
                                  run_number run,
                                  time_point sent,
+                                 upstream_time ordered,
                                  const start_reply& reply) {
+  if (reply.result != start_result::kUnknown)
+    late_starts_.Remove(info_.id, {task, run}, sent);
   if (reply.clock) {
     incarnation_->clock.AddReading(*reply.clock, sent);
     times_.Add(clock_.now() - sent);
@@ -216,7 +263,7 @@
       incarnation_->backoff = duration::zero();
       record.phase = run_phase::kRunning;
       record.since = clock_.now();
-      UpdateSeen(record, reply);
+      UpdateSeen(record, ordered, reply);
       if (record.stop_wanted)
         SendStop(record, task);
       return;
@@ -250,15 +297,23 @@
   }
   if (!was_starting)
     return;
+  // Another order for the run may yet arrive, or has been carried out.
+  if (record.sends > 1) {
+    record.may_repeat = reply.result == start_result::kNotSent;
+    SendPoll();
+    return;
+  }
   incarnation_->runs.Remove(task);
   owner_.OnNotStarted(*this, task, run, reply.result);
 }
 
 // The reply to a start contains no birth. If its clock is behind the reading
-// that was known when the order was sent, a later incarnation has replied.
+// `ordered` that was known when the order was sent, a later incarnation has
+// replied.
 void upstream_session::UpdateSeen(run_record& record,
+                                  upstream_time ordered,
                                   const start_reply& reply) {
-  record.seen = reply.clock && *reply.clock >= record.ordered;
+  record.seen = reply.clock && *reply.clock >= ordered;
   if (!record.seen && incarnation_->birth != upstream_birth())
     SendPoll();
 }
@@ -319,43 +374,51 @@
 
 // Stopping a run that is not there makes the upstream refuse its start.
 void upstream_session::RefuseStarts() {
-  for (const refused_starts::start& refused :
-       refused_starts_.Unpromised(clock_.now()))
-    RefuseStart(refused);
+  for (const late_starts::start& late :
+       late_starts_.Unrefused(info_.id, clock_.now())) {
+    if (!incarnation_->runs.Find(late.first))
+      RefuseStart(late);
+  }
 }
 
-void upstream_session::RefuseStart(const refused_starts::start& refused) {
+void upstream_session::RefuseStart(const late_starts::start& refused) {
   port_.Stop(
       info_.id,
       {refused.first, refused.second, token_, times_.Timeout(kReplyTimeout)},
       [this, refused, number = incarnation_number_](call_result result) {
         if (number != incarnation_number_)
           return;
-        if (result == call_result::kOk)
-          refused_starts_.OnPromised(refused);
-        else if (result == call_result::kFenced)
+        if (result == call_result::kOk) {
+          late_starts_.OnRefused(info_.id, refused);
+          owner_.OnCapacityChanged(*this);
+        } else if (result == call_result::kFenced) {
           owner_.OnFenced(*this);
-        else if (result != call_result::kGone &&
-                 !incarnation_->refusal_timer.active())
-          incarnation_->refusal_timer.StartAfter(RetryPause(),
-                                                 [this] { RefuseStarts(); });
+        } else if (result != call_result::kGone) {
+          ScheduleRefusals();
+        }
       });
 }
 
+void upstream_session::ScheduleRefusals() {
+  if (!late_starts_.empty() && !incarnation_->refusal_timer.active())
+    incarnation_->refusal_timer.StartAfter(RetryPause(),
+                                           [this] { RefuseStarts(); });
+}
+
 void upstream_session::ScheduleStartCheck(duration pause) {
   incarnation_->start_timer.StartAfter(pause, [this, pause] {
-    CheckStarts();
+    duration next = CheckStarts() ? kMinStartCheckInterval : pause * 2;
     if (incarnation_->runs.Unconfirmed() > 0)
-      ScheduleStartCheck(std::clamp(pause * 2, kMinStartCheckInterval,
-                                    kMaxStartCheckInterval));
+      ScheduleStartCheck(
+          std::clamp(next, kMinStartCheckInterval, kMaxStartCheckInterval));
   });
 }
 
-void upstream_session::CheckStarts() {
+bool upstream_session::CheckStarts() {
   std::vector<task_name> overdue = incarnation_->runs.UnconfirmedLongerThan(
       clock_.now(), times_.Timeout(kStartReplyTimeout));
   if (overdue.empty())
-    return;
+    return false;
   for (const task_name& task : overdue) {
     if (!incarnation_->clock.HasReadingSince(
             incarnation_->runs.Find(task)->since))
@@ -363,12 +426,41 @@
   }
   RecordUnansweredCall();
   SendPoll();
+  return RepeatStarts(overdue);
 }
 
-// Stops starts that are neither answered nor listed. Such an order may be in
-// transit for seconds, and waiting for its time limit would make the answer to
-// a caller of short tasks late. Once the upstream has confirmed the stop of a
-// run number, it refuses the order whenever it arrives.
+// An upstream that answers other calls has probably lost the order, or will
+// carry it out late. One that answers nothing must not be flooded.
+bool upstream_session::RepeatStarts(const std::vector<task_name>& overdue) {
+  if (!incarnation_->HasRecentReply())
+    return false;
+  bool any_repeated = false;
+  for (const task_name& task : overdue) {
+    run_record* record = incarnation_->runs.Find(task);
+    if (!record || !record->IsUnconfirmed())
+      continue;
+    int sends = record->sends;
+    RequestRepeat(*record, task);
+    any_repeated = any_repeated || record->sends > sends;
+  }
+  return any_repeated;
+}
+
+bool upstream_session::RequestRepeat(run_record& record,
+                                     const task_name& task) {
+  record.may_repeat = MayRepeat(record) && !IsLeaseCut();
+  int doublings = std::min((record.sends - 1) / 2, kMaxRepeatDoublings);
+  bool due = clock_.now() - record.since >=
+             times_.Timeout(kStartReplyTimeout) * (1 << doublings);
+  if (record.may_repeat && due)
+    record.may_repeat = owner_.OnStartUnanswered(*this, task, record.run);
+  return record.may_repeat;
+}
+
+// Stops starts that are neither answered nor listed and can't be repeated. Such
+// an order may be in transit for seconds, and waiting for its time limit would
+// make the answer to a caller of short tasks late. Once the upstream has
+// confirmed the stop of a run number, it refuses the order whenever it arrives.
 void upstream_session::StopUnlistedStarts(time_point sent,
                                           const hold_reply& reply) {
   duration reply_timeout = times_.Timeout(kStartReplyTimeout);
@@ -376,7 +468,8 @@
   for (const task_name& task :
        incarnation_->runs.UnconfirmedLongerThan(sent, reply_timeout)) {
     run_record* record = incarnation_->runs.Find(task);
-    if (!record->stop_confirmed_at && !listed.Contain(task, record->run))
+    if (!record->stop_confirmed_at && !listed.Contain(task, record->run) &&
+        !RequestRepeat(*record, task))
       SendStop(*record, task);
   }
 }
@@ -677,6 +770,7 @@
     AddUnreachableRuns(loss);
   for (const ended_run& entry : ended)
     owner_.OnRunEnded(*this, entry.task, entry.run, how);
+  ScheduleRefusals();
 }
 
 void upstream_session::AddUnreachableRuns(const upstream_loss& loss) {
@@ -701,8 +795,11 @@
 void upstream_session::ApplyEnds(const hold_reply& reply) {
   // Ends of runs that are unknown here are reported too: an earlier owner may
   // have started them for a job that is still wanted.
-  for (const listed_end& end : incarnation_->ApplyEnds(reply))
+  for (const listed_end& end : incarnation_->ApplyEnds(reply)) {
+    // An upstream refuses a run that has ended there.
+    late_starts_.OnRefused(info_.id, {end.task, end.run});
     owner_.OnRunEnded(*this, end.task, end.run, end.how);
+  }
 }
 
 void upstream_session::ApplyRunning(const hold_reply& reply) {
@@ -724,9 +821,12 @@
     const run_record* record = incarnation_->runs.Find(entry.task);
     if (!record)
       continue;
-    if (record->IsUnconfirmed())
-      refused_starts_.Add({entry.task, record->run}, record->since,
-                          clock_.now());
+    if (record->IsUnconfirmed()) {
+      AddLateStart(entry.task, record->run, record->since);
+      late_starts_.OnRefused(info_.id, {entry.task, record->run});
+    } else {
+      ScheduleRefusals();
+    }
     incarnation_->runs.Remove(entry.task);
     if (entry.never_began)
       owner_.OnNotStarted(*this, entry.task, entry.run, start_result::kUnknown);
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -13,7 +13,7 @@
 #include "base/base.h"
 #include "runs/answer_times.h"
 #include "runs/incarnation_state.h"
-#include "runs/refused_starts.h"
+#include "runs/late_starts.h"
 #include "runs/run_types.h"
 #include "runs/upstream_port.h"
 #include "runs/upstream_registry.h"
@@ -36,10 +36,13 @@
 // registered. Until then its task must not be started elsewhere, or two runs of
 // it could overlap.
 //
-// If a start stays unanswered, a poll checks for the run soon after. A run that
-// is not listed is stopped, as a stopped run number can never start in the same
-// incarnation. This gives the proof within a few round trips, long before the
-// order's time limit. Later incarnations are told to refuse the run as well.
+// If a start stays unanswered, it is sent again under its number: the upstream
+// starts the run at most once, whichever order arrives first. If that isn't
+// possible, a run that a poll does not list is stopped, as a stopped run number
+// can never start in the same incarnation. This gives the proof within a few
+// round trips, long before the order's time limit. Later incarnations are told
+// to refuse the run as well, but may carry the order out before: see
+// `late_starts`.
 class upstream_session {
  public:
   using limits = lease_limits;
@@ -66,12 +69,18 @@
     // and restarted under the same id. `OnLost` follows if runs were lost with
     // the earlier incarnation.
     virtual void OnReborn(upstream_session& session) = 0;
-    // The run is proven never to have started; `why` is the reply to its start,
-    // or `kUnknown`.
+    // The run has not started, and the upstream's current incarnation refuses
+    // it; `why` is the reply to its start, or `kUnknown`. A later incarnation
+    // may start it if `late_starts` has an order for it.
     virtual void OnNotStarted(upstream_session& session,
                               const task_name& task,
                               run_number run,
                               start_result why) = 0;
+    // The run's start has gone unanswered and may be repeated. Returns whether
+    // the owner has called `RepeatStart`.
+    virtual bool OnStartUnanswered(upstream_session& session,
+                                   const task_name& task,
+                                   run_number run) = 0;
     // A run of an earlier owner was found. The lease is not extended until the
     // run is adopted or stopped.
     virtual void OnFound(upstream_session& session,
@@ -92,6 +101,7 @@
                    fencing_token token,
                    const limits& session_limits,
                    answer_times& times,
+                   late_starts& late,
                    owner& session_owner);
   ~upstream_session();
   upstream_session(const upstream_session&) = delete;
@@ -114,6 +124,11 @@
              const std::string& spec,
              const resource_amount& need,
              const std::optional<start_delegate>& delegate = std::nullopt);
+  // Sends the order to start the run again, with the same number. Must be
+  // called only from `OnStartUnanswered`.
+  void RepeatStart(const task_name& task,
+                   const std::string& spec,
+                   const std::optional<start_delegate>& delegate);
   // Stops the task's run, also one that was found or whose start is
   // unanswered.
   void Stop(const task_name& task);
@@ -156,6 +171,15 @@
 
  private:
   void ApplyRegisteredBirth();
+  // Sends the order to start the run of `record`.
+  void SendStart(const task_name& task,
+                 run_record& record,
+                 const std::string& spec,
+                 const std::optional<start_delegate>& delegate);
+  // Records that the order for the run that was sent at `sent` may arrive late.
+  void AddLateStart(const task_name& task, run_number run, time_point sent);
+  // Whether the start of an unanswered run may be sent again.
+  bool MayRepeat(const run_record& record) const;
   void BeginIncarnation(upstream_birth birth);
   void SendHold(hold_call& hold);
   // Sends a hold that does not wait, in addition to the waiting one: when the
@@ -189,7 +213,12 @@
     incarnation_->last_unanswered_call = clock_.now();
   }
   void ScheduleStartCheck(duration pause);
-  void CheckStarts();
+  // Returns whether a start was sent again.
+  bool CheckStarts();
+  bool RepeatStarts(const std::vector<task_name>& overdue);
+  // Has the owner send the start of `record` again when that is due. Returns
+  // false if it can't be repeated.
+  bool RequestRepeat(run_record& record, const task_name& task);
   void StopUnlistedStarts(time_point sent, const hold_reply& reply);
   void ApplyEnds(const hold_reply& reply);
   void ApplyRunning(const hold_reply& reply);
@@ -197,15 +226,20 @@
   void OnStarted(const task_name& task,
                  run_number run,
                  time_point sent,
+                 upstream_time ordered,
                  const start_reply& reply);
-  void UpdateSeen(run_record& record, const start_reply& reply);
+  void UpdateSeen(run_record& record,
+                  upstream_time ordered,
+                  const start_reply& reply);
   void SendStop(run_record& record, const task_name& task);
   void OnStopAnswered(run_record& record, call_result result);
   // Sends the orders to stop again that went unanswered.
   void ScheduleStopRetry();
-  // Has the current incarnation refuse the starts that an earlier one refused.
+  // Has the current incarnation refuse the starts that may arrive late and that
+  // are not in use any more.
   void RefuseStarts();
-  void RefuseStart(const refused_starts::start& refused);
+  void RefuseStart(const late_starts::start& refused);
+  void ScheduleRefusals();
   // Counts an upstream that has never replied as settled, as it has been silent
   // for too long.
   void SettleWithoutReply();
@@ -230,7 +264,8 @@
   // replies again or is known to have crashed.
   std::optional<upstream_loss> unreachable_loss_;
   time_point created_at_;
-  refused_starts refused_starts_;
+  // Of all upstreams of the home; outlives the session.
+  late_starts& late_starts_;
   std::unique_ptr<incarnation_state> incarnation_;
   // Number of the current incarnation. Replies to calls of earlier ones are
   // ignored.
--- a/tests/fakes/fake_upstreams.cc
+++ b/tests/fakes/fake_upstreams.cc
@@ -220,8 +220,9 @@
 void fake_upstream_port::Start(const upstream_id& id,
                                const run_order& order,
                                start_callback done) {
+  call_fate fate = fleet_.loses_starts ? call_fate::kRequestLost : Fate(id);
   Call<start_reply>(
-      id, Fate(id), kCallTimeout,
+      id, fate, kCallTimeout,
       [order](fake_upstream& u) { return u.Start(order); },
       {start_result::kUnknown, std::nullopt},
       ToProcess<start_reply>(std::move(done)));
--- a/tests/fakes/fake_upstreams.h
+++ b/tests/fakes/fake_upstreams.h
@@ -111,6 +111,8 @@
       [](const upstream_id&, const std::string&) {
         return call_fate::kAnswered;
       };
+  // Orders to start never arrive.
+  bool loses_starts = false;
   duration way = std::chrono::microseconds(300);
   // Of each message beyond `way`: differing ones let messages overtake others.
   std::function<duration()> detour = [] { return duration::zero(); };
--- a/tests/fakes/session_fixture.h
+++ b/tests/fakes/session_fixture.h
@@ -45,6 +45,13 @@
                     start_result why) override {
     not_started.emplace_back(task, why);
   }
+  bool OnStartUnanswered(upstream_session& session,
+                         const task_name& task,
+                         run_number) override {
+    if (repeats)
+      session.RepeatStart(task, "10000", std::nullopt);
+    return repeats;
+  }
   void OnFound(upstream_session& session,
                const task_name& task,
                run_number) override {
@@ -64,6 +71,8 @@
   bool lost_crashed = false;
   bool found_crashed = false;
   bool adopt = false;
+  // Starts that go unanswered are sent again.
+  bool repeats = false;
   // By which all runs must be over.
   time_point end_of_runs = time_point::max();
   int fenced = 0;
@@ -102,7 +111,7 @@
   void Open(uint64_t token = 1) {
     session = std::make_unique<upstream_session>(
         clock, port, Info(), fencing_token(token), upstream_session::limits(),
-        times, log);
+        times, late, log);
     clock.Advance(std::chrono::milliseconds(10));
   }
 
@@ -118,6 +127,7 @@
   fake_upstream* upstream;
   session_log log;
   answer_times times;
+  late_starts late;
   std::unique_ptr<upstream_session> session;
 };
 
--- /dev/null
+++ b/tests/run_home/late_start_test.cc
@@ -0,0 +1,150 @@
+// Tests of starts that went unanswered and are carried out late, after the
+// upstream has crashed and restarted under its id.
+
+#include <utility>
+
+#include <doctest/doctest.h>
+
+#include "fakes/home_fixture.h"
+
+namespace jasminedyke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const upstream_birth kFirst(1'700'000'000'000);
+const upstream_birth kSecond(1'700'000'005'000);
+constexpr duration kRunTime = milliseconds(4000);
+
+// A home whose only task was sent to u1, where it arrives after three seconds.
+struct late_start_fixture : home_fixture {
+  explicit late_start_fixture(upstream_birth birth = kFirst) {
+    Add("u1", birth);
+    Begin();
+    // The order's limit lies ahead on the clock of the next incarnation.
+    clock.Advance(milliseconds(8000));
+    Link(incarnation_id("0000000000000001"));
+    task_demand demand = Demand();
+    demand.estimate = kRunTime;
+    request = Request(1, demand);
+    request.to_objective = milliseconds(4000);
+    request.to_limit = milliseconds(20'000);
+    fleet.late = milliseconds(3000);
+    fleet.fate = [](const upstream_id&, const std::string&) {
+      return call_fate::kDelayed;
+    };
+    home.OnRequest(kOwner, request);
+    clock.Advance(milliseconds(1));
+    fleet.fate = [this](const upstream_id& id, const std::string&) {
+      return unreachable && id.str() == "u1" ? call_fate::kRequestLost
+                                             : call_fate::kAnswered;
+    };
+  }
+
+  void Add(const std::string& id, upstream_birth birth) {
+    fake_upstream& upstream = fleet.Add(id, "north");
+    upstream.birth = birth;
+    upstream.plan = [](const task_name&) {
+      return std::pair<duration, run_end>(kRunTime, run_end::kDone);
+    };
+    InfoOf(id).birth = birth;
+  }
+
+  void AddSecondUpstream() {
+    Add("u2", kFirst);
+    home.SetUpstreams(fleet.registry, true);
+    clock.Advance(milliseconds(20));
+  }
+
+  void CrashFirstUpstream() {
+    At("u1").unwell = false;
+    At("u1").Rebirth(kSecond);
+    InfoOf("u1").birth = kSecond;
+    home.SetUpstreams(fleet.registry, true);
+  }
+
+  // Returns whether the task has two runs at the same time meanwhile.
+  bool RunsTwiceWithin(duration time) {
+    bool twice = false;
+    for (time_point end = clock.now() + time; clock.now() < end;
+         clock.Advance(milliseconds(5)))
+      twice = fleet.AnyTaskRunsTwice() || twice;
+    return twice;
+  }
+
+  bool unreachable = false;
+  run_request request;
+};
+
+}  // namespace
+
+// Guards against a run beside the task's next one: the order reaches the next
+// incarnation before the home has called it.
+TEST_CASE("run_home: a late start arrives before the home's first call") {
+  late_start_fixture f;
+  SUBCASE("after the upstream has refused the run") {
+    f.At("u1").unwell = true;
+    f.clock.Advance(milliseconds(500));
+  }
+  SUBCASE("after the task ran on the upstream") {
+    f.clock.Advance(milliseconds(500));
+    REQUIRE(f.At("u1").running.size() == 1);
+  }
+  SUBCASE("while the task was not known to have begun") {
+    f.At("u1").unwell = true;
+    f.clock.Advance(milliseconds(20));
+  }
+  SUBCASE("after the job was sent again") {
+    f.At("u1").unwell = true;
+    f.clock.Advance(milliseconds(500));
+    f.home.OnCancel(kOwner, {f.request.job, f.request.submission});
+    f.clock.Advance(milliseconds(100));
+    REQUIRE(f.home.jobs() == 0);
+    f.request.submission = submission_id(2);
+    f.home.OnRequest(kOwner, f.request);
+  }
+  SUBCASE("after the upstream's registration has lapsed") {
+    f.At("u1").unwell = true;
+    f.clock.Advance(milliseconds(500));
+    upstream_info info = f.InfoOf("u1");
+    f.fleet.registry.erase(upstream_id("u1"));
+    f.home.SetUpstreams(f.fleet.registry, true);
+    f.clock.Advance(milliseconds(200));
+    f.fleet.registry[info.id] = info;
+  }
+  f.AddSecondUpstream();
+  f.clock.Advance(milliseconds(100));
+  f.unreachable = true;
+  f.CrashFirstUpstream();
+  CHECK(!f.RunsTwiceWithin(milliseconds(3500)));
+  f.unreachable = false;
+  CHECK(!f.RunsTwiceWithin(milliseconds(8000)));
+  CHECK(f.Count(task_verdict::kDone) == 1);
+}
+
+// Guards against a task that waits although its order can't arrive any more.
+TEST_CASE(
+    "run_home: an upstream without incarnations refuses a start for good") {
+  late_start_fixture f{upstream_birth()};
+  f.At("u1").unwell = true;
+  f.clock.Advance(milliseconds(500));
+  f.AddSecondUpstream();
+  f.clock.Advance(milliseconds(100));
+  CHECK(f.StartsOn("u2") == 1);
+}
+
+// Guards against a task that waits for an upstream that was lost for good.
+TEST_CASE("run_home: a late start is waited for no longer than it may take") {
+  late_start_fixture f;
+  f.At("u1").unwell = true;
+  f.clock.Advance(milliseconds(500));
+  f.AddSecondUpstream();
+  f.At("u1").down = true;
+  f.clock.Advance(milliseconds(13'000));
+  CHECK(f.StartsOn("u2") == 0);
+  f.clock.Advance(milliseconds(3000));
+  CHECK(f.StartsOn("u2") == 1);
+}
+
+}  // namespace jasminedyke
--- a/tests/upstream_session/eager_upstream_test.cc
+++ b/tests/upstream_session/eager_upstream_test.cc
@@ -23,11 +23,12 @@
   scripted_port port;
   session_log log;
   answer_times times;
+  late_starts late;
   upstream_info info;
   info.id = upstream_id("u1");
   info.capacity = {32'000, 65'536, 0};
   upstream_session session(clock, port, info, fencing_token(1),
-                           upstream_session::limits(), times, log);
+                           upstream_session::limits(), times, late, log);
   auto answer_for = [&](duration time, const std::vector<listed_run>& running) {
     size_t before = port.holds.size();
     for (duration passed{}; passed < time; passed += milliseconds(1)) {
--- a/tests/upstream_session/upstream_rebirth_test.cc
+++ b/tests/upstream_session/upstream_rebirth_test.cc
@@ -235,7 +235,7 @@
   f.Info().birth = kFirst;
   scripted_port port;
   upstream_session session(f.clock, port, f.Info(), fencing_token(1),
-                           upstream_session::limits(), f.times, f.log);
+                           upstream_session::limits(), f.times, f.late, f.log);
   hold_reply with_end = ListedAtWithBirth(kFirst, 1000);
   with_end.ended.push_back({7, kTask, run_number(1), run_end::kDone});
   port.holds.at(0)(with_end);
@@ -276,7 +276,7 @@
   f.Info().birth = kFirst;
   scripted_port port;
   upstream_session session(f.clock, port, f.Info(), fencing_token(1),
-                           upstream_session::limits(), f.times, f.log);
+                           upstream_session::limits(), f.times, f.late, f.log);
   port.holds.at(0)(ListedAtWithBirth(kFirst, 50'000));
   session.Start(kTask, run_number(1), "10000", kNeed);
   f.clock.Advance(milliseconds(40));
--- a/tests/upstream_session/upstream_session_test.cc
+++ b/tests/upstream_session/upstream_session_test.cc
@@ -228,7 +228,7 @@
   scripted_port port;
   upstream_session session(
       f.clock, port, f.fleet.registry.at(upstream_id("u1")), fencing_token(1),
-      upstream_session::limits(), f.times, f.log);
+      upstream_session::limits(), f.times, f.late, f.log);
   f.clock.Advance(milliseconds(1));
   port.holds.at(0)(ListedAt(1000, {}));
   f.clock.Advance(milliseconds(10));
@@ -252,7 +252,7 @@
   scripted_port port;
   upstream_session session(
       f.clock, port, f.fleet.registry.at(upstream_id("u1")), fencing_token(1),
-      upstream_session::limits(), f.times, f.log);
+      upstream_session::limits(), f.times, f.late, f.log);
   f.clock.Advance(milliseconds(1));
   port.holds.at(0)(ListedAt(1000, {}));
   f.clock.Advance(milliseconds(10));
@@ -437,4 +437,69 @@
   CHECK(f.log.ends[0].second == run_end::kStopped);
 }
 
+// Guards against orders that are lost on a calm day and make the task late: the
+// order is sent again to the same upstream, without a stop before.
+TEST_CASE("a start that goes unanswered is sent again") {
+  session_fixture f;
+  f.log.repeats = true;
+  f.Open();
+  int lost = 0;
+  SUBCASE("once") {
+    lost = 1;
+  }
+  SUBCASE("twice") {
+    lost = 2;
+  }
+  int calls = 0;
+  f.fleet.fate = [&](const upstream_id&, const std::string&) {
+    return calls++ < lost ? call_fate::kRequestLost : call_fate::kAnswered;
+  };
+  f.Start(kTask);
+  f.clock.Advance(milliseconds(lost == 1 ? 50 : 120));
+  CHECK(f.upstream->starts[kTask] == 1);
+  CHECK(f.log.not_started.empty());
+  f.clock.Advance(milliseconds(100));
+  REQUIRE(f.log.ends.size() == 1);
+  CHECK(f.log.ends[0].second == run_end::kDone);
+}
+
+// Guards against a second run when both orders arrive, in one incarnation or in
+// two.
+TEST_CASE("a start that was sent again is carried out once") {
+  session_fixture f;
+  f.log.repeats = true;
+  f.Open();
+  f.fleet.late = milliseconds(200);
+  int calls = 0;
+  f.fleet.fate = [&](const upstream_id&, const std::string&) {
+    return calls++ == 0 ? call_fate::kDelayed : call_fate::kAnswered;
+  };
+  f.Start(kTask);
+  f.clock.Advance(milliseconds(1000));
+  CHECK(f.upstream->starts[kTask] == 1);
+  CHECK(f.log.ends.size() == 1);
+  CHECK(f.session->idle());
+}
+
+// Guards against a task that stays on an upstream which takes no start: where
+// its promise to refuse them holds for good, the task is moved.
+TEST_CASE("a start that goes unanswered again and again") {
+  session_fixture f;
+  f.log.repeats = true;
+  f.upstream->birth = upstream_birth(1'700'000'000'000);
+  bool moves = false;
+  SUBCASE("is moved if no other incarnation may take it") {
+    f.upstream->birth = upstream_birth();
+    moves = true;
+  }
+  SUBCASE("is not moved otherwise") {}
+  f.Info().birth = f.upstream->birth;
+  f.Open();
+  f.fleet.loses_starts = true;
+  f.Start(kTask);
+  f.clock.Advance(milliseconds(1000));
+  CHECK((f.log.not_started.size() == 1) == moves);
+  CHECK(f.session->idle() == moves);
+}
+
 }  // namespace jasminedyke
