A job whose start may yet be carried out is not refused as "not run"

Its start had gone unanswered and been refused by the upstream, whose next incarnation carried the order out.

Now a job with an order that may still arrive has not "not started": its owner answers that it may have run (504), and does not send it to another home.

So that such jobs are not held until their limit, the home still refuses one without runs as soon as it can't be answered in useful time, also one that waits for an upstream which has left the registry, with the time until the order can't arrive any more. The owner passes the time on, and 504 carries Retry-After.

Upstreams that tell no birth: "not run" as before.

--- a/src/runs/home_job.cc
+++ b/src/runs/home_job.cc
@@ -19,8 +19,11 @@
 }
 
 bool home_job::HasNotStarted() const {
-  return !may_have_run && !may_start_late &&
-         tasks.Count(task_phase::kOrdered) == 0;
+  return HasNoRuns() && !may_start_late;
+}
+
+bool home_job::HasNoRuns() const {
+  return !may_have_run && tasks.Count(task_phase::kOrdered) == 0;
 }
 
 bool home_job::HasRejectedTask(int min_rejections) const {
--- a/src/runs/home_job.h
+++ b/src/runs/home_job.h
@@ -78,6 +78,9 @@
   // True if no task has begun and none can begin unless it is ordered from an
   // upstream again.
   bool HasNotStarted() const;
+  // True if no task has begun and none is ordered from an upstream. Unlike
+  // `HasNotStarted`, says nothing of orders that may arrive late.
+  bool HasNoRuns() const;
   // The expected run time of the task on a healthy upstream: the caller's
   // estimate, scaled by the pace of the job's finished tasks.
   duration ExpectedDuration(const home_task& task) const;
--- a/src/runs/job_owner.cc
+++ b/src/runs/job_owner.cc
@@ -347,7 +347,8 @@
     OnHomesChanged();
     return;
   }
-  Answer(report.job, {run_outcome::kUnknown, report.refusal, {}});
+  Answer(report.job,
+         {run_outcome::kUnknown, report.refusal, report.retry_after});
 }
 
 // Leaves the job without a home; the group's next home gets its tasks.
--- a/src/runs/job_owner.h
+++ b/src/runs/job_owner.h
@@ -59,7 +59,8 @@
 struct run_answer {
   run_outcome outcome = run_outcome::kUnknown;
   run_refusal reason = run_refusal::kNone;
-  // With `kNotRun`: how long to wait before trying again.
+  // How long to wait before trying again; always set with `kNotRun`, and with
+  // `kUnknown` if that is known.
   duration retry_after = duration::zero();
 };
 
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -812,8 +812,25 @@
   }
 }
 
-// Refuses jobs that have not started as soon as the estimate shows that they
-// can't be answered in useful time, so that their callers can go elsewhere.
+// Returns how long one of the job's tasks waits for an upstream that has left.
+// It can't run elsewhere before, as a late start may bring that upstream back
+// with it.
+duration run_home::WaitForLeftUpstream(const home_job& job) const {
+  duration longest = duration::zero();
+  if (!job.may_start_late)
+    return longest;
+  for (const auto& [position, task] : job.tasks) {
+    auto late = task.phase() == task_phase::kQueued
+                    ? LatePlaceOf({job.key, 0, position})
+                    : std::nullopt;
+    if (late && !registry_.contains(late->upstream))
+      longest = std::max(longest, late->until - clock_.now());
+  }
+  return longest;
+}
+
+// Refuses jobs that have no runs as soon as the estimate shows that they can't
+// be answered in useful time, so that their callers can go elsewhere.
 void run_home::RefuseLateJobs() {
   home_load load;
   load.cores = upstreams_.UsableCores();
@@ -822,17 +839,17 @@
   room_.Update(clock_.now(), {waiting, run_times_.done(), load.cores});
   for (waiting_job& each : waiting) {
     home_job& job = *each.job;
-    bool too_late =
-        job.HasNotStarted() &&
-        IsHopeless(each.criteria, EstimateWait(load) + delay, clock_.now());
-    if (!too_late) {
+    duration left = WaitForLeftUpstream(job);
+    duration wait = std::max(EstimateWait(load) + delay, left);
+    if (!job.HasNoRuns() || !IsHopeless(each.criteria, wait, clock_.now())) {
       load.work_ahead += each.work;
       continue;
     }
     if (upstreams_.CouldEverRun(job))
-      Refuse(job, run_refusal::kOverload, room_.RetryAfter(clock_.now(), each));
+      Refuse(job, run_refusal::kOverload,
+             std::max(left, room_.RetryAfter(clock_.now(), each)));
     else
-      Refuse(job, run_refusal::kNoUpstream, kMinRetryAfter);
+      Refuse(job, run_refusal::kNoUpstream, std::max(left, kMinRetryAfter));
     CancelJob(job);
   }
   EraseFinishedCancelled();
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -233,6 +233,7 @@
   void Sweep();
   // Logs each cancelled job once whose runs should have been stopped by now.
   void LogOverdueStops();
+  duration WaitForLeftUpstream(const home_job& job) const;
   void RefuseLateJobs();
   void EraseFinishedCancelled();
   void RecordRunEnd(home_job& job, const home_task& task, run_end how);
--- a/tests/job_owner/job_owner_test.cc
+++ b/tests/job_owner/job_owner_test.cc
@@ -236,6 +236,22 @@
   CHECK(f.answers[0].outcome == run_outcome::kUnknown);
 }
 
+// Guards against a caller that comes back while a late start may still arrive:
+// it is told when to, also if parts of its job may have run.
+TEST_CASE("job_owner: a job that may have run is refused with a time") {
+  job_owner_fixture f;
+  f.Submit();
+  REQUIRE(f.sent.size() == 1);
+  run_report refusal{f.sent[0].second.job, f.sent[0].second.submission, {}};
+  refusal.refusal = run_refusal::kOverload;
+  refusal.sending = f.sent[0].second.sending;
+  refusal.retry_after = milliseconds(9000);
+  f.owner.OnReport(kNorth, refusal);
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].outcome == run_outcome::kUnknown);
+  CHECK(f.answers[0].retry_after == milliseconds(9000));
+}
+
 // Guards against telling a caller when the last home expects room, as only the
 // first one reserves a place for the job.
 TEST_CASE("job_owner: a refused caller is told when the first home has room") {
