Runs whose start was sent again are timed from their last order

A healthy run would be stopped as stuck, since the time in which its orders were lost counted as its own, and a start that is being repeated would count as a run that hangs. Also, an order that is refused after an earlier one timed out is no longer sent again and again: the run is stopped and its task waits for room as others do.

--- a/src/runs/home_tasks.h
+++ b/src/runs/home_tasks.h
@@ -61,7 +61,8 @@
   // These three are valid only in phase `kOrdered`.
   // The submission for which the current run was started.
   submission_id submission;
-  // When the start of the current run was requested or the run was adopted.
+  // When the start of the current run was last requested or the run was
+  // adopted.
   time_point ordered_at;
   bool stopping = false;
   // Valid only in phase `kDone`.
--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -510,6 +510,7 @@
   if (!wanted)
     return false;
   task->submission = job->request.submission;
+  task->ordered_at = clock_.now();
   ++metrics_.repeated_starts;
   spec_rate_.Add(clock_.now(), SpecBytes(*job));
   session.RepeatStart(name, job->request.spec, DelegateOf(*job));
--- a/src/runs/stuck_runs.cc
+++ b/src/runs/stuck_runs.cc
@@ -153,7 +153,8 @@
   if (clock_.now() - task.ordered_at < kMinCheckedAge)
     return;
   upstream_session* session = upstreams_.Find(task.upstream());
-  if (!session)
+  if (!session ||
+      session->IsStartRepeated({job.key, 0, task.demand().position}))
     return;
   run_judgement judgement = JudgeRun(Observe(job, task, *session));
   if (judgement.ask_progress) {
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -155,6 +155,11 @@
          !incarnation_->runs.HasFound();
 }
 
+bool upstream_session::IsStartRepeated(const task_name& task) const {
+  const run_record* found = incarnation_->runs.Find(task);
+  return found && found->IsUnconfirmed() && found->sends > 1;
+}
+
 std::optional<run_progress> upstream_session::Progress(
     const task_name& task) const {
   const run_record* found = incarnation_->runs.Find(task);
@@ -295,14 +300,18 @@
     default:
       break;
   }
-  if (!was_starting)
+  if (!record.IsUnconfirmed())
     return;
   // Another order for the run may yet arrive, or has been carried out.
   if (record.sends > 1) {
-    record.may_repeat = reply.result == start_result::kNotSent;
+    bool transient = reply.result == start_result::kNotSent ||
+                     reply.result == start_result::kLate;
+    record.may_repeat = record.may_repeat && transient;
     SendPoll();
     return;
   }
+  if (!was_starting)
+    return;
   incarnation_->runs.Remove(task);
   owner_.OnNotStarted(*this, task, run, reply.result);
 }
--- a/src/runs/upstream_session.h
+++ b/src/runs/upstream_session.h
@@ -164,6 +164,9 @@
     return incarnation_->last_unanswered_call &&
            *incarnation_->last_unanswered_call >= since;
   }
+  // Whether the start of the task's run was sent again and has not been
+  // answered yet.
+  bool IsStartRepeated(const task_name& task) const;
   // Empty if the run has not been listed with its progress.
   std::optional<run_progress> Progress(const task_name& task) const;
   // Requests the lists of running and ended runs immediately.
--- a/tests/run_home/late_start_test.cc
+++ b/tests/run_home/late_start_test.cc
@@ -124,6 +124,27 @@
   CHECK(f.Count(task_verdict::kDone) == 1);
 }
 
+// Guards against a healthy run that is stopped as stuck, as the time in which
+// its orders were lost counts as its own.
+TEST_CASE("run_home: a start that is sent again counts from then") {
+  home_fixture f;
+  f.fleet.Add("u1", "north").birth = kFirst;
+  f.InfoOf("u1").birth = kFirst;
+  f.Begin();
+  f.Link(incarnation_id("0000000000000001"));
+  f.fleet.loses_starts = true;
+  run_request request = f.Request(1, Demand());
+  request.to_objective = milliseconds(2000);
+  request.to_limit = milliseconds(5000);
+  f.home.OnRequest(kOwner, request);
+  f.clock.Advance(milliseconds(600));
+  f.fleet.loses_starts = false;
+  f.clock.Advance(milliseconds(600));
+  CHECK(f.home.metrics().repeated_starts > 0);
+  CHECK(f.home.metrics().stuck.empty());
+  CHECK(f.Count(task_verdict::kDone) == 1);
+}
+
 // Guards against a task that waits although its order can't arrive any more.
 TEST_CASE(
     "run_home: an upstream without incarnations refuses a start for good") {
