--- a/tests/run_home/late_start_test.cc
+++ b/tests/run_home/late_start_test.cc
@@ -203,4 +203,67 @@
   CHECK(f.reports[0].retry_after < milliseconds(15'000));
 }
 
+// Guards against a run beside a late one that the home before had ordered: its
+// successor is not told which orders went unanswered.
+TEST_CASE("run_home: a late start arrives after its home was replaced") {
+  late_start_fixture f;
+  f.At("u1").unwell = true;
+  f.clock.Advance(milliseconds(500));
+  f.home.End();
+  f.Add("u2", kFirst);
+  fake_upstream_port port(f.fleet, "next");
+  run_home next(
+      f.clock, port, {failure_domain_id("north"), 0}, {},
+      [](const instance_id&, const run_report&) {}, [] {});
+  next.Begin(fencing_token(2));
+  next.SetUpstreams(f.fleet.registry, true);
+  const instance_id owner("entry-2");
+  next.OnPeerUp(owner, incarnation_id("0000000000000002"));
+  f.clock.Advance(milliseconds(20));
+  for (task_demand& task : f.request.tasks)
+    task.maybe_started = true;
+  next.OnRequest(owner, f.request);
+  f.clock.Advance(milliseconds(100));
+  f.unreachable = true;
+  f.CrashFirstUpstream();
+  bool twice = false;
+  for (int i = 0; i < 14; ++i) {
+    next.OnConfirmed(owner, f.clock.boot_now());
+    twice = f.RunsTwiceWithin(milliseconds(250)) || twice;
+  }
+  CHECK(!twice);
+}
+
+// Guards against a run beside a late one after the caller has sent its job
+// again and another failure domain has taken it, which knows nothing of the
+// orders.
+TEST_CASE("run_home: a late start arrives while the job runs elsewhere") {
+  late_start_fixture f;
+  f.At("u1").unwell = true;
+  f.clock.Advance(milliseconds(500));
+  f.home.OnCancel(kOwner, {f.request.job, f.request.submission});
+  fake_fleet south_fleet(f.clock);
+  fake_upstream& u2 = south_fleet.Add("u2", "south");
+  u2.plan = f.At("u1").plan;
+  fake_upstream_port port(south_fleet, "south");
+  run_home south(
+      f.clock, port, {failure_domain_id("south"), 0}, {},
+      [](const instance_id&, const run_report&) {}, [] {});
+  south.Begin(fencing_token(1));
+  south.SetUpstreams(south_fleet.registry, true);
+  f.clock.Advance(milliseconds(1300));
+  south.OnRequest(instance_id("entry-2"), f.request);
+  f.clock.Advance(milliseconds(100));
+  f.unreachable = true;
+  f.CrashFirstUpstream();
+  bool twice = false;
+  for (int i = 0; i < 500; ++i) {
+    f.clock.Advance(milliseconds(5));
+    f.At("u1").Settle();
+    u2.Settle();
+    twice = twice || (!f.At("u1").running.empty() && !u2.running.empty());
+  }
+  CHECK(!twice);
+}
+
 }  // namespace jasminedyke
