--- a/src/runs/run_home.cc
+++ b/src/runs/run_home.cc
@@ -689,17 +689,17 @@
 // While an order for the task may arrive late, the task runs on that order's
 // upstream or not at all. A run there must not meet an order of a lower number
 // that the upstream does not refuse.
-std::pair<upstream_session*, bool> run_home::ChoosePlace(home_job& job,
-                                                         home_task& task) {
-  if (auto late = LatePlaceOf({job.key, 0, task.demand().position}))
-    return {
-        late->refused ? placer_.PlaceOn(late->upstream, job, task) : nullptr,
-        false};
+run_home::chosen_place run_home::ChoosePlace(home_job& job, home_task& task) {
+  if (auto late = LatePlaceOf({job.key, 0, task.demand().position})) {
+    if (!late->refused)
+      return {};
+    return {placer_.PlaceOn(late->upstream, job, task)};
+  }
   if (SuspicionOf(job, task) != crash_suspicion::kNone) {
     if (upstream_session* session = placer_.PlaceAlone(job, task))
       return {session, true};
   }
-  return {placer_.Place(job, task), false};
+  return {placer_.Place(job, task)};
 }
 
 bool run_home::PlaceTask(home_job& job, home_task& task) {
@@ -813,9 +813,7 @@
   }
 }
 
-// Returns how long one of the job's tasks waits for an upstream that has left.
-// It can't run elsewhere before, as a late start may bring that upstream back
-// with it.
+// An upstream that has left may be back under its id before the order arrives.
 duration run_home::WaitForLeftUpstream(const home_job& job) const {
   duration longest = duration::zero();
   if (!job.may_start_late)
@@ -840,9 +838,10 @@
   room_.Update(clock_.now(), {waiting, run_times_.done(), load.cores});
   for (waiting_job& each : waiting) {
     home_job& job = *each.job;
-    duration left = WaitForLeftUpstream(job);
+    bool has_no_runs = job.HasNoRuns();
+    duration left = has_no_runs ? WaitForLeftUpstream(job) : duration::zero();
     duration wait = std::max(EstimateWait(load) + delay, left);
-    if (!job.HasNoRuns() || !IsHopeless(each.criteria, wait, clock_.now())) {
+    if (!has_no_runs || !IsHopeless(each.criteria, wait, clock_.now())) {
       load.work_ahead += each.work;
       continue;
     }
--- a/src/runs/run_home.h
+++ b/src/runs/run_home.h
@@ -154,6 +154,12 @@
   const home_speeds& speeds() const { return upstreams_.speeds(); }
 
  private:
+  struct chosen_place {
+    upstream_session* upstream = nullptr;
+    // The task must not share the upstream.
+    bool alone = false;
+  };
+
   void OnRunEnded(upstream_session& session,
                   const task_name& task,
                   run_number run,
@@ -214,10 +220,8 @@
   void ReturnToOwner(home_job& job, run_refusal reason, duration retry_after);
   bool PlaceTasks(home_job& job);
   bool PlaceTask(home_job& job, home_task& task);
-  // Returns the upstream to start the task on, and whether the task must not
-  // share it; null if no upstream is suitable now.
-  std::pair<upstream_session*, bool> ChoosePlace(home_job& job,
-                                                 home_task& task);
+  // Returns no upstream if none is suitable now.
+  chosen_place ChoosePlace(home_job& job, home_task& task);
   // Returns where the task must run while orders for it may arrive late.
   std::optional<late_starts::place> LatePlaceOf(const task_name& task) const;
   // The instance that sends the starts of the job, if that is its owner.
@@ -233,6 +237,8 @@
   void Sweep();
   // Logs each cancelled job once whose runs should have been stopped by now.
   void LogOverdueStops();
+  // Returns how long a task of the job waits for an upstream that has left,
+  // whose late start must not meet another run of the task; 0 if none does.
   duration WaitForLeftUpstream(const home_job& job) const;
   void RefuseLateJobs();
   void EraseFinishedCancelled();
--- a/src/runs/upstream_session.cc
+++ b/src/runs/upstream_session.cc
@@ -383,6 +383,10 @@
 
 // Stopping a run that is not there makes the upstream refuse its start.
 void upstream_session::RefuseStarts() {
+  if (incarnation_->failed_holds > 0) {
+    ScheduleRefusals();
+    return;
+  }
   for (const late_starts::start& late :
        late_starts_.Unrefused(info_.id, clock_.now())) {
     if (!incarnation_->runs.Find(late.first))
