--- a/src/runs/upstream_runs.h
+++ b/src/runs/upstream_runs.h
@@ -48,8 +48,8 @@
   int sends = 1;
   // The start request may be sent again if it stays unanswered.
   bool may_repeat = true;
-  // When the upstream confirmed that the run is stopped. The run can't begin
-  // after that.
+  // When the upstream confirmed that the run is stopped. Its present
+  // incarnation can't begin the run after that.
   std::optional<time_point> stop_confirmed_at;
   // Whether the run is known to have begun in the upstream's present
   // incarnation.
--- a/tests/late_starts/late_starts_test.cc
+++ b/tests/late_starts/late_starts_test.cc
@@ -72,6 +72,7 @@
   CHECK(late.Unrefused(kFirst, now) == std::vector{Run(2)});
 }
 
+// Guards against a run on one upstream beside a late one on another.
 TEST_CASE("late_starts: no upstream may run a task with orders to two") {
   late_starts late;
   time_point now{};
--- a/tests/upstream_session/upstream_session_test.cc
+++ b/tests/upstream_session/upstream_session_test.cc
@@ -463,8 +463,8 @@
   CHECK(f.log.ends[0].second == run_end::kDone);
 }
 
-// Guards against a second run when both orders arrive, in one incarnation or in
-// two.
+// Guards against a second run when the first order arrives after all, and the
+// run of the second has ended.
 TEST_CASE("a start that was sent again is carried out once") {
   session_fixture f;
   f.log.repeats = true;
